--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -181,9 +181,10 @@
 auto HttpServer::listen(std::string_view endpoint) -> Expected<void, ListenError>
 {
     const auto colon = endpoint.rfind(':');
-    if (colon == std::string_view::npos)
+    if (colon == std::string_view::npos) {
         return tl::unexpected(
             ListenError{ListenError::Kind::BadAddress, std::string(endpoint), "no ADDRESS:PORT"});
+    }
     const auto address = QHostAddress(toQString(endpoint.substr(0, colon)));
     const auto port = toQString(endpoint.substr(colon + 1)).toUShort();
     if (m_server->listen(address, port))
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -100,10 +100,11 @@
     if (!reply)
         return fail(reply.error());
     const auto plan = objectOf(*reply);
-    if (context.output == OutputFormat::Json)
+    if (context.output == OutputFormat::Json) {
         printLine(reply->toStdString());
-    else
+    } else {
         printPlan(plan);
+    }
     if (context.isConfirmed)
         return confirmPlan(context, textOf(plan, "id"_L1));
     if (context.output == OutputFormat::Text)
@@ -165,10 +166,11 @@
         }
     }
     for (const auto &it : mergeTimelines(std::move(events))) {
-        if (context.output == OutputFormat::Json)
+        if (context.output == OutputFormat::Json) {
             printLine(bytesOf(it).toStdString());
-        else
+        } else {
             printLine(describeEvent(it));
+        }
     }
     return failures == context.client->endpoints().size() ? ExitCode::Unreachable : ExitCode::Done;
 }
@@ -273,11 +275,12 @@
     const auto configuration = readDeclarations(*files);
     if (!configuration)
         return failInput(configuration.error());
-    if (context.output == OutputFormat::Text)
+    if (context.output == OutputFormat::Text) {
         printLine(fmt::format("{} data centres, {} pools, {} hosts, {} teams, {} queues: good",
                               configuration->dataCentres.size(), configuration->pools.size(),
                               configuration->hosts.size(), configuration->teams.size(),
                               configuration->queues.size()));
+    }
     return ExitCode::Done;
 }
 
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -36,9 +36,10 @@
 {
     std::cout << "shallotctl - drives a fleet capacity and maintenance manager\n\n"
                  "Usage: shallotctl [OPTIONS] COMMAND\n\nCommands:\n";
-    for (const auto &it : commands())
+    for (const auto &it : commands()) {
         std::cout << fmt::format("  {:32} {}\n", fmt::format("{} {}", it.words, it.parameters),
                                  it.brief);
+    }
     std::cout
         << '\n'
         << description
--- a/packages/ctl/src/operator_client.cpp
+++ b/packages/ctl/src/operator_client.cpp
@@ -82,9 +82,10 @@
         return tl::unexpected(ClientError{ClientError::Kind::Refused, answer.toStdString()});
     if (reply->error() == QNetworkReply::ConnectionRefusedError)
         return tl::unexpected(ClientError{ClientError::Kind::Unreachable, endpoint});
-    if (reply->error() != QNetworkReply::NoError)
+    if (reply->error() != QNetworkReply::NoError) {
         return tl::unexpected(ClientError{ClientError::Kind::NoAnswer,
                                           endpoint + ": " + reply->errorString().toStdString()});
+    }
     return answer;
 }
 
--- a/packages/daemon/src/configuration_module.cpp
+++ b/packages/daemon/src/configuration_module.cpp
@@ -172,30 +172,34 @@
         extendFreshness(started + FreshTime);
         return;
     }
-    readParts(*head, started);
+    readParts(*head, answer.reads[0].front().revision, started);
 }
 
-auto ConfigurationModule::readParts(const ConfigurationHead &head, BootTime started) -> void
+auto ConfigurationModule::readParts(const ConfigurationHead &head, StoreRevision revision,
+                                    BootTime started) -> void
 {
     if (m_isReading)
         return;
     m_isReading = true;
     auto transaction = StoreTransaction();
     transaction.onSuccess.emplace_back(StoreRange{m_context.key(partsPrefix(head)), true});
-    m_context.store(std::move(transaction), [this, head, started](const StoreReply &reply) {
-        m_isReading = false;
-        if (!reply || reply->reads.size() != 1 || reply->reads[0].size() != head.parts)
-            return;
-        auto parts = std::vector<std::string>();
-        for (const auto &it : reply->reads[0])
-            parts.push_back(it.value);
-        auto configuration = decodeConfiguration(parts);
-        if (!configuration || configuration->version <= m_context.version())
-            return;
-        hold(std::make_shared<const Configuration>(std::move(*configuration)));
-        extendFreshness(started + FreshTime);
-        m_nextPoll = started;
-    });
+    m_context.store(
+        std::move(transaction), [this, head, revision, started](const StoreReply &reply) {
+            m_isReading = false;
+            if (!reply || reply->reads.size() != 1 || reply->reads[0].size() != head.parts)
+                return;
+            auto parts = std::vector<std::string>();
+            for (const auto &it : reply->reads[0])
+                parts.push_back(it.value);
+            auto configuration = decodeConfiguration(parts);
+            if (!configuration || configuration->version <= m_context.version())
+                return;
+            m_head = head;
+            m_headRevision = revision;
+            hold(std::make_shared<const Configuration>(std::move(*configuration)));
+            extendFreshness(started + FreshTime);
+            m_nextPoll = started;
+        });
 }
 
 auto ConfigurationModule::hold(ConfigurationPointer configuration) -> void
@@ -237,10 +241,11 @@
         transaction.onSuccess.emplace_back(StorePut{m_context.key(suffix), parts[i], 0});
     }
     m_context.store(std::move(transaction), [this](const StoreReply &reply) {
-        if (reply)
+        if (reply) {
             swapHead();
-        else
+        } else {
             finishPublication(PublishOutcome::NotApplied);
+        }
     });
 }
 
@@ -268,10 +273,11 @@
     transaction.onSuccess.emplace_back(StoreRange{m_context.key(HeadKey), false});
     m_context.store(std::move(transaction), [this](const StoreReply &reply) {
         if (!reply) {
-            if (BootClock::now() < m_publication->deadline)
+            if (BootClock::now() < m_publication->deadline) {
                 readBack();
-            else
+            } else {
                 finishPublication(PublishOutcome::Unknown);
+            }
             return;
         }
         const auto &records = reply->reads.front();
--- a/packages/daemon/src/configuration_module.hpp
+++ b/packages/daemon/src/configuration_module.hpp
@@ -50,7 +50,7 @@
     auto keepLease(BootTime now) -> void;
     auto poll(BootTime now) -> void;
     auto applyPoll(const StoreAnswer &answer, BootTime started) -> void;
-    auto readParts(const ConfigurationHead &head, BootTime started) -> void;
+    auto readParts(const ConfigurationHead &head, StoreRevision revision, BootTime started) -> void;
     auto hold(ConfigurationPointer configuration) -> void;
     auto extendFreshness(BootTime until) -> void;
     auto writeParts(const std::vector<std::string> &parts) -> void;
--- a/packages/daemon/src/control_context.cpp
+++ b/packages/daemon/src/control_context.cpp
@@ -70,10 +70,11 @@
 auto ControlContext::reply(const ControlCall &call, HttpResponse response) -> void
 {
     auto reply = ControlReply{call.face, call.number, std::move(response)};
-    if (call.face == CallFace::Callers)
+    if (call.face == CallFace::Callers) {
         updateFront(std::move(reply));
-    else if (!m_links.controlToOperators.push(std::move(reply)))
+    } else if (!m_links.controlToOperators.push(std::move(reply))) {
         ControlLog.error("operator ring is full");
+    }
 }
 
 auto ControlContext::record(std::string_view kind, std::string_view subject,
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -22,6 +22,9 @@
     , m_allocation(m_context)
     , m_intents(m_context, m_configuration)
     , m_status(m_context, m_configuration)
+    , m_claims(m_context)
+    , m_tasks(m_context)
+    , m_maintenance(m_context)
 {
     attachConsumer(links.frontToControl, this, [this] { drainFront(); });
     attachConsumer(links.operatorsToControl, this, [this] { drainOperators(); });
@@ -36,6 +39,9 @@
     function(m_allocation);
     function(m_intents);
     function(m_status);
+    function(m_claims);
+    function(m_tasks);
+    function(m_maintenance);
 }
 
 auto ControlDuty::start() -> void
--- a/packages/daemon/src/control_duty.hpp
+++ b/packages/daemon/src/control_duty.hpp
@@ -7,12 +7,15 @@
 #include <QTimer>
 
 #include "allocation_module.hpp"
+#include "claim_module.hpp"
 #include "configuration_module.hpp"
 #include "control_context.hpp"
 #include "intent_module.hpp"
 #include "links.hpp"
+#include "maintenance_module.hpp"
 #include "process_context.hpp"
 #include "status_module.hpp"
+#include "task_module.hpp"
 
 namespace shallotproxy {
 
@@ -46,6 +49,9 @@
     AllocationModule m_allocation;
     IntentModule m_intents;
     StatusModule m_status;
+    ClaimModule m_claims;
+    TaskModule m_tasks;
+    MaintenanceModule m_maintenance;
     std::unique_ptr<QTimer> m_timer;
     ConfigurationPointer m_announced;
     MemberDirectory m_announcedMembers;
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -100,12 +100,13 @@
 
 auto FrontDuty::handleRequest(HttpRequest request, HttpResponder responder) -> void
 {
-    if (request.path == "/health")
+    if (request.path == "/health") {
         handleHealth(std::move(responder));
-    else if (request.path.starts_with("/tasks") || request.path.starts_with("/usage"))
+    } else if (request.path.starts_with("/tasks") || request.path.starts_with("/usage")) {
         handleControlCall(std::move(request), std::move(responder));
-    else
+    } else {
         handleQueueRequest(std::move(request), std::move(responder));
+    }
 }
 
 auto FrontDuty::handleHealth(HttpResponder responder) -> void
@@ -294,7 +295,7 @@
                                {"team", open.team.value()},
                                {"status", fmt::format("{}", response.status)}});
     m_process.metrics.count("shallotproxy_requests_total",
-                            fmt::format("team=\"{}\",outcome=\"{}\"", open.team.value(), outcome));
+                            fmt::format(R"(team="{}",outcome="{}")", open.team.value(), outcome));
     response.headers.push_back({"Shallotproxy-Outcome", std::string(outcome)});
     response.headers.push_back({"Shallotproxy-Request", open.id});
     open.responder.answer(response);
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -26,6 +26,7 @@
 namespace options = boost::program_options;
 
 constexpr auto MainLog = Log("main");
+constexpr auto LeaveTime = 200ms;
 
 enum ExitCode { ExitOk = 0, ExitUsage = 2, ExitSettings = 3, ExitListen = 4 };
 
@@ -165,7 +166,6 @@
     MainLog.info("{} serves callers on {}", self.member.value(), process.settings.callersEndpoint);
 
     constexpr auto PollInterval = 20ms;
-    constexpr auto LeaveTime = 200ms;
     auto poll = QTimer();
     QObject::connect(&poll, &QTimer::timeout, &poll, [&daemon, &poll] {
         if (!daemon.isDrained())
--- /dev/null
+++ b/packages/daemon/src/maintenance_module.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "control_context.hpp"
+
+namespace shallotproxy {
+
+/// Drives confirmed maintenance in waves.
+class MaintenanceModule
+{
+public:
+    explicit MaintenanceModule(ControlContext &context);
+
+private:
+    ControlContext &m_context;
+};
+
+} // namespace shallotproxy
--- a/packages/daemon/src/peer_duty.cpp
+++ b/packages/daemon/src/peer_duty.cpp
@@ -66,10 +66,11 @@
     auto kept = std::map<MemberName, Outgoing>();
     for (const auto &it : roster.peers) {
         const auto existing = m_outgoing.find(it.member);
-        if (existing != m_outgoing.end() && existing->second.endpoint == it.endpoint)
+        if (existing != m_outgoing.end() && existing->second.endpoint == it.endpoint) {
             kept.emplace(it.member, std::move(existing->second));
-        else
+        } else {
             kept.emplace(it.member, Outgoing{it.endpoint, nullptr, {}});
+        }
     }
     m_outgoing = std::move(kept);
 }
--- a/packages/daemon/src/target_pool.cpp
+++ b/packages/daemon/src/target_pool.cpp
@@ -41,10 +41,11 @@
 
 auto TargetPool::giveBack(const std::string &address, TargetConnection *connection) -> void
 {
-    if (connection->isReusable())
+    if (connection->isReusable()) {
         m_idle[address].push_back(connection);
-    else
+    } else {
         connection->deleteLater();
+    }
 }
 
 } // namespace shallotproxy
--- /dev/null
+++ b/packages/daemon/src/task_module.cpp
@@ -0,0 +1,9 @@
+#include "task_module.hpp"
+
+namespace shallotproxy {
+
+TaskModule::TaskModule(ControlContext &context)
+    : m_context(context)
+{ }
+
+} // namespace shallotproxy
--- /dev/null
+++ b/packages/daemon/src/task_module.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "control_context.hpp"
+
+namespace shallotproxy {
+
+/// Runs tasks on workers.
+class TaskModule
+{
+public:
+    explicit TaskModule(ControlContext &context);
+
+private:
+    ControlContext &m_context;
+};
+
+} // namespace shallotproxy
--- a/packages/process/include/shallotproxy/process/base/names.hpp
+++ b/packages/process/include/shallotproxy/process/base/names.hpp
@@ -23,7 +23,7 @@
 
     [[nodiscard]] auto value() const -> const std::string & { return m_value; }
     [[nodiscard]] auto isEmpty() const -> bool { return m_value.empty(); }
-    auto operator<=>(const Name &other) const = default;
+    auto operator<=>(const Name &other) const = default; // NOLINT(modernize-use-nullptr)
 
     MSGPACK_DEFINE(m_value)
 
@@ -52,7 +52,7 @@
     MemberName member;
     std::uint64_t number = 0;
 
-    auto operator<=>(const Incarnation &other) const = default;
+    auto operator<=>(const Incarnation &other) const = default; // NOLINT(modernize-use-nullptr)
     MSGPACK_DEFINE(member, number)
 };
 
--- a/packages/process/src/etcd_store.cpp
+++ b/packages/process/src/etcd_store.cpp
@@ -37,7 +37,7 @@
         }
         prefix.pop_back();
     }
-    return std::string(1, '\0');
+    return {'\0'};
 }
 
 struct OperationJson
@@ -204,10 +204,11 @@
     QObject::connect(reply, &QNetworkReply::finished, &m_manager,
                      [reply, callback = std::move(callback)] {
                          reply->deleteLater();
-                         if (reply->error() != QNetworkReply::NoError)
+                         if (reply->error() != QNetworkReply::NoError) {
                              callback(tl::unexpected(networkError(*reply)));
-                         else
+                         } else {
                              callback(parseAnswer(reply->readAll()));
+                         }
                      });
 }
 
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -28,9 +28,10 @@
 {
     auto loads = std::vector<PoolTeamLoad>();
     for (const auto &[poolName, pool] : m_pools) {
-        for (const auto &[teamName, team] : pool.teams)
+        for (const auto &[teamName, team] : pool.teams) {
             loads.push_back(
                 {poolName, teamName, static_cast<std::uint32_t>(team.queued()), team.running});
+        }
     }
     return loads;
 }
--- a/packages/version/include/shallotproxy/version/input/yaml_reader.hpp
+++ b/packages/version/include/shallotproxy/version/input/yaml_reader.hpp
@@ -17,14 +17,15 @@
 class YamlMap
 {
 public:
-    YamlMap(YAML::Node node, std::string file, std::string path, InputErrors &errors);
+    YamlMap(const YAML::Node &node, std::string file, std::string path, InputErrors &errors);
 
     /// Reports each key that is not among these, with the nearest known one.
     auto allowKeys(std::span<const std::string_view> known) const -> void;
 
     [[nodiscard]] auto has(std::string_view key) const -> bool;
     [[nodiscard]] auto line(std::string_view key) const -> int;
-    auto text(std::string_view key, std::optional<std::string> fallback = {}) const -> std::string;
+    auto text(std::string_view key, const std::optional<std::string> &fallback = {}) const
+        -> std::string;
     auto number(std::string_view key, std::uint64_t low, std::uint64_t high,
                 std::optional<std::uint64_t> fallback = {}) const -> std::uint64_t;
     auto flag(std::string_view key, bool fallback) const -> bool;
@@ -37,7 +38,7 @@
     /// One of the words; the first if the key is absent.
     auto word(std::string_view key, std::span<const std::string_view> words) const -> std::size_t;
     /// `ADDRESS:PORT` with a numeric address.
-    auto endpoint(std::string_view key, std::optional<std::string> fallback = {}) const
+    auto endpoint(std::string_view key, const std::optional<std::string> &fallback = {}) const
         -> std::string;
     [[nodiscard]] auto map(std::string_view key) const -> YamlMap;
     [[nodiscard]] auto list(std::string_view key) const -> std::vector<YamlMap>;
--- a/packages/version/src/declarations.cpp
+++ b/packages/version/src/declarations.cpp
@@ -23,9 +23,10 @@
 auto insertUnique(std::map<Key, Value> &map, const YamlMap &yaml, Value value) -> void
 {
     const auto name = value.name;
-    if (!map.emplace(name, std::move(value)).second)
+    if (!map.emplace(name, std::move(value)).second) {
         yaml.report(InputError::Kind::Duplicate, "name", fmt::format("'{}'", name.value()),
                     "a name that is declared once");
+    }
 }
 
 /// Reads one kind of declaration after another into a configuration.
@@ -81,9 +82,10 @@
                 return entry.second.pool == pool.name;
             };
             const auto n = std::ranges::count_if(configuration.hosts, inPool);
-            if (pool.maxUnavailable == 0 && n > 0)
+            if (pool.maxUnavailable == 0 && n > 0) {
                 yaml.report(InputError::Kind::Unreachable, "maxUnavailable", "0",
                             "at least 1, or no wave could ever take a host out");
+            }
         });
         insertUnique(m_configuration.pools, yaml, std::move(pool));
     }
@@ -104,12 +106,14 @@
         host.address = yaml.endpoint("address");
         readCapacity(yaml, host);
         m_checks.emplace_back([yaml, host](const Configuration &configuration) {
-            if (!configuration.dataCentres.contains(host.dataCentre))
+            if (!configuration.dataCentres.contains(host.dataCentre)) {
                 yaml.report(InputError::Kind::UnknownReference, "dataCentre",
                             fmt::format("'{}'", host.dataCentre.value()), "a declared data centre");
-            if (!configuration.pools.contains(host.pool))
+            }
+            if (!configuration.pools.contains(host.pool)) {
                 yaml.report(InputError::Kind::UnknownReference, "pool",
                             fmt::format("'{}'", host.pool.value()), "a declared pool");
+            }
         });
         insertUnique(m_configuration.hosts, yaml, std::move(host));
     }
@@ -145,9 +149,10 @@
             team.keys.push_back(readKey(it));
         m_checks.emplace_back([yaml, team](const Configuration &configuration) {
             const auto capacity = totalSlots(configuration);
-            if (capacity > 0 && team.limit > capacity)
+            if (capacity > 0 && team.limit > capacity) {
                 yaml.report(InputError::Kind::Unreachable, "limit", fmt::format("{}", team.limit),
                             fmt::format("at most {}, the slots and cores of all hosts", capacity));
+            }
         });
         insertUnique(m_configuration.teams, yaml, std::move(team));
     }
@@ -159,12 +164,14 @@
         yaml.allowKeys(Keys);
         auto key = TeamKey{KeyName(yaml.text("name")), yaml.text("digest")};
         const auto isHex = key.digest.find_first_not_of("0123456789abcdef") == std::string::npos;
-        if (key.digest.size() != DigestLength || !isHex)
+        if (key.digest.size() != DigestLength || !isHex) {
             yaml.report(InputError::Kind::WrongType, "digest", "another text",
                         "64 lower-case hexadecimal digits (SHA-256)");
-        if (!m_keyNames.insert(key.name).second)
+        }
+        if (!m_keyNames.insert(key.name).second) {
             yaml.report(InputError::Kind::Duplicate, "name", fmt::format("'{}'", key.name.value()),
                         "a key name that is declared once");
+        }
         return key;
     }
 
@@ -185,9 +192,10 @@
         queue.capacity =
             static_cast<std::uint32_t>(yaml.number("capacity", 1, MaxCapacity, queue.capacity));
         m_checks.emplace_back([yaml, queue](const Configuration &configuration) {
-            if (!configuration.pools.contains(queue.pool))
+            if (!configuration.pools.contains(queue.pool)) {
                 yaml.report(InputError::Kind::UnknownReference, "pool",
                             fmt::format("'{}'", queue.pool.value()), "a declared pool");
+            }
         });
         insertUnique(m_configuration.queues, yaml, std::move(queue));
     }
@@ -238,15 +246,17 @@
     auto files = std::vector<DeclarationFile>();
     for (const auto &it : names) {
         auto file = QFile(it);
-        if (!file.open(QIODevice::ReadOnly))
+        if (!file.open(QIODevice::ReadOnly)) {
             return tl::unexpected(
                 InputErrors{{InputError::Kind::Unreadable, it.toStdString(), 0, "",
                              file.errorString().toStdString(), "a readable file"}});
+        }
         files.push_back({it.toStdString(), file.readAll().toStdString()});
     }
-    if (files.empty())
+    if (files.empty()) {
         return tl::unexpected(InputErrors{{InputError::Kind::Unreadable, path, 0, "",
                                            "no *.yaml file", "a directory with declarations"}});
+    }
     return files;
 }
 
--- a/packages/version/src/intent_json.cpp
+++ b/packages/version/src/intent_json.cpp
@@ -30,10 +30,10 @@
 
 auto stateOf(const QJsonObject &json) -> std::optional<ServiceState>
 {
-    static const auto States = std::map<std::string, ServiceState>{
+    static const auto states = std::map<std::string, ServiceState>{
         {"in", ServiceState::In}, {"leaving", ServiceState::Leaving}, {"out", ServiceState::Out}};
-    const auto it = States.find(textOf(json, "state"_L1));
-    return it == States.end() ? std::nullopt : std::optional(it->second);
+    const auto it = states.find(textOf(json, "state"_L1));
+    return it == states.end() ? std::nullopt : std::optional(it->second);
 }
 
 auto mayBreakBudget(const QJsonObject &json) -> bool
--- a/packages/version/src/member_settings.cpp
+++ b/packages/version/src/member_settings.cpp
@@ -34,16 +34,17 @@
     static constexpr std::array<std::string_view, 2> Keys = {"peerSecret", "operatorKeyDigest"};
     yaml.allowKeys(Keys);
     settings.peerSecret = yaml.text("peerSecret");
-    if (settings.peerSecret.size() < MinSecretBytes)
+    if (settings.peerSecret.size() < MinSecretBytes) {
         yaml.report(InputError::Kind::OutOfRange, "peerSecret", "a shorter text",
                     "at least 16 characters");
+    }
     settings.operatorKeyDigest = yaml.text("operatorKeyDigest");
 }
 
 auto readBounds(const YamlMap &yaml, MemberSettings &settings) -> void
 {
     static constexpr std::array<std::string_view, 3> Keys = {"body", "connections", "shutdown"};
-    constexpr std::uint64_t OneMiB = 1024 * 1024;
+    constexpr std::uint64_t OneMiB = std::uint64_t{1024} * 1024;
     yaml.allowKeys(Keys);
     settings.maxBodyBytes = yaml.bytes("body", OneMiB);
     settings.maxConnections = yaml.number("connections", 1, 65'536, 1'024);
@@ -86,9 +87,10 @@
 auto loadMemberSettings(const std::string &file) -> tl::expected<MemberSettings, InputErrors>
 {
     auto input = QFile(QString::fromStdString(file));
-    if (!input.open(QIODevice::ReadOnly))
+    if (!input.open(QIODevice::ReadOnly)) {
         return tl::unexpected(InputErrors{{InputError::Kind::Unreadable, file, 0, "",
                                            input.errorString().toStdString(), "a readable file"}});
+    }
     return readMemberSettings(input.readAll().toStdString(), file);
 }
 
--- a/packages/version/src/plan.cpp
+++ b/packages/version/src/plan.cpp
@@ -147,10 +147,11 @@
     }
     for (const auto &[name, value] : to) {
         const auto it = from.find(name);
-        if (it == from.end())
+        if (it == from.end()) {
             lines.push_back(fmt::format("{} {}: added", kind, name.value()));
-        else if (const auto text = describe(it->second, value); !text.empty())
+        } else if (const auto text = describe(it->second, value); !text.empty()) {
             lines.push_back(fmt::format("{} {}: {}", kind, name.value(), text));
+        }
     }
 }
 
@@ -163,9 +164,10 @@
 auto describeHost(const Host &from, const Host &to) -> std::string
 {
     auto text = stateChange(from.state, to.state);
-    if (from.pool != to.pool)
+    if (from.pool != to.pool) {
         text += fmt::format("{}pool {} -> {}", text.empty() ? "" : ", ", from.pool.value(),
                             to.pool.value());
+    }
     const auto isSame = from.address == to.address && from.slots == to.slots
         && from.cores == to.cores && from.memoryBytes == to.memoryBytes && from.rack == to.rack
         && from.dataCentre == to.dataCentre && from.connections == to.connections
@@ -270,9 +272,10 @@
     plan.changes = describeChanges(current, *changed);
     plan.result = std::move(*changed);
     plan.result.version = current.version + 1;
-    if (plan.changes.empty())
+    if (plan.changes.empty()) {
         return tl::unexpected(IntentError{IntentError::Kind::NothingToDo, "configuration",
                                           "the intent changes nothing"});
+    }
     return plan;
 }
 
--- a/packages/version/src/yaml_reader.cpp
+++ b/packages/version/src/yaml_reader.cpp
@@ -104,8 +104,8 @@
     return best;
 }
 
-YamlMap::YamlMap(YAML::Node node, std::string file, std::string path, InputErrors &errors)
-    : m_node(std::move(node))
+YamlMap::YamlMap(const YAML::Node &node, std::string file, std::string path, InputErrors &errors)
+    : m_node(node)
     , m_file(std::move(file))
     , m_path(std::move(path))
     , m_errors(&errors)
@@ -159,7 +159,8 @@
     }
 }
 
-auto YamlMap::text(std::string_view key, std::optional<std::string> fallback) const -> std::string
+auto YamlMap::text(std::string_view key, const std::optional<std::string> &fallback) const
+    -> std::string
 {
     const auto node = at(key);
     if (!node.IsDefined()) {
@@ -261,13 +262,14 @@
     return 0;
 }
 
-auto YamlMap::endpoint(std::string_view key, std::optional<std::string> fallback) const
+auto YamlMap::endpoint(std::string_view key, const std::optional<std::string> &fallback) const
     -> std::string
 {
-    const auto value = text(key, std::move(fallback));
-    if (has(key) && !isEndpoint(value))
+    auto value = text(key, fallback);
+    if (has(key) && !isEndpoint(value)) {
         report(InputError::Kind::WrongType, key, fmt::format("'{}'", value),
                "ADDRESS:PORT with a numeric address");
+    }
     return value;
 }
 
--- a/standins/callers_main.cpp
+++ b/standins/callers_main.cpp
@@ -87,10 +87,11 @@
         auto *connection = takeIdle(*member);
         connection->send(request, AnswerTimeoutMilliseconds,
                          [member, connection, callback = std::move(callback)](TargetReply reply) {
-                             if (connection->isReusable())
+                             if (connection->isReusable()) {
                                  member->idle.push_back(connection);
-                             else
+                             } else {
                                  connection->deleteLater();
+                             }
                              callback(std::move(reply));
                          });
     }
--- a/standins/key_value_table.cpp
+++ b/standins/key_value_table.cpp
@@ -136,10 +136,11 @@
 {
     const auto key = plain(body.value("key"_L1));
     const auto end = plain(body.value("range_end"_L1));
-    if (end.empty())
+    if (end.empty()) {
         m_entries.erase(key);
-    else
+    } else {
         m_entries.erase(m_entries.lower_bound(key), m_entries.lower_bound(end));
+    }
 }
 
 auto KeyValueTable::header() const -> QJsonObject
--- a/standins/key_value_table.hpp
+++ b/standins/key_value_table.hpp
@@ -32,11 +32,11 @@
 
     auto expire(std::int64_t now) -> void;
     auto transaction(const QJsonObject &body) -> QJsonObject;
-    auto range(const QJsonObject &body) const -> QJsonObject;
+    [[nodiscard]] auto range(const QJsonObject &body) const -> QJsonObject;
     auto put(const QJsonObject &body) -> void;
     auto remove(const QJsonObject &body) -> void;
     auto dropLease(std::int64_t lease) -> void;
-    auto header() const -> QJsonObject;
+    [[nodiscard]] auto header() const -> QJsonObject;
 
     std::map<std::string, Entry> m_entries;
     std::map<std::int64_t, Lease> m_leases;
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -35,7 +35,7 @@
 {
 public:
     StoreServer()
-        : m_server(bounds(), [this](HttpRequest request, HttpResponder responder) {
+        : m_server(bounds(), [this](const HttpRequest &request, HttpResponder responder) {
             handle(request, std::move(responder));
         })
     {
--- a/standins/targets_main.cpp
+++ b/standins/targets_main.cpp
@@ -20,7 +20,7 @@
 
 constexpr unsigned Ok = 200;
 
-const std::map<QString, standin::TargetFault> FaultNames = {
+const std::map<QString, standin::TargetFault> faultNames = {
     {u"none"_s, standin::TargetFault::None},          {u"close"_s, standin::TargetFault::Close},
     {u"partial"_s, standin::TargetFault::Partial},    {u"no-end"_s, standin::TargetFault::NoEnd},
     {u"silent"_s, standin::TargetFault::Silent},      {u"late"_s, standin::TargetFault::Late},
@@ -35,9 +35,9 @@
     if (request.path == "/fault") {
         const auto body = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
         const auto port = body.value("port"_L1).toInt();
-        const auto fault = FaultNames.find(body.value("mode"_L1).toString());
+        const auto fault = faultNames.find(body.value("mode"_L1).toString());
         for (auto &[number, target] : targets) {
-            if (fault != FaultNames.end() && (port == 0 || port == number))
+            if (fault != faultNames.end() && (port == 0 || port == number))
                 target->setFault(fault->second);
         }
         return jsonResponse(Ok, "{}");
--- /dev/null
+++ b/tests/check.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# The second command of the README: builds and passes the tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build
+tests/run-tests.sh build
--- /dev/null
+++ b/tests/unit/unit-errors.cpp
@@ -0,0 +1,48 @@
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "shallotproxy/request.hpp"
+#include "shallotproxy/version.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+auto errorsPage() -> std::string
+{
+    auto file = std::ifstream(SHALLOTPROXY_SOURCE "/docs/ERRORS.md");
+    auto text = std::ostringstream();
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Every kind from `first` to `last` that the type gives a name has its line on the page.
+template <typename Error>
+auto expectDocumented(const std::string &page, int first, int last) -> void
+{
+    for (auto number = first; number <= last; ++number) {
+        auto error = Error();
+        error.kind = static_cast<typename Error::Kind>(number);
+        const auto line = fmt::format("| {} | {} |", number, error.name());
+        EXPECT_NE(page.find(line), std::string::npos) << line;
+    }
+}
+
+TEST(Errors, HaveALineInTheDocumentationEach)
+{
+    const auto page = errorsPage();
+    expectDocumented<InputError>(page, 101, 109);
+    expectDocumented<Refusal>(page, 201, 212);
+    expectDocumented<HttpError>(page, 301, 305);
+    expectDocumented<ListenError>(page, 311, 312);
+    expectDocumented<TargetError>(page, 321, 326);
+    expectDocumented<StoreError>(page, 401, 404);
+    expectDocumented<PeerError>(page, 501, 504);
+    expectDocumented<IntentError>(page, 601, 609);
+}
+
+} // namespace
+
+} // namespace shallotproxy
