--- a/packages/daemon/src/maintenance_module.hpp
+++ b/packages/daemon/src/maintenance_module.hpp
@@ -11,7 +11,7 @@
     explicit MaintenanceModule(ControlContext &context);
 
 private:
-    ControlContext &m_context;
+    [[maybe_unused]] ControlContext &m_context;
 };
 
 } // namespace shallotproxy
--- a/tests/unit/unit-errors.cpp
+++ b/tests/unit/unit-errors.cpp
@@ -1,8 +1,11 @@
 #include <fstream>
 #include <sstream>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include "shallotproxy/connection.hpp"
+#include "shallotproxy/process.hpp"
 #include "shallotproxy/request.hpp"
 #include "shallotproxy/version.hpp"
 
