Judge every promise from the time line, under a matrix of faults

Cause: nothing read what the members record, so a broken promise in a process test would only show if the test looked for it.

A checker, written apart from the members, judges the merged journals; intents now record what they take out or bring back. Stand-ins take more faults by command. Peer messages carry the sender's time-line sequence.

--- a/examples/run-demo.sh
+++ b/examples/run-demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs one deployment on small stand-ins: 8 members, a key-value service and targets; sends its
-# traffic, takes a data centre out and brings it back, and prints a table. Ends by itself.
+# traffic, takes a data centre out and brings it back, and prints what became of the requests, each
+# team's gap to its share while pools were full, and what the absence cost. Ends by itself.
 # Usage: examples/run-demo.sh [blyglass|kragenwerk] [BUILD_DIR] [SECONDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -26,6 +27,13 @@
     pids+=($!)
 }
 
+counts() { # runs and repeats at all targets
+    exec 3<>"/dev/tcp/127.0.0.1/$((base + 301))"
+    printf 'GET /counts HTTP/1.1\r\nHost: targets\r\nConnection: close\r\n\r\n' >&3
+    grep -oE '"(runs|repeats)":[0-9]+' <&3 | tr '\n' ' '
+    exec 3>&-
+}
+
 case $deployment in
 blyglass) base=18000 targets=21000 workers=22000 centre=floro ;;
 kragenwerk) base=19000 targets=23000 workers=24000 centre=nuernberg ;;
@@ -77,6 +85,9 @@
 echo
 cat "$work/table.txt"
 echo
-echo "runs at the targets: $(curl -s "127.0.0.1:$((base + 301))/counts" 2>/dev/null || true)"
-echo "time line events: $("$ctl" --output json timeline | wc -l)"
+"$ctl" --output json timeline >"$work/timeline"
+"$bin/standin_report" --declarations "$folder/declarations" --timeline "$work/timeline"
+echo
+echo "runs at the targets: $(counts)"
+echo "time line events: $(wc -l <"$work/timeline")"
 exit "$status"
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -12,8 +12,8 @@
 #include <fmt/format.h>
 
 #include "shallotproxy/process/base/text.hpp"
+#include "shallotproxy/process/observe/timeline_merge.hpp"
 #include "shallotproxy/version.hpp"
-#include "timeline_merge.hpp"
 
 namespace shallotproxy {
 
--- a/packages/daemon/src/control_context.cpp
+++ b/packages/daemon/src/control_context.cpp
@@ -37,7 +37,7 @@
 
 auto ControlContext::send(const MemberName &to, PeerMessage message) -> void
 {
-    auto envelope = PeerEnvelope{process.self, 0, std::move(message)};
+    auto envelope = PeerEnvelope{process.self, process.timeline.lastSequence(), std::move(message)};
     if (!m_links.controlToPeers.push(PeerSend{to, std::move(envelope)}))
         process.metrics.count("shallotproxy_peer_frames_dropped_total");
 }
@@ -80,7 +80,20 @@
 auto ControlContext::record(std::string_view kind, std::string_view subject,
                             std::vector<TimelineAttribute> attributes) -> std::uint64_t
 {
-    return process.timeline.record(kind, subject, version(), std::move(attributes));
+    return process.timeline.record(kind, subject, version(), std::move(attributes), m_causeSource,
+                                   m_causeSequence);
+}
+
+auto ControlContext::setCause(const PeerEnvelope &envelope) -> void
+{
+    m_causeSource = envelope.from;
+    m_causeSequence = envelope.sequence;
+}
+
+auto ControlContext::clearCause() -> void
+{
+    m_causeSource = {};
+    m_causeSequence = 0;
 }
 
 auto ControlContext::version() const -> ConfigurationVersion
--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -46,12 +46,17 @@
     auto reply(const ControlCall &call, HttpResponse response) -> void;
     auto record(std::string_view kind, std::string_view subject,
                 std::vector<TimelineAttribute> attributes = {}) -> std::uint64_t;
+    /// Until it is cleared, events are recorded as effects of this message.
+    auto setCause(const PeerEnvelope &envelope) -> void;
+    auto clearCause() -> void;
     [[nodiscard]] auto version() const -> ConfigurationVersion;
     [[nodiscard]] auto isFresh() const -> bool;
     auto handle(StoreResult result) -> void;
 
 private:
     Links &m_links;
+    Incarnation m_causeSource;
+    std::uint64_t m_causeSequence = 0;
     std::uint64_t m_lastOrder = 0;
     std::map<std::uint64_t, StoreCallback> m_orders;
 };
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -101,10 +101,12 @@
 {
     const auto now = BootClock::now();
     m_links.peersToControl.drain([this, now](const PeerEnvelope &envelope) {
+        m_context.setCause(envelope);
         forEachModule([&envelope, now](auto &module) {
             if constexpr (requires { module.receive(envelope, now); })
                 module.receive(envelope, now);
         });
+        m_context.clearCause();
     });
     announceChanges();
 }
--- a/packages/daemon/src/intent_module.cpp
+++ b/packages/daemon/src/intent_module.cpp
@@ -59,6 +59,61 @@
     return QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
 }
 
+auto stateName(ServiceState state) -> std::string
+{
+    return state == ServiceState::In ? "in" : state == ServiceState::Leaving ? "leaving" : "out";
+}
+
+/// What an intent takes out of service or brings back, for the time line.
+struct IntentSubject
+{
+    using Result = std::vector<TimelineAttribute>;
+
+    const Configuration *result; // the configuration that the intent leads to
+
+    auto operator()(const SetDataCentreState &it) const -> Result
+    {
+        return describe("data-centre", it.dataCentre.value(), stateName(it.state));
+    }
+    auto operator()(const SetPoolState &it) const -> Result
+    {
+        return describe("pool", it.pool.value(), stateName(it.state));
+    }
+    auto operator()(const SetHostState &it) const -> Result
+    {
+        return describe("host", it.host.value(), stateName(it.state));
+    }
+    auto operator()(const AddKey &it) const -> Result
+    {
+        return describe("keys", it.team.value(), "in");
+    }
+    auto operator()(const WithdrawKey &it) const -> Result
+    {
+        const auto team = result->teams.find(it.team);
+        const auto hasKeys = team != result->teams.end() && !team->second.keys.empty();
+        return describe("keys", it.team.value(), hasKeys ? "in" : "out");
+    }
+    template <typename Other>
+    auto operator()(const Other & /*intent*/) const -> Result
+    {
+        return {};
+    }
+
+private:
+    static auto describe(std::string what, std::string name, std::string state) -> Result
+    {
+        return {{"what", std::move(what)}, {"name", std::move(name)}, {"state", std::move(state)}};
+    }
+};
+
+auto eventAttributes(const Intent &intent, const Configuration &result)
+    -> std::vector<TimelineAttribute>
+{
+    auto attributes = std::visit(IntentSubject{&result}, intent);
+    attributes.push_back({"version", fmt::format("{}", result.version)});
+    return attributes;
+}
+
 template <typename T>
 auto pack(const T &value) -> std::string
 {
@@ -206,23 +261,26 @@
         refuse(call, plan.error());
         return;
     }
-    m_context.record("intent.confirm", id.value());
+    auto attributes = eventAttributes(*intent, plan->result);
+    m_context.record("intent.confirm", id.value(), attributes);
     const auto version = plan->result.version;
-    m_configuration.publish(plan->result, [this, call, id, version](PublishOutcome outcome) {
-        if (outcome == PublishOutcome::Applied) {
-            m_context.record("intent.applied", id.value());
-            const auto body = fmt::format(R"({{"id":"{}","outcome":"applied","version":{}}})",
-                                          id.value(), version);
-            m_context.reply(call, jsonResponse(Ok, body));
-        } else if (outcome == PublishOutcome::NotApplied) {
-            refuse(call,
-                   {IntentError::Kind::NotApplied, id.value(),
-                    "another change came first, or the store was silent"});
-        } else {
-            refuse(call,
-                   {IntentError::Kind::OutcomeUnknown, id.value(), "ask with: shallotctl status"});
-        }
-    });
+    m_configuration.publish(
+        plan->result, [this, call, id, version, attributes](PublishOutcome outcome) {
+            if (outcome == PublishOutcome::Applied) {
+                m_context.record("intent.applied", id.value(), attributes);
+                const auto body = fmt::format(R"({{"id":"{}","outcome":"applied","version":{}}})",
+                                              id.value(), version);
+                m_context.reply(call, jsonResponse(Ok, body));
+            } else if (outcome == PublishOutcome::NotApplied) {
+                refuse(call,
+                       {IntentError::Kind::NotApplied, id.value(),
+                        "another change came first, or the store was silent"});
+            } else {
+                refuse(
+                    call,
+                    {IntentError::Kind::OutcomeUnknown, id.value(), "ask with: shallotctl status"});
+            }
+        });
 }
 
 } // namespace shallotproxy
--- a/packages/process/include/shallotproxy/process.hpp
+++ b/packages/process/include/shallotproxy/process.hpp
@@ -9,6 +9,7 @@
 #include "process/observe/log.hpp"
 #include "process/observe/metrics.hpp"
 #include "process/observe/timeline.hpp"
+#include "process/observe/timeline_merge.hpp"
 #include "process/peer/frame.hpp"
 #include "process/peer/messages.hpp"
 #include "process/ring/ring.hpp"
--- a/packages/process/include/shallotproxy/process/observe/timeline.hpp
+++ b/packages/process/include/shallotproxy/process/observe/timeline.hpp
@@ -62,6 +62,8 @@
     /// Events whose sequence is greater than `after`, oldest first, at most `limit`.
     [[nodiscard]] auto eventsAfter(std::uint64_t after, std::size_t limit) const
         -> std::vector<TimelineEvent>;
+    /// Sequence of the newest event, 0 before the first.
+    [[nodiscard]] auto lastSequence() const -> std::uint64_t;
     [[nodiscard]] auto source() const -> const Incarnation & { return m_source; }
 
 private:
--- a/packages/ctl/src/timeline_merge.hpp
+++ b/packages/process/include/shallotproxy/process/observe/timeline_merge.hpp
@@ -8,7 +8,8 @@
 namespace shallotproxy {
 
 /// Orders events of several processes so that each process's own order and every cause before its
-/// effect are kept; where neither says, the wall clock decides. O(n log n).
+/// effect are kept; where neither says, the wall clock decides. Takes time in
+/// proportion to events times processes.
 auto mergeTimelines(std::vector<QJsonObject> events) -> std::vector<QJsonObject>;
 
 /// One line of text for an event.
--- a/packages/process/src/timeline.cpp
+++ b/packages/process/src/timeline.cpp
@@ -74,6 +74,12 @@
     return m_sequence;
 }
 
+auto Timeline::lastSequence() const -> std::uint64_t
+{
+    const auto lock = std::lock_guard(m_mutex);
+    return m_sequence;
+}
+
 auto Timeline::eventsAfter(std::uint64_t after, std::size_t limit) const
     -> std::vector<TimelineEvent>
 {
--- a/packages/ctl/src/timeline_merge.cpp
+++ b/packages/process/src/timeline_merge.cpp
@@ -1,12 +1,11 @@
-#include "timeline_merge.hpp"
-
 #include <algorithm>
 #include <map>
-#include <queue>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "shallotproxy/process/observe/timeline_merge.hpp"
+
 namespace shallotproxy {
 
 namespace {
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -1,4 +1,6 @@
 #include <iostream>
+#include <memory>
+#include <vector>
 
 #include <QCoreApplication>
 #include <QDateTime>
@@ -22,27 +24,48 @@
 constexpr unsigned NotFound = 404;
 constexpr auto Never = 1 << 30;
 
-/// How the service misbehaves. `POST /fault` sets it: {"mode": "none" | "down" | "slow" |
-/// "lose-answer", "milliseconds": delay of "slow", "count": calls that "lose-answer" hits}.
+/// How the service misbehaves. `POST /fault` sets it:
+/// - "mode": "none"; "down" closes each call's connection unanswered, and without effect; "silent"
+///   takes calls and never answers; "refuse" stops listening for "milliseconds"; "slow" answers
+///   after "milliseconds"; "lose-answer" closes the connection after a write took effect.
+/// - "calls": "all", "writes", "reads" or "leases": which calls are hit.
+/// - "count": how many calls are hit, all by default.
 struct Fault
 {
     QString mode = u"none"_s;
+    QString calls = u"all"_s;
     int milliseconds = 0;
     int count = 0;
 };
 
-class StoreServer
+auto isWrite(const HttpRequest &request) -> bool
+{
+    return request.body.find("request_put") != std::string::npos
+        || request.body.find("request_delete_range") != std::string::npos;
+}
+
+auto isLease(const HttpRequest &request) -> bool
+{
+    return request.path.find("/lease/") != std::string::npos;
+}
+
+class StoreServer : public QObject
 {
 public:
-    StoreServer()
-        : m_server(bounds(), [this](const HttpRequest &request, HttpResponder responder) {
-            handle(request, std::move(responder));
-        })
+    explicit StoreServer(std::string endpoint)
+        : m_endpoint(std::move(endpoint))
     {
         m_clock.start();
     }
 
-    auto listen(const std::string &endpoint) { return m_server.listen(endpoint); }
+    auto listen() -> Expected<void, ListenError>
+    {
+        m_server = std::make_unique<HttpServer>(
+            bounds(), [this](const HttpRequest &request, HttpResponder responder) {
+                handle(request, std::move(responder));
+            });
+        return m_server->listen(m_endpoint);
+    }
 
 private:
     static auto bounds() -> HttpBounds
@@ -64,39 +87,75 @@
             responder.answer(jsonResponse(Ok, std::to_string(m_calls)));
             return;
         }
-        if (m_fault.mode == "down"_L1)
+        const auto isHit = takeHit(request);
+        if (isHit && m_fault.mode == "down"_L1)
+            return;
+        if (isHit && m_fault.mode == "silent"_L1) {
+            m_silenced.push_back(std::move(responder));
             return;
+        }
         ++m_calls;
         const auto answer = m_table.call(request.path, body, m_clock.elapsed());
-        if (m_fault.mode == "lose-answer"_L1 && m_fault.count > 0
-            && request.body.find("request_put") != std::string::npos) {
-            --m_fault.count;
+        if (isHit && m_fault.mode == "lose-answer"_L1)
             return;
-        }
         const auto status = answer.isEmpty() ? NotFound : Ok;
         const auto response = jsonResponse(
             status, QJsonDocument(answer).toJson(QJsonDocument::Compact).toStdString());
-        if (m_fault.mode != "slow"_L1) {
+        if (!isHit || m_fault.mode != "slow"_L1) {
             responder.answer(response);
             return;
         }
         auto held = std::make_shared<HttpResponder>(std::move(responder));
-        QTimer::singleShot(m_fault.milliseconds, &m_server,
+        QTimer::singleShot(m_fault.milliseconds, this,
                            [held, response] { held->answer(response); });
     }
 
+    /// Whether the fault hits this call; counts it if it does.
+    auto takeHit(const HttpRequest &request) -> bool
+    {
+        if (m_fault.mode == "none"_L1 || m_fault.count <= 0)
+            return false;
+        const auto isOfKind = m_fault.calls == "all"_L1
+            || (m_fault.calls == "writes"_L1 && isWrite(request))
+            || (m_fault.calls == "leases"_L1 && isLease(request))
+            || (m_fault.calls == "reads"_L1 && !isWrite(request) && !isLease(request));
+        // An answer can only be lost after an effect if the call has one.
+        if (!isOfKind || (m_fault.mode == "lose-answer"_L1 && !isWrite(request)))
+            return false;
+        --m_fault.count;
+        return true;
+    }
+
     auto setFault(const QJsonObject &body) -> void
     {
         m_fault.mode = body.value("mode"_L1).toString(u"none"_s);
+        m_fault.calls = body.value("calls"_L1).toString(u"all"_s);
         m_fault.milliseconds = body.value("milliseconds"_L1).toInt();
         m_fault.count = body.value("count"_L1).toInt(Never);
+        m_silenced.clear();
+        if (m_fault.mode == "refuse"_L1)
+            QTimer::singleShot(RefuseDelay, this, [this] { refuse(); });
     }
 
+    auto refuse() -> void
+    {
+        m_server.reset();
+        QTimer::singleShot(m_fault.milliseconds, this, [this] {
+            const auto result = listen();
+            if (!result)
+                std::cerr << result.error().message() << '\n';
+        });
+    }
+
+    static constexpr int RefuseDelay = 20; // ms, in which the answer to the command gets out
+
+    std::string m_endpoint;
     standin::KeyValueTable m_table;
     Fault m_fault;
     std::uint64_t m_calls = 0;
     QElapsedTimer m_clock;
-    HttpServer m_server;
+    std::vector<HttpResponder> m_silenced;
+    std::unique_ptr<HttpServer> m_server;
 };
 
 } // namespace
@@ -115,8 +174,8 @@
         std::cerr << ec.what() << '\n' << description;
         return 2;
     }
-    auto server = StoreServer();
-    const auto result = server.listen(endpoint);
+    auto server = StoreServer(endpoint);
+    const auto result = server.listen();
     if (!result) {
         std::cerr << result.error().message() << '\n';
         return 4;
--- a/standins/target_server.cpp
+++ b/standins/target_server.cpp
@@ -16,7 +16,6 @@
 using shallotproxy::HttpRequest;
 using shallotproxy::HttpResponse;
 
-constexpr auto LateMilliseconds = 5'000;
 constexpr unsigned Ok = 200;
 constexpr unsigned ServerError = 500;
 
@@ -32,20 +31,47 @@
     QPointer<QTcpSocket> socket;
     shallotproxy::HttpRequestParser parser = shallotproxy::HttpRequestParser({});
     bool isBusy = false;
+    bool isSilent = false;
+    bool isCounted = false; // among the running
+    std::string team;
 };
 
-TargetServer::TargetServer(quint16 port, SeenRequests &seen)
-    : m_seen(seen)
+TargetServer::TargetServer(quint16 port, TargetLedger &ledger)
+    : m_port(port)
+    , m_ledger(ledger)
 {
     connect(&m_server, &QTcpServer::newConnection, this, [this] { accept(); });
     m_server.listen(QHostAddress::LocalHost, port);
 }
 
+auto TargetServer::setFault(TargetFault fault, int lateMilliseconds) -> void
+{
+    m_fault = fault;
+    m_lateMilliseconds = lateMilliseconds;
+    std::erase_if(m_clients, [](const auto &it) { return it.expired(); });
+    for (const auto &it : m_clients) {
+        const auto client = it.lock();
+        if (fault == TargetFault::SilentOpen)
+            client->isSilent = true;
+        if (fault == TargetFault::Refuse)
+            stopWork(*client);
+        const auto isCut = fault == TargetFault::Refuse || fault == TargetFault::Cut;
+        if (isCut && client->socket)
+            client->socket->abort();
+    }
+    const auto isClosed = fault == TargetFault::Leave || fault == TargetFault::Refuse;
+    if (isClosed)
+        m_server.close();
+    if (!isClosed && !m_server.isListening())
+        m_server.listen(QHostAddress::LocalHost, m_port);
+}
+
 auto TargetServer::accept() -> void
 {
     while (auto *socket = m_server.nextPendingConnection()) {
         auto client = std::make_shared<Client>();
         client->socket = socket;
+        m_clients.push_back(client);
         connect(socket, &QTcpSocket::readyRead, this, [this, client] { read(client); });
         connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
     }
@@ -68,23 +94,44 @@
 auto TargetServer::run(const std::shared_ptr<Client> &client, const HttpRequest &request) -> void
 {
     client->isBusy = true;
+    client->isCounted = true;
+    client->team = std::string(request.header("Team"));
+    count(request);
+    const auto extra = m_fault == TargetFault::Late ? m_lateMilliseconds : 0;
+    const auto isFast = m_fault == TargetFault::FailFast;
+    const auto delay = isFast ? 0 : workMilliseconds(request) + extra;
+    QTimer::singleShot(delay, this, [this, client, request] { answer(client, request); });
+}
+
+auto TargetServer::count(const HttpRequest &request) -> void
+{
     ++m_counts.runs;
     const auto id = std::string(request.header("Shallotproxy-Request"));
-    if (!id.empty() && ++m_seen[id] > 1)
+    if (!id.empty() && ++m_ledger.runsOfRequest[id] > 1)
         ++m_counts.repeats;
+    if (request.body.starts_with("once ") && ++m_ledger.runsOfBody[request.body] > 1)
+        ++m_ledger.repeatedBodies;
     ++m_counts.running;
     m_counts.mostRunning = std::max(m_counts.mostRunning, m_counts.running);
-    const auto extra = m_fault == TargetFault::Late ? LateMilliseconds : 0;
-    const auto isFast = m_fault == TargetFault::FailFast;
-    const auto delay = isFast ? 0 : workMilliseconds(request) + extra;
-    QTimer::singleShot(delay, this, [this, client, request] { answer(client, request); });
+    auto &team = m_ledger.teams[std::string(request.header("Team"))];
+    ++team.running;
+    team.mostRunning = std::max(team.mostRunning, team.running);
 }
 
-auto TargetServer::answer(const std::shared_ptr<Client> &client, const HttpRequest &request) -> void
+auto TargetServer::stopWork(Client &client) -> void
 {
+    if (!client.isCounted)
+        return;
+    client.isCounted = false;
     --m_counts.running;
+    --m_ledger.teams[client.team].running;
+}
+
+auto TargetServer::answer(const std::shared_ptr<Client> &client, const HttpRequest &request) -> void
+{
+    stopWork(*client);
     client->isBusy = false;
-    if (!client->socket || m_fault == TargetFault::Silent)
+    if (!client->socket || client->isSilent || m_fault == TargetFault::Silent)
         return;
     const auto status = m_fault == TargetFault::FailFast ? ServerError : Ok;
     const auto response = HttpResponse{
--- a/standins/targets_main.cpp
+++ b/standins/targets_main.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "shallotproxy/connection.hpp"
+#include "shallotproxy/process/base/text.hpp"
 #include "target_server.hpp"
 
 namespace {
@@ -21,37 +22,66 @@
 constexpr unsigned Ok = 200;
 
 const std::map<QString, standin::TargetFault> faultNames = {
-    {u"none"_s, standin::TargetFault::None},          {u"close"_s, standin::TargetFault::Close},
-    {u"partial"_s, standin::TargetFault::Partial},    {u"no-end"_s, standin::TargetFault::NoEnd},
-    {u"silent"_s, standin::TargetFault::Silent},      {u"late"_s, standin::TargetFault::Late},
-    {u"fail-fast"_s, standin::TargetFault::FailFast}, {u"crossed"_s, standin::TargetFault::Crossed},
+    {u"none"_s, standin::TargetFault::None},
+    {u"close"_s, standin::TargetFault::Close},
+    {u"partial"_s, standin::TargetFault::Partial},
+    {u"no-end"_s, standin::TargetFault::NoEnd},
+    {u"silent"_s, standin::TargetFault::Silent},
+    {u"late"_s, standin::TargetFault::Late},
+    {u"fail-fast"_s, standin::TargetFault::FailFast},
+    {u"crossed"_s, standin::TargetFault::Crossed},
+    {u"leave"_s, standin::TargetFault::Leave},
+    {u"refuse"_s, standin::TargetFault::Refuse},
+    {u"cut"_s, standin::TargetFault::Cut},
+    {u"silent-open"_s, standin::TargetFault::SilentOpen},
 };
 
+constexpr auto DefaultLateMilliseconds = 5'000;
+
 using Targets = std::map<int, std::unique_ptr<standin::TargetServer>>;
 
-/// `POST /fault` {"port": 0 for all, "mode": ...}; anything else answers the counts.
-auto handleControl(Targets &targets, const HttpRequest &request) -> HttpResponse
+auto countsJson(const Targets &targets, const standin::TargetLedger &ledger) -> std::string
+{
+    auto total = standin::TargetCounts();
+    auto ports = QJsonObject();
+    for (const auto &[number, target] : targets) {
+        const auto &counts = target->counts();
+        total.runs += counts.runs;
+        total.repeats += counts.repeats;
+        total.running += counts.running;
+        total.mostRunning = std::max(total.mostRunning, counts.mostRunning);
+        ports.insert(QString::number(number), static_cast<qint64>(counts.runs));
+    }
+    auto teams = QJsonObject();
+    for (const auto &[name, counts] : ledger.teams)
+        teams.insert(toQString(name), static_cast<qint64>(counts.mostRunning));
+    const auto json = QJsonObject{{u"runs"_s, static_cast<qint64>(total.runs)},
+                                  {u"repeats"_s, static_cast<qint64>(total.repeats)},
+                                  {u"repeatedBodies"_s, static_cast<qint64>(ledger.repeatedBodies)},
+                                  {u"running"_s, static_cast<qint64>(total.running)},
+                                  {u"mostRunning"_s, static_cast<qint64>(total.mostRunning)},
+                                  {u"mostRunningOfTeam"_s, teams},
+                                  {u"runsOfPort"_s, ports}};
+    return QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
+}
+
+/// `POST /fault` {"port": 0 for all, "mode": ..., "milliseconds": of "late"}; anything else answers
+/// the counts.
+auto handleControl(Targets &targets, const standin::TargetLedger &ledger,
+                   const HttpRequest &request) -> HttpResponse
 {
     if (request.path == "/fault") {
         const auto body = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
         const auto port = body.value("port"_L1).toInt();
+        const auto late = body.value("milliseconds"_L1).toInt(DefaultLateMilliseconds);
         const auto fault = faultNames.find(body.value("mode"_L1).toString());
         for (auto &[number, target] : targets) {
             if (fault != faultNames.end() && (port == 0 || port == number))
-                target->setFault(fault->second);
+                target->setFault(fault->second, late);
         }
         return jsonResponse(Ok, "{}");
     }
-    auto total = standin::TargetCounts();
-    for (const auto &[number, target] : targets) {
-        total.runs += target->counts().runs;
-        total.repeats += target->counts().repeats;
-        total.running += target->counts().running;
-        total.mostRunning = std::max(total.mostRunning, target->counts().mostRunning);
-    }
-    return jsonResponse(Ok,
-                        fmt::format(R"({{"runs":{},"repeats":{},"running":{},"mostRunning":{}}})",
-                                    total.runs, total.repeats, total.running, total.mostRunning));
+    return jsonResponse(Ok, countsJson(targets, ledger));
 }
 
 } // namespace
@@ -74,19 +104,20 @@
         std::cerr << ec.what() << '\n' << description;
         return 2;
     }
-    auto seen = standin::SeenRequests();
+    auto ledger = standin::TargetLedger();
     auto targets = Targets();
     for (auto i = 0; i < count; ++i) {
         const auto port = first + i;
-        targets[port] = std::make_unique<standin::TargetServer>(static_cast<quint16>(port), seen);
+        targets[port] = std::make_unique<standin::TargetServer>(static_cast<quint16>(port), ledger);
         if (!targets[port]->isListening()) {
             std::cerr << "port " << port << " is in use\n";
             return 4;
         }
     }
-    auto server = HttpServer({}, [&targets](const HttpRequest &request, HttpResponder responder) {
-        responder.answer(handleControl(targets, request));
-    });
+    auto server =
+        HttpServer({}, [&targets, &ledger](const HttpRequest &request, HttpResponder responder) {
+            responder.answer(handleControl(targets, ledger, request));
+        });
     const auto result = server.listen(control);
     if (!result) {
         std::cerr << result.error().message() << '\n';
--- /dev/null
+++ b/tests/check-proofs.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Checks docs/PROOFS.md and KNOWN-RED.txt against the tests: each test that they name, as `Suite.Name`
+# in backticks, exists; with a log of ctest, it ran too.
+# Usage: tests/check-proofs.sh [BUILD_DIR] [CTEST_LOG]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+log=${2:-}
+page=docs/PROOFS.md
+names=$(mktemp)
+tests=$(mktemp)
+trap 'rm -f "$names" "$tests"' EXIT
+
+word='[A-Z][A-Za-z0-9]*'
+grep -oE "\`($word/)?$word\.$word(/$word)?\`" "$page" | tr -d '`' | sort -u >"$names"
+if [ -e KNOWN-RED.txt ]; then
+    sed -n 's/^test: //p' KNOWN-RED.txt >>"$names"
+fi
+ctest --test-dir "$build" -N | sed -nE 's/^ *Test +#[0-9]+: ([^ ]+).*/\1/p' | sort -u >"$tests"
+
+status=0
+count=0
+while read -r name; do
+    count=$((count + 1))
+    if ! grep -qxF -- "$name" "$tests"; then
+        echo "$page: no such test: $name"
+        status=1
+    elif [ -n "$log" ] && ! grep -E '^ *[0-9]+/[0-9]+ Test ' "$log" | grep -qF -- ": $name "; then
+        echo "$page: did not run: $name"
+        status=1
+    fi
+done <"$names"
+if [ "$count" = 0 ]; then
+    echo "$page: names no test"
+    status=1
+fi
+echo "$page: $count tests named"
+exit "$status"
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -143,13 +143,15 @@
     auto &member = m_members[static_cast<std::size_t>(index)];
     const auto journalFile =
         m_folder.filePath(QStringLiteral("journal-%1").arg(index)).toStdString();
+    const auto journal =
+        m_options.hasJournal ? fmt::format("journal: {}\n", journalFile) : std::string();
     const auto text = fmt::format(
         "name: entry-{}\ndataCentre: {}\nlisten:\n  callers: {}\n  operators: {}\n"
         "  peers: {}\nstore:\n  endpoint: {}\n  timeout: 800 ms\nsecurity:\n"
         "  peerSecret: test-peer-secret-of-the-fleet\n  operatorKeyDigest: {}\n"
-        "bounds:\n  shutdown: 20 s\njournal: {}\n",
+        "bounds:\n  shutdown: 20 s\n{}",
         index, index % 2 == 0 ? "north" : "south", local(member.callers), local(member.operators),
-        local(member.peers), local(m_storePort), digestKey(OperatorKey), journalFile);
+        local(member.peers), local(m_storePort), digestKey(OperatorKey), journal);
     member.settingsFile = writeFile(fmt::format("entry-{}.yaml", index), text);
 }
 
@@ -199,6 +201,28 @@
     return code;
 }
 
+auto Fleet::terminateAll() -> bool
+{
+    const auto isEnded = [](const Member &it) {
+        return !it.process || it.process->state() == QProcess::NotRunning;
+    };
+    for (auto &it : m_members) {
+        if (it.process)
+            it.process->terminate();
+    }
+    waitUntil([&] { return std::ranges::all_of(m_members, isEnded); }, EndTimeoutMilliseconds);
+    auto isClean = true;
+    for (auto &it : m_members) {
+        if (!it.process)
+            continue;
+        isClean = isClean && isEnded(it) && it.process->exitStatus() == QProcess::NormalExit
+            && it.process->exitCode() == 0;
+        if (isEnded(it))
+            it.process.reset();
+    }
+    return isClean;
+}
+
 auto Fleet::pauseMember(int index) -> void
 {
     signalProcess(*m_members[static_cast<std::size_t>(index)].process, SIGSTOP);
@@ -238,7 +262,9 @@
                   QStringList{u"--members"_s, endpoints.join(u","_s), u"--key"_s,
                               QString::fromLatin1(OperatorKey)}
                       + words);
-    process.waitForFinished(EndTimeoutMilliseconds);
+    // The event loop goes on, so that a test's callers send while the command runs.
+    waitUntil([&process] { return process.state() == QProcess::NotRunning; },
+              EndTimeoutMilliseconds);
     return {process.exitCode(), process.readAllStandardOutput().toStdString(),
             process.readAllStandardError().toStdString()};
 }
@@ -264,13 +290,37 @@
     sendOnce(local(m_controlPort), {"POST", "/fault", {}, json}, 2'000);
 }
 
-auto Fleet::targetCount(const std::string &name) -> std::int64_t
+auto Fleet::targetReport() -> QJsonObject
 {
     const auto reply = sendOnce(local(m_controlPort), {"GET", "/counts", {}, ""}, 2'000);
     if (!reply)
-        return -1;
-    const auto json = QJsonDocument::fromJson(QByteArray::fromStdString(reply->body)).object();
-    return json.value(toQString(name)).toInteger();
+        return {};
+    return QJsonDocument::fromJson(QByteArray::fromStdString(reply->body)).object();
+}
+
+auto Fleet::targetCount(const std::string &name) -> std::int64_t
+{
+    return targetReport().value(toQString(name)).toInteger(-1);
+}
+
+auto Fleet::targetMostRunning(const std::string &team) -> std::int64_t
+{
+    return targetReport()
+        .value("mostRunningOfTeam"_L1)
+        .toObject()
+        .value(toQString(team))
+        .toInteger();
+}
+
+auto Fleet::isRunning(int member) const -> bool
+{
+    return m_members[static_cast<std::size_t>(member)].process != nullptr;
+}
+
+auto Fleet::processId(int member) const -> qint64
+{
+    const auto &process = m_members[static_cast<std::size_t>(member)].process;
+    return process ? process->processId() : 0;
 }
 
 auto Fleet::request(int member, const HttpRequest &request, int timeoutMilliseconds) -> TargetReply
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <QJsonObject>
 #include <QProcess>
 #include <QTemporaryDir>
 
@@ -20,6 +22,8 @@
     /// Declarations; empty for one pool `main` on two data centres `north` and `south` with queues
     /// `orders`, `quotes` (idempotent) and `open`, and the teams `red` and `blue`.
     std::string declarations;
+    /// Whether members write their events to files.
+    bool hasJournal = true;
 };
 
 struct CommandResult
@@ -45,6 +49,8 @@
     auto killMember(int index) -> void;
     /// SIGTERM; waits for the end and returns the exit code.
     auto terminateMember(int index) -> int;
+    /// SIGTERM to every running member; whether all ended with code 0.
+    auto terminateAll() -> bool;
     /// SIGSTOP and SIGCONT.
     auto pauseMember(int index) -> void;
     auto resumeMember(int index) -> void;
@@ -62,6 +68,9 @@
     /// A count of the targets, as `runs`, `repeats` or `mostRunning`.
     auto targetCount(const std::string &name) -> std::int64_t;
 
+    /// Most requests of a team that ran at once, by the callers' header `Team`.
+    auto targetMostRunning(const std::string &team) -> std::int64_t;
+
     /// Sends one request to a member's callers' face and waits for the whole answer.
     auto request(int member, const HttpRequest &request, int timeoutMilliseconds = 10'000)
         -> TargetReply;
@@ -73,6 +82,9 @@
     [[nodiscard]] auto operatorsEndpoint(int member) const -> std::string;
     [[nodiscard]] auto peersEndpoint(int member) const -> std::string;
     [[nodiscard]] auto storeEndpoint() const -> std::string;
+    [[nodiscard]] auto targetPort(int target) const -> int { return m_firstTargetPort + target; }
+    [[nodiscard]] auto isRunning(int member) const -> bool;
+    [[nodiscard]] auto processId(int member) const -> qint64;
     /// Time-line events that all members, dead ones too, have written, one line of JSON each.
     [[nodiscard]] auto journal() const -> std::vector<std::string>;
 
@@ -86,6 +98,7 @@
         std::unique_ptr<QProcess> process;
     };
 
+    auto targetReport() -> QJsonObject;
     auto start(const QString &program, const QStringList &arguments) -> std::unique_ptr<QProcess>;
     auto writeFile(const std::string &name, const std::string &text) -> std::string;
     auto writeSettings(int index) -> void;
--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -22,6 +22,10 @@
         failed=$((failed + 1))
     fi
 done
+# Only a whole run can show that each test of the page ran.
+if [ "$#" -eq 0 ] && ! tests/check-proofs.sh "$build" "$log"; then
+    failed=$((failed + 1))
+fi
 [ "$passed" -gt 0 ] || failed=$((failed + 1))
 echo "$passed passed, $failed failed, $known skipped"
 [ "$failed" -eq 0 ]
