--- a/packages/connection/include/shallotproxy/connection/http/http_message.hpp
+++ b/packages/connection/include/shallotproxy/connection/http/http_message.hpp
@@ -41,8 +41,11 @@
 {
     std::size_t headerBytes = std::size_t{8} * 1024;
     std::size_t bodyBytes = std::size_t{1024} * 1024;
+    std::size_t totalBytes = std::size_t{64} * 1024 * 1024; // of all requests being received
     std::size_t connections = 1'024;
-    int progressMilliseconds = 10'000; // longest wait for the rest of a started request
+    unsigned requestsPerSecond = 5'000; // of one connection; more wait
+    int progressMilliseconds = 10'000; // longest wait for the rest of a started message
+    int connectMilliseconds = 1'000; // longest wait for a new connection to stand
     int idleMilliseconds = 60'000; // longest wait for the next request
 };
 
@@ -54,6 +57,7 @@
         HeaderTooLong = 303,
         CutShort = 304,
         UnknownEnd = 305,
+        TooManyBytes = 306,
     };
 
     Kind kind = Kind::Malformed;
@@ -71,6 +75,13 @@
 /// Whether two header names are the same.
 auto isSameHeader(std::string_view left, std::string_view right) -> bool;
 
+/// Drops the headers that concern one connection only: the usual ones, and those that the message's
+/// own `Connection` header names.
+auto dropHopByHop(std::vector<HttpHeader> &headers) -> void;
+
+/// The JSON body that tells an error by number and name, and what became of the request.
+auto errorBody(int number, std::string_view name, std::string_view outcome) -> std::string;
+
 /// A response with a JSON body.
 auto jsonResponse(unsigned status, std::string body) -> HttpResponse;
 
--- a/packages/connection/include/shallotproxy/connection/http/http_parser.hpp
+++ b/packages/connection/include/shallotproxy/connection/http/http_parser.hpp
@@ -27,11 +27,14 @@
     auto append(const QByteArray &bytes) -> void;
     /// The next whole request; no value while more bytes are needed.
     auto next() -> Expected<std::optional<Parsed>, HttpError>;
+    /// The head of a request whose body isn't whole yet, once per request.
+    auto takeHead() -> std::optional<HttpRequest>;
     /// Whether a request has begun that is not whole yet.
     [[nodiscard]] auto isMidRequest() const -> bool;
     /// Whether the client waits for `100 Continue`; true once per request.
     auto takeExpectContinue() -> bool;
-    [[nodiscard]] auto bufferedBytes() const -> std::size_t;
+    /// Bytes of the request that isn't whole yet, and of what came after it.
+    [[nodiscard]] auto heldBytes() const -> std::size_t;
 
 private:
     struct State;
@@ -54,9 +57,12 @@
         bool hasBytesLeft = false;
     };
 
+    /// Whether a byte of the final answer has come.
+    [[nodiscard]] auto hasBegun() const -> bool;
     /// For the answer to a HEAD request, which has no body whatever its length says.
     auto expectNoBody() -> void;
     auto append(const QByteArray &bytes) -> void;
+    /// The final answer once it is whole; interim (1xx) answers are skipped.
     auto next() -> Expected<std::optional<Parsed>, HttpError>;
     /// The fault that the end of the stream makes at this point.
     [[nodiscard]] auto endOfStream() const -> HttpError;
--- a/packages/connection/include/shallotproxy/connection/http/http_server.hpp
+++ b/packages/connection/include/shallotproxy/connection/http/http_server.hpp
@@ -28,6 +28,8 @@
     auto operator=(const HttpResponder &) -> HttpResponder & = delete;
 
     auto answer(const HttpResponse &response) -> void;
+    /// Calls `handler` once if the client goes before it is answered.
+    auto onClientGone(std::function<void()> handler) -> void;
     /// Whether the client is still connected.
     [[nodiscard]] auto isConnected() const -> bool;
 
@@ -54,13 +56,18 @@
 public:
     using Handler = std::function<void(HttpRequest, HttpResponder)>;
 
+    /// Judges a request by its head, before its body is read; a response refuses it.
+    using HeadCheck = std::function<std::optional<HttpResponse>(const HttpRequest &)>;
+
     HttpServer(HttpBounds bounds, Handler handler, QObject *parent = nullptr);
     ~HttpServer() override;
 
+    /// Sets the check of heads; call before listen().
+    auto setHeadCheck(HeadCheck check) -> void;
     /// Listens on `ADDRESS:PORT`.
     auto listen(std::string_view endpoint) -> Expected<void, ListenError>;
-    /// Takes no new connections, and closes each open one after its current answer.
-    auto stopAccepting() -> void;
+    /// Closes each connection after its next answer; new ones are still taken.
+    auto closeAfterAnswers() -> void;
     [[nodiscard]] auto connectionCount() const -> std::size_t;
     [[nodiscard]] auto port() const -> quint16;
 
@@ -68,12 +75,15 @@
     friend class HttpServerConnection;
 
     auto acceptWaiting() -> void;
+    auto closeOldestIdle() -> bool;
     auto remove(HttpServerConnection *connection) -> void;
 
     HttpBounds m_bounds;
     Handler m_handler;
+    HeadCheck m_headCheck;
     QTcpServer *m_server;
-    bool m_isAccepting = true;
+    bool m_isKeepingAlive = true;
+    std::size_t m_heldBytes = 0; // by all connections
     std::vector<std::shared_ptr<HttpServerConnection>> m_connections;
 };
 
--- a/packages/connection/include/shallotproxy/connection/target/target_connection.hpp
+++ b/packages/connection/include/shallotproxy/connection/target/target_connection.hpp
@@ -44,7 +44,9 @@
 
     TargetConnection(std::string endpoint, HttpBounds bounds, QObject *parent = nullptr);
 
-    /// Sends the request once and hands the outcome to `callback`, exactly once.
+    /// Sends the request once and hands the outcome to `callback`, exactly once. Ends with an error
+    /// if the connection doesn't stand within its bound, if an answer that has begun makes no
+    /// progress within its bound, or if there is no whole answer within `timeoutMilliseconds`.
     auto send(const HttpRequest &request, int timeoutMilliseconds, Callback callback) -> void;
     /// Whether another request may use this connection.
     [[nodiscard]] auto isReusable() const -> bool;
@@ -60,6 +62,7 @@
     HttpBounds m_bounds;
     QTcpSocket m_socket;
     QTimer m_timeout;
+    QTimer m_progress; // until the connection stands, then between parts of the answer
     std::unique_ptr<HttpResponseParser> m_parser;
     QByteArray m_waiting;
     bool m_isWritten = false;
--- a/packages/connection/src/http_message.cpp
+++ b/packages/connection/src/http_message.cpp
@@ -2,6 +2,8 @@
 #include <array>
 #include <cctype>
 
+#include <fmt/format.h>
+
 #include "shallotproxy/connection/http/http_message.hpp"
 
 namespace shallotproxy {
@@ -20,6 +22,22 @@
     return it == headers.end() ? std::string_view() : std::string_view(it->value);
 }
 
+/// Adds the elements of a comma-separated header value.
+auto splitList(std::string_view value, std::vector<std::string> &elements) -> void
+{
+    while (!value.empty()) {
+        const auto end = std::min(value.find(','), value.size());
+        auto element = value.substr(0, end);
+        while (element.starts_with(' ') || element.starts_with('\t'))
+            element.remove_prefix(1);
+        while (element.ends_with(' ') || element.ends_with('\t'))
+            element.remove_suffix(1);
+        if (!element.empty())
+            elements.emplace_back(element);
+        value.remove_prefix(std::min(end + 1, value.size()));
+    }
+}
+
 } // namespace
 
 auto isSameHeader(std::string_view left, std::string_view right) -> bool
@@ -36,6 +54,20 @@
     return std::ranges::any_of(Names, [name](auto it) { return isSameHeader(it, name); });
 }
 
+auto dropHopByHop(std::vector<HttpHeader> &headers) -> void
+{
+    auto named = std::vector<std::string>();
+    for (const auto &it : headers) {
+        if (isSameHeader(it.name, "Connection"))
+            splitList(it.value, named);
+    }
+    std::erase_if(headers, [&named](const auto &header) {
+        return isHopByHop(header.name) || std::ranges::any_of(named, [&header](const auto &it) {
+                   return isSameHeader(it, header.name);
+               });
+    });
+}
+
 auto HttpRequest::header(std::string_view name) const -> std::string_view
 {
     return findHeader(headers, name);
@@ -58,9 +90,11 @@
     case Kind::CutShort:
         return "cut-short";
     case Kind::UnknownEnd:
+        return "unknown-end";
+    case Kind::TooManyBytes:
         break;
     }
-    return "unknown-end";
+    return "too-many-bytes";
 }
 
 auto HttpError::message() const -> std::string
@@ -73,11 +107,19 @@
     constexpr unsigned BadRequest = 400;
     constexpr unsigned ContentTooLarge = 413;
     constexpr unsigned HeaderFieldsTooLarge = 431;
+    constexpr unsigned Unavailable = 503;
+    if (kind == Kind::TooManyBytes)
+        return Unavailable;
     if (kind == Kind::BodyTooLong)
         return ContentTooLarge;
     return kind == Kind::HeaderTooLong ? HeaderFieldsTooLarge : BadRequest;
 }
 
+auto errorBody(int number, std::string_view name, std::string_view outcome) -> std::string
+{
+    return fmt::format(R"({{"error":{},"name":"{}","outcome":"{}"}})", number, name, outcome);
+}
+
 auto jsonResponse(unsigned status, std::string body) -> HttpResponse
 {
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
--- a/packages/connection/src/http_parser.cpp
+++ b/packages/connection/src/http_parser.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned NoContent = 204;
+
 template <typename Parser>
 auto makeParser(const HttpBounds &bounds) -> std::unique_ptr<Parser>
 {
@@ -71,12 +75,11 @@
     return lengths + encodings > 1;
 }
 
-auto appendHeaders(std::string &text, std::span<const HttpHeader> headers) -> void
+auto appendHeaders(std::string &text, std::vector<HttpHeader> headers) -> void
 {
-    for (const auto &it : headers) {
-        if (!isHopByHop(it.name))
-            text += fmt::format("{}: {}\r\n", it.name, it.value);
-    }
+    dropHopByHop(headers);
+    for (const auto &it : headers)
+        text += fmt::format("{}: {}\r\n", it.name, it.value);
 }
 
 } // namespace
@@ -89,6 +92,7 @@
     std::unique_ptr<Parser> parser;
     QByteArray buf;
     bool isContinueTaken = false;
+    bool isHeadTaken = false;
 };
 
 HttpRequestParser::HttpRequestParser(HttpBounds bounds)
@@ -117,6 +121,7 @@
     auto message = m_state->parser->release();
     m_state->parser = makeParser<State::Parser>(m_state->bounds);
     m_state->isContinueTaken = false;
+    m_state->isHeadTaken = false;
     auto parsed = Parsed();
     parsed.isKeepAlive = message.keep_alive();
     parsed.request.method = std::string(message.method_string());
@@ -126,6 +131,18 @@
     return std::optional(std::move(parsed));
 }
 
+auto HttpRequestParser::takeHead() -> std::optional<HttpRequest>
+{
+    if (m_state->isHeadTaken || !m_state->parser->is_header_done())
+        return std::nullopt;
+    m_state->isHeadTaken = true;
+    const auto &message = m_state->parser->get();
+    return HttpRequest{std::string(message.method_string()),
+                       std::string(message.target()),
+                       copyHeaders(message),
+                       {}};
+}
+
 auto HttpRequestParser::isMidRequest() const -> bool
 {
     return m_state->parser->got_some() || !m_state->buf.isEmpty();
@@ -142,30 +159,45 @@
     return true;
 }
 
-auto HttpRequestParser::bufferedBytes() const -> std::size_t
+auto HttpRequestParser::heldBytes() const -> std::size_t
 {
-    return static_cast<std::size_t>(m_state->buf.size());
+    return static_cast<std::size_t>(m_state->buf.size()) + m_state->parser->get().body().size();
 }
 
 struct HttpResponseParser::State
 {
     using Parser = http::response_parser<http::string_body>;
 
+    auto renew() -> void
+    {
+        parser = makeParser<Parser>(bounds);
+        parser->skip(isBodyless);
+    }
+
+    HttpBounds bounds;
     std::unique_ptr<Parser> parser;
     QByteArray buf;
+    bool isBodyless = false;
 };
 
 HttpResponseParser::HttpResponseParser(HttpBounds bounds)
     : m_state(std::make_unique<State>())
 {
-    m_state->parser = makeParser<State::Parser>(bounds);
+    m_state->bounds = bounds;
+    m_state->renew();
 }
 
 HttpResponseParser::~HttpResponseParser() = default;
 
 auto HttpResponseParser::expectNoBody() -> void
 {
-    m_state->parser->skip(true);
+    m_state->isBodyless = true;
+    m_state->renew();
+}
+
+auto HttpResponseParser::hasBegun() const -> bool
+{
+    return m_state->parser->got_some();
 }
 
 auto HttpResponseParser::append(const QByteArray &bytes) -> void
@@ -175,13 +207,22 @@
 
 auto HttpResponseParser::next() -> Expected<std::optional<Parsed>, HttpError>
 {
-    const auto isWhole = feed(*m_state->parser, m_state->buf);
-    if (!isWhole)
-        return tl::unexpected(isWhole.error());
-    if (m_state->parser->is_header_done() && hasAmbiguousLength(m_state->parser->get()))
-        return tl::unexpected(HttpError{HttpError::Kind::Malformed});
-    if (!*isWhole)
-        return std::nullopt;
+    while (true) {
+        const auto isWhole = feed(*m_state->parser, m_state->buf);
+        if (!isWhole)
+            return tl::unexpected(isWhole.error());
+        if (m_state->parser->is_header_done() && hasAmbiguousLength(m_state->parser->get()))
+            return tl::unexpected(HttpError{HttpError::Kind::Malformed});
+        if (!*isWhole)
+            return std::nullopt;
+        const auto status = m_state->parser->get().result_int();
+        // We never ask for an upgrade, so 101 answers nothing that we have sent.
+        if (status == SwitchingProtocols)
+            return tl::unexpected(HttpError{HttpError::Kind::Malformed});
+        if (status >= FirstFinalStatus)
+            break;
+        m_state->renew();
+    }
     auto message = m_state->parser->release();
     auto parsed = Parsed();
     parsed.isKeepAlive = message.keep_alive();
@@ -208,7 +249,9 @@
     appendHeaders(text, response.headers);
     if (!isKeepAlive)
         text += "Connection: close\r\n";
-    text += fmt::format("Content-Length: {}\r\n\r\n", response.body.size());
+    if (response.status != NoContent)
+        text += fmt::format("Content-Length: {}\r\n", response.body.size());
+    text += "\r\n";
     text += response.body;
     return QByteArray::fromStdString(text);
 }
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -1,4 +1,8 @@
 #include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <sys/socket.h>
 
 #include <QHostAddress>
 #include <QTcpServer>
@@ -9,6 +13,7 @@
 
 #include "shallotproxy/connection/http/http_parser.hpp"
 #include "shallotproxy/connection/http/http_server.hpp"
+#include "shallotproxy/process/base/boot_clock.hpp"
 #include "shallotproxy/process/base/text.hpp"
 
 namespace shallotproxy {
@@ -40,10 +45,11 @@
         if (!m_isBusy || !m_socket)
             return;
         m_isBusy = false;
-        const auto isKept = m_isKeepAlive && m_server->m_isAccepting;
+        m_goneHandler = nullptr;
+        const auto isKept = m_isKeepAlive && m_server->m_isKeepingAlive;
         m_socket->write(serializeResponse(response, isKept));
         if (!isKept) {
-            m_socket->disconnectFromHost();
+            linger();
             return;
         }
         m_timer.start(m_server->m_bounds.idleMilliseconds);
@@ -58,10 +64,27 @@
             close();
     }
 
-    auto closeWhenIdle() -> void
+    auto onClientGone(std::function<void()> handler) -> void { m_goneHandler = std::move(handler); }
+
+    [[nodiscard]] auto isIdle() const -> bool
     {
-        if (!m_isBusy && m_socket && !m_parser.isMidRequest())
-            m_socket->disconnectFromHost();
+        return !m_isBusy && !m_isLingering && !m_parser.isMidRequest();
+    }
+
+    auto close() -> void
+    {
+        if (!m_socket)
+            return;
+        m_socket->disconnect(this);
+        m_socket->abort();
+        m_socket->deleteLater();
+        m_socket = nullptr;
+        const auto handler = m_isBusy ? std::exchange(m_goneHandler, nullptr) : nullptr;
+        m_isBusy = false;
+        countHeld(0);
+        m_server->remove(this);
+        if (handler)
+            handler();
     }
 
     [[nodiscard]] auto isConnected() const -> bool
@@ -71,18 +94,32 @@
 
 private:
     static constexpr qint64 ReadBufferBytes = qint64{64} * 1024;
+    static constexpr int LingerMilliseconds = 1'000;
 
     auto read() -> void
     {
         if (m_isBusy || !m_socket)
             return;
+        if (m_isLingering) {
+            m_socket->readAll();
+            return;
+        }
+        if (isTooFast())
+            return;
         m_parser.append(m_socket->readAll());
         auto parsed = m_parser.next();
+        countHeld(m_parser.heldBytes());
         if (!parsed) {
             refuse(parsed.error());
             return;
         }
         if (!*parsed) {
+            if (isHeadRefused())
+                return;
+            if (m_server->m_heldBytes > m_server->m_bounds.totalBytes) {
+                refuse({HttpError::Kind::TooManyBytes});
+                return;
+            }
             if (m_parser.takeExpectContinue())
                 m_socket->write("HTTP/1.1 100 Continue\r\n\r\n");
             if (m_parser.isMidRequest() && !m_isMidRequest)
@@ -92,36 +129,85 @@
         }
         m_isBusy = true;
         m_isMidRequest = false;
+        ++m_requestsInSecond;
         m_timer.stop();
         m_isKeepAlive = (*parsed)->isKeepAlive;
         m_server->m_handler(std::move((*parsed)->request), HttpResponder(weak_from_this()));
     }
 
+    /// Whether this connection has had its requests of this second; the next ones then wait unread.
+    auto isTooFast() -> bool
+    {
+        const auto now = BootClock::now();
+        if (now >= m_secondEnds) {
+            m_secondEnds = now + std::chrono::seconds(1);
+            m_requestsInSecond = 0;
+        }
+        if (m_requestsInSecond < m_server->m_bounds.requestsPerSecond)
+            return false;
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(m_secondEnds - now);
+        QTimer::singleShot(wait, this, [this] { read(); });
+        return true;
+    }
+
+    auto countHeld(std::size_t bytes) -> void
+    {
+        m_server->m_heldBytes += bytes;
+        m_server->m_heldBytes -= std::exchange(m_heldBytes, bytes);
+    }
+
     auto refuse(const HttpError &ec) -> void
     {
-        const auto body = fmt::format(R"({{"error":{},"name":"{}","outcome":"not-run"}})",
-                                      ec.number(), ec.name());
+        const auto body = errorBody(ec.number(), ec.name(), "not-run");
         m_socket->write(serializeResponse(jsonResponse(ec.status(), body), false));
-        m_isBusy = true;
-        m_socket->disconnectFromHost();
+        linger();
     }
 
-    auto close() -> void
+    auto isHeadRefused() -> bool
     {
-        if (!m_socket)
+        if (!m_server->m_headCheck)
+            return false;
+        const auto head = m_parser.takeHead();
+        const auto response = head ? m_server->m_headCheck(*head) : std::nullopt;
+        if (!response)
+            return false;
+        m_socket->write(serializeResponse(*response, false));
+        linger();
+        return true;
+    }
+
+    /// Ends the connection after what was written. The client's remaining bytes are read and
+    /// dropped for a while: a close with unread bytes resets the connection, and the answer would
+    /// be lost.
+    auto linger() -> void
+    {
+        m_isLingering = true;
+        countHeld(0);
+        m_socket->readAll();
+        m_timer.start(m_server->m_bounds.progressMilliseconds);
+        connect(m_socket, &QTcpSocket::bytesWritten, this, [this] { endWriting(); });
+        m_socket->flush();
+        endWriting();
+    }
+
+    auto endWriting() -> void
+    {
+        if (!m_socket || m_socket->bytesToWrite() > 0)
             return;
-        m_socket->disconnect(this);
-        m_socket->abort();
-        m_socket->deleteLater();
-        m_socket = nullptr;
-        m_server->remove(this);
+        shutdown(static_cast<int>(m_socket->socketDescriptor()), SHUT_WR);
+        m_timer.start(LingerMilliseconds);
     }
 
     HttpServer *m_server;
     QTcpSocket *m_socket;
     HttpRequestParser m_parser;
     QTimer m_timer;
+    std::function<void()> m_goneHandler;
+    std::size_t m_heldBytes = 0;
+    unsigned m_requestsInSecond = 0;
+    BootTime m_secondEnds;
     bool m_isBusy = false;
+    bool m_isLingering = false;
     bool m_isMidRequest = false;
     bool m_isKeepAlive = true;
 };
@@ -151,6 +237,12 @@
     m_connection.reset();
 }
 
+auto HttpResponder::onClientGone(std::function<void()> handler) -> void
+{
+    if (const auto connection = m_connection.lock())
+        connection->onClientGone(std::move(handler));
+}
+
 auto HttpResponder::isConnected() const -> bool
 {
     const auto connection = m_connection.lock();
@@ -196,13 +288,15 @@
         ListenError{kind, std::string(endpoint), m_server->errorString().toStdString()});
 }
 
-auto HttpServer::stopAccepting() -> void
+auto HttpServer::setHeadCheck(HeadCheck check) -> void
+{
+    m_headCheck = std::move(check);
+}
+
+// Idle connections stay open: a request may be on its way on any of them, and is answered.
+auto HttpServer::closeAfterAnswers() -> void
 {
-    m_isAccepting = false;
-    m_server->close();
-    const auto connections = m_connections;
-    for (const auto &it : connections)
-        it->closeWhenIdle();
+    m_isKeepingAlive = false;
 }
 
 auto HttpServer::connectionCount() const -> std::size_t
@@ -218,7 +312,7 @@
 auto HttpServer::acceptWaiting() -> void
 {
     while (auto *socket = m_server->nextPendingConnection()) {
-        if (m_connections.size() >= m_bounds.connections) {
+        if (m_connections.size() >= m_bounds.connections && !closeOldestIdle()) {
             socket->abort();
             socket->deleteLater();
             continue;
@@ -227,6 +321,17 @@
     }
 }
 
+/// Strangers that open connections and stay silent make place for those who come with a request.
+auto HttpServer::closeOldestIdle() -> bool
+{
+    const auto it =
+        std::ranges::find_if(m_connections, [](const auto &entry) { return entry->isIdle(); });
+    if (it == m_connections.end())
+        return false;
+    (*it)->close();
+    return true;
+}
+
 auto HttpServer::remove(HttpServerConnection *connection) -> void
 {
     const auto it = std::ranges::find_if(
--- a/packages/connection/src/target_connection.cpp
+++ b/packages/connection/src/target_connection.cpp
@@ -38,9 +38,12 @@
     connect(&m_socket, &QTcpSocket::readyRead, this, [this] { read(); });
     connect(&m_socket, &QTcpSocket::disconnected, this, [this] { handleDisconnect(); });
     connect(&m_socket, &QTcpSocket::errorOccurred, this, [this] { handleDisconnect(); });
-    connect(&m_timeout, &QTimer::timeout, this, [this] {
+    m_progress.setSingleShot(true);
+    const auto timeOut = [this] {
         fail(m_isWritten ? TargetError::Kind::TimedOut : TargetError::Kind::NotConnected);
-    });
+    };
+    connect(&m_timeout, &QTimer::timeout, this, timeOut);
+    connect(&m_progress, &QTimer::timeout, this, timeOut);
 }
 
 auto TargetConnection::send(const HttpRequest &request, int timeoutMilliseconds, Callback callback)
@@ -60,7 +63,7 @@
     const auto colon = m_endpoint.rfind(':');
     const auto address = QHostAddress(QString::fromStdString(m_endpoint.substr(0, colon)));
     const auto port = QString::fromStdString(m_endpoint.substr(colon + 1)).toUShort();
-    m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_progress.start(m_bounds.connectMilliseconds);
     m_socket.connectToHost(address, port);
 }
 
@@ -75,6 +78,7 @@
         return;
     // From here on the target may have the request, whatever happens to the connection.
     m_isWritten = true;
+    m_progress.stop();
     m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
     m_socket.write(m_waiting);
     m_waiting.clear();
@@ -94,8 +98,12 @@
         fail(TargetError::Kind::BadAnswer);
         return;
     }
-    if (!*parsed)
+    if (!*parsed) {
+        // A target may work for long before it answers; an answer that has begun must go on.
+        if (m_parser->hasBegun())
+            m_progress.start(m_bounds.progressMilliseconds);
         return;
+    }
     if (!(*parsed)->isKeepAlive || (*parsed)->hasBytesLeft)
         m_isReusable = false;
     finish(std::move((*parsed)->response));
@@ -114,8 +122,12 @@
         fail(TargetError::Kind::NotConnected);
         return;
     }
+    if (!m_parser->hasBegun()) {
+        fail(TargetError::Kind::ClosedUnanswered);
+        return;
+    }
     const auto isUnknownEnd = m_parser->endOfStream().kind == HttpError::Kind::UnknownEnd;
-    fail(isUnknownEnd ? TargetError::Kind::UnknownEnd : TargetError::Kind::ClosedUnanswered);
+    fail(isUnknownEnd ? TargetError::Kind::UnknownEnd : TargetError::Kind::CutAnswer);
 }
 
 auto TargetConnection::fail(TargetError::Kind kind) -> void
@@ -124,6 +136,7 @@
     const auto callback = std::exchange(m_callback, nullptr);
     m_isReusable = false;
     m_timeout.stop();
+    m_progress.stop();
     m_socket.abort();
     if (callback)
         callback(tl::unexpected(TargetError{kind}));
@@ -132,6 +145,7 @@
 auto TargetConnection::finish(HttpResponse response) -> void
 {
     m_timeout.stop();
+    m_progress.stop();
     const auto callback = std::exchange(m_callback, nullptr);
     callback(std::move(response));
 }
--- a/packages/daemon/src/claim_module.hpp
+++ b/packages/daemon/src/claim_module.hpp
@@ -1,17 +1,47 @@
 #pragma once
 
+#include <QObject>
+#include <QTimer>
+
 #include "control_context.hpp"
+#include "shallotproxy/request/claim/claim_table.hpp"
 
 namespace shallotproxy {
 
-/// Keeps claims of idempotency keys in the platform's service.
+/// Keeps claims of idempotency keys in the platform's service and asks other members for answers.
 class ClaimModule
 {
 public:
     explicit ClaimModule(ControlContext &context);
 
+    auto tick(BootTime now) -> void;
+    auto receive(const PeerEnvelope &envelope, BootTime now) -> void;
+    auto membersChanged() -> void;
+    auto handle(const ClaimAsk &event) -> void;
+    auto handle(const ClaimEnded &event) -> void;
+
 private:
-    [[maybe_unused]] ControlContext &m_context;
+    auto step(const ClaimEvent &event) -> void;
+    auto perform(const WriteClaims &action) -> void;
+    auto perform(const ReadClaims &action) -> void;
+    auto perform(const DeleteClaims &action) -> void;
+    auto perform(const ClaimVerdict &action) -> void;
+    auto perform(const AskClaimOwner &action) -> void;
+    auto perform(const AnswerClaimQuery &action) -> void;
+
+    auto grantLease(const WriteClaims &action) -> void;
+    auto write(const WriteClaims &action) -> void;
+    auto call(StoreTransaction transaction) -> void;
+    auto takeAnswer(const StoreReply &reply) -> void;
+    [[nodiscard]] auto keyOf(const ClaimName &name) const -> std::string;
+
+    ControlContext &m_context;
+    ClaimTable m_table;
+    QObject m_timerContext;
+    BootTime m_wakeAt;
+    std::vector<std::string> m_keys; // of the call under way, in its order
+    StoreLease m_lease = 0;
+    BootTime m_leaseUsableUntil;
 };
 
 } // namespace shallotproxy
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -82,6 +82,10 @@
             handleCall(*call);
         if (auto *load = std::get_if<LoadReport>(&report))
             m_context.loads = std::move(load->loads);
+        if (const auto *ask = std::get_if<ClaimAsk>(&report))
+            m_claims.handle(*ask);
+        if (const auto *end = std::get_if<ClaimEnded>(&report))
+            m_claims.handle(*end);
     });
 }
 
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include <QCryptographicHash>
+
 #include "duty_thread.hpp"
 
 namespace shallotproxy {
@@ -15,6 +17,10 @@
 constexpr auto TickInterval = 50ms;
 constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable = 503;
+constexpr unsigned FirstServerError = 500;
+constexpr Duration SilentTime = 2s; // without an answer, then the target is probed
+constexpr std::size_t MaxOpenBytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t MaxReplayBytes = std::size_t{64} * 1024; // longest answer kept for repeats
 
 auto boundsOf(const MemberSettings &settings) -> HttpBounds
 {
@@ -24,30 +30,26 @@
     return bounds;
 }
 
-auto errorBody(int number, std::string_view name, std::string_view outcome) -> std::string
-{
-    return fmt::format(R"({{"error":{},"name":"{}","outcome":"{}"}})", number, name, outcome);
-}
-
-auto refusalResponse(const Refusal &refusal) -> HttpResponse
+/// Digest of what makes two requests the same one.
+auto fingerprintOf(const QueueName &queue, const HttpRequest &request) -> std::string
 {
-    return jsonResponse(refusal.status(), errorBody(refusal.number(), refusal.name(), "not-run"));
+    auto hash = QCryptographicHash(QCryptographicHash::Sha256);
+    for (const auto &part : {queue.value(), request.method, request.path, request.body}) {
+        const auto size = fmt::format("{}:", part.size());
+        hash.addData(QByteArrayView(size.data(), static_cast<qsizetype>(size.size())));
+        hash.addData(QByteArrayView(part.data(), static_cast<qsizetype>(part.size())));
+    }
+    return hash.result().toHex().toStdString();
 }
 
-/// Headers of this name space are ours alone; a target can't set them.
-auto dropReservedHeaders(HttpResponse &response) -> void
+auto millisecondsOf(Duration duration) -> int
 {
-    constexpr std::string_view Reserved = "Shallotproxy-";
-    std::erase_if(response.headers, [Reserved](const auto &header) {
-        return isSameHeader(std::string_view(header.name).substr(0, Reserved.size()), Reserved);
-    });
+    return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
 }
 
-auto millisecondsUntil(BootTime deadline) -> int
+auto secondsSince(BootTime time) -> double
 {
-    const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - BootClock::now());
-    return std::max(1, static_cast<int>(left.count()));
+    return std::chrono::duration<double>(BootClock::now() - time).count();
 }
 
 } // namespace
@@ -56,6 +58,7 @@
     : m_process(process)
     , m_links(links)
     , m_targets(boundsOf(process.settings))
+    , m_dispatcher(process.self.number)
 {
     attachConsumer(links.controlToFront, this, [this] { drainUpdates(); });
 }
@@ -66,6 +69,7 @@
         boundsOf(m_process.settings), [this](HttpRequest request, HttpResponder responder) {
             handleRequest(std::move(request), std::move(responder));
         });
+    m_server->setHeadCheck([this](const HttpRequest &head) { return checkHead(head); });
     return m_server->listen(m_process.settings.callersEndpoint);
 }
 
@@ -85,17 +89,22 @@
     m_server.reset();
 }
 
+// The health check fails first; until the balancer has turned away, requests are served as ever.
 auto FrontDuty::drain() -> void
 {
-    m_isDraining = true;
-    m_server->stopAccepting();
-    dispatch(DrainStarted());
-    FrontLog.info("draining, {} requests open", m_open.size());
+    m_ending = Ending::Settling;
+    m_server->closeAfterAnswers();
+    const auto settle = std::chrono::milliseconds(m_process.settings.settleMilliseconds);
+    QTimer::singleShot(settle, this, [this] {
+        m_ending = Ending::Draining;
+        FrontLog.info("draining, {} requests open", m_open.size());
+        dispatch(DrainStarted());
+    });
 }
 
 auto FrontDuty::isIdle() const -> bool
 {
-    return m_open.empty() && m_controlCalls.empty();
+    return m_ending == Ending::Draining && m_open.empty() && m_controlCalls.empty();
 }
 
 auto FrontDuty::handleRequest(HttpRequest request, HttpResponder responder) -> void
@@ -111,7 +120,8 @@
 
 auto FrontDuty::handleHealth(HttpResponder responder) -> void
 {
-    const auto isHealthy = !m_isDraining && m_configuration && BootClock::now() < m_freshUntil;
+    const auto isServing = m_ending == Ending::Serving;
+    const auto isHealthy = isServing && m_configuration && BootClock::now() < m_freshUntil;
     constexpr unsigned Ok = 200;
     responder.answer(isHealthy ? jsonResponse(Ok, R"({"healthy":true})")
                                : jsonResponse(Unavailable, R"({"healthy":false})"));
@@ -120,16 +130,17 @@
 auto FrontDuty::handleControlCall(HttpRequest request, HttpResponder responder) -> void
 {
     const auto isFresh = m_configuration && BootClock::now() < m_freshUntil;
-    const auto team = isFresh ? findTeam(*m_configuration, bearerKey(request)) : std::nullopt;
-    if (!team || m_isDraining) {
-        const auto kind = m_isDraining ? Refusal::Kind::ShuttingDown
-            : isFresh                  ? Refusal::Kind::BadKey
-                                       : Refusal::Kind::NotFresh;
+    const auto owner = isFresh ? m_keys.find(bearerKey(request)) : std::nullopt;
+    const auto isDraining = m_ending == Ending::Draining;
+    if (!owner || isDraining) {
+        const auto kind = isDraining ? Refusal::Kind::ShuttingDown
+            : isFresh                ? Refusal::Kind::BadKey
+                                     : Refusal::Kind::NotFresh;
         responder.answer(refusalResponse({kind}));
         return;
     }
     const auto number = ++m_lastNumber;
-    auto call = ControlCall{CallFace::Callers, number, *team, std::move(request)};
+    auto call = ControlCall{CallFace::Callers, number, owner->team, std::move(request)};
     if (!m_links.frontToControl.push(std::move(call))) {
         responder.answer(refusalResponse({Refusal::Kind::Overloaded}));
         return;
@@ -137,37 +148,126 @@
     m_controlCalls.emplace(number, std::move(responder));
 }
 
-auto FrontDuty::handleQueueRequest(HttpRequest request, HttpResponder responder) -> void
+/// Strangers' bodies are refused before they are read.
+auto FrontDuty::checkHead(const HttpRequest &head) const -> std::optional<HttpResponse>
 {
-    const auto now = BootClock::now();
-    if (!m_configuration) {
-        responder.answer(refusalResponse({Refusal::Kind::NotFresh}));
-        return;
+    if (!m_configuration)
+        return refusalResponse({Refusal::Kind::NotFresh});
+    if (!head.path.starts_with(QueuePathPrefix)) {
+        const auto isKnown = m_keys.find(bearerKey(head)).has_value();
+        return isKnown ? std::nullopt : std::optional(refusalResponse({Refusal::Kind::BadKey}));
     }
-    auto admitted = admitRequest(*m_configuration, std::move(request));
-    if (!admitted) {
-        m_process.metrics.count("shallotproxy_refused_total",
-                                fmt::format("reason=\"{}\"", admitted.error().name()));
-        responder.answer(refusalResponse(admitted.error()));
+    const auto admitted = admitRequest(*m_configuration, m_keys, head);
+    return admitted ? std::nullopt : std::optional(refusalResponse(admitted.error()));
+}
+
+auto FrontDuty::handleQueueRequest(HttpRequest request, HttpResponder responder) -> void
+{
+    auto admitted = Expected<AdmittedRequest, Refusal>(tl::unexpected(
+        Refusal{m_configuration ? Refusal::Kind::Overloaded : Refusal::Kind::NotFresh}));
+    if (m_configuration && m_openBytes + request.body.size() <= MaxOpenBytes)
+        admitted = admitRequest(*m_configuration, m_keys, std::move(request));
+    if (admitted) {
+        open(std::move(*admitted), std::move(responder));
         return;
     }
-    const auto &queue = *admitted->queue;
+    m_process.metrics.count("shallotproxy_refused_total",
+                            fmt::format("reason=\"{}\"", admitted.error().name()));
+    responder.answer(refusalResponse(admitted.error()));
+}
+
+auto FrontDuty::open(AdmittedRequest admitted, HttpResponder responder) -> void
+{
+    const auto now = BootClock::now();
+    const auto &queue = *admitted.queue;
     const auto number = ++m_lastNumber;
+    auto fingerprint = admitted.idempotencyKey.empty()
+        ? std::string()
+        : fingerprintOf(queue.name, admitted.forwarded);
     auto open = OpenRequest();
     open.responder = std::move(responder);
-    open.forwarded = std::move(admitted->forwarded);
+    open.forwarded = std::move(admitted.forwarded);
+    open.isIdempotent = queue.isIdempotent;
     open.queue = queue.name;
     open.pool = queue.pool;
-    open.team = admitted->team;
+    open.team = admitted.owner.team;
     open.id = fmt::format("{:x}-{}", m_process.self.number, number);
     open.arrived = now;
     open.deadline = now + std::chrono::milliseconds(queue.deadlineMilliseconds);
     open.forwarded.headers.push_back({"Shallotproxy-Request", open.id});
-    m_process.timeline.record("request.arrive", open.id, m_configuration->version,
+    open.arrival = RequestArrived{number, queue.name, open.team, open.deadline, admitted.owner.key};
+    open.responder.onClientGone([this, number] { callerGone(number); });
+    m_process.timeline.record("request.arrive", open.id, version(),
                               {{"queue", queue.name.value()}, {"team", open.team.value()}});
-    const auto arrival = RequestArrived{number, queue.name, open.team, open.deadline};
+    m_openBytes += open.forwarded.body.size();
+    const auto arrival = open.arrival;
     m_open.emplace(number, std::move(open));
-    dispatch(arrival);
+    if (admitted.idempotencyKey.empty()) {
+        dispatch(arrival);
+    } else {
+        claim(number, std::move(admitted.idempotencyKey), std::move(fingerprint));
+    }
+}
+
+/// Asks for the claim before the request is queued.
+auto FrontDuty::claim(RequestNumber number, std::string key, std::string fingerprint) -> void
+{
+    auto &open = m_open.at(number);
+    // One that would be refused anyway costs the platform's service nothing.
+    if (const auto refusal = m_dispatcher.check(open.arrival, BootClock::now())) {
+        refuse(number, *refusal);
+        return;
+    }
+    open.phase = Phase::Claiming;
+    auto ask = ClaimAsk{number, {open.team, std::move(key)}, std::move(fingerprint), open.deadline};
+    if (!m_links.frontToControl.push(std::move(ask)))
+        refuse(number, {Refusal::Kind::Overloaded});
+}
+
+auto FrontDuty::apply(const ClaimVerdict &verdict) -> void
+{
+    const auto it = m_open.find(verdict.number);
+    const auto isGranted = verdict.kind == ClaimVerdict::Kind::Granted;
+    if (it == m_open.end()) {
+        if (isGranted)
+            endClaim(verdict.number, ClaimEnd::NotRun);
+        return;
+    }
+    auto &open = it->second;
+    switch (verdict.kind) {
+    case ClaimVerdict::Kind::Granted: {
+        open.phase = Phase::Waiting;
+        open.isClaimed = true;
+        const auto arrival = open.arrival;
+        dispatch(arrival);
+        break;
+    }
+    case ClaimVerdict::Kind::Unavailable:
+        refuse(verdict.number, {Refusal::Kind::ClaimUnavailable});
+        break;
+    case ClaimVerdict::Kind::KeyReused:
+        refuse(verdict.number, {Refusal::Kind::KeyReused});
+        break;
+    case ClaimVerdict::Kind::AlreadyStarted:
+        refuse(verdict.number, {Refusal::Kind::AlreadyStarted});
+        break;
+    case ClaimVerdict::Kind::Replay: {
+        auto response = verdict.response;
+        response.headers.push_back({"Shallotproxy-Replayed", "true"});
+        answer(open, std::move(response), "answered");
+        close(verdict.number);
+        break;
+    }
+    }
+}
+
+/// Tells the control duty how a claimed request has ended. If its ring is full, the claim stands
+/// until its lease ends, which is safe.
+auto FrontDuty::endClaim(RequestNumber number, ClaimEnd end, std::optional<HttpResponse> response)
+    -> void
+{
+    if (!m_links.frontToControl.push(ClaimEnded{number, end, std::move(response)}))
+        FrontLog.warning("report ring is full, a claim stays");
 }
 
 auto FrontDuty::drainUpdates() -> void
@@ -177,49 +277,89 @@
 
 auto FrontDuty::apply(FrontUpdate update) -> void
 {
-    if (auto *reply = std::get_if<ControlReply>(&update)) {
-        const auto it = m_controlCalls.find(reply->number);
-        if (it == m_controlCalls.end())
-            return;
-        it->second.answer(reply->response);
-        m_controlCalls.erase(it);
-        return;
-    }
     if (const auto *change = std::get_if<ConfigurationChanged>(&update)) {
         m_configuration = change->configuration;
-        m_process.timeline.record("configuration.serve", "front", m_configuration->version);
+        m_keys = KeyIndex(*m_configuration);
+        m_process.timeline.record("configuration.serve", "front", version());
     }
     if (const auto *change = std::get_if<FreshnessChanged>(&update))
         m_freshUntil = change->freshUntil;
     std::visit(
         [this](const auto &it) {
-            if constexpr (std::is_constructible_v<DispatchEvent, decltype(it)>)
+            if constexpr (std::is_constructible_v<DispatchEvent, decltype(it)>) {
                 dispatch(it);
+            } else if constexpr (requires { apply(it); }) {
+                apply(it);
+            }
         },
         update);
 }
 
+auto FrontDuty::apply(const ControlReply &reply) -> void
+{
+    auto node = m_controlCalls.extract(reply.number);
+    if (!node.empty())
+        node.mapped().answer(reply.response);
+}
+
 auto FrontDuty::tick() -> void
 {
-    dropVanishedCallers();
+    const auto now = BootClock::now();
     dispatch(DispatchTick());
+    probeSilentTargets(now);
+    m_targets.closeIdle(now);
     // A full ring loses nothing: the next report replaces this one.
     [[maybe_unused]] const auto isSent =
         m_links.frontToControl.push(LoadReport{m_dispatcher.loads()});
 }
 
-auto FrontDuty::dropVanishedCallers() -> void
+/// A request that runs goes on without its caller; one that doesn't is dropped.
+auto FrontDuty::callerGone(RequestNumber number) -> void
 {
-    auto vanished = std::vector<RequestNumber>();
-    for (const auto &[number, open] : m_open) {
-        if (open.host.isEmpty() && !open.responder.isConnected())
-            vanished.push_back(number);
-    }
-    for (const auto number : vanished) {
-        m_process.timeline.record("request.drop", m_open.at(number).id, m_configuration->version);
-        m_open.erase(number);
+    const auto it = m_open.find(number);
+    if (it == m_open.end() || it->second.phase == Phase::Running)
+        return;
+    const auto &open = it->second;
+    m_process.timeline.record("request.drop", open.id, version());
+    if (open.isClaimed)
+        endClaim(number, open.error ? ClaimEnd::Unknown : ClaimEnd::NotRun);
+    const auto isQueued = open.phase == Phase::Waiting;
+    close(number);
+    if (isQueued)
         dispatch(CallerGone{number});
+}
+
+/// A connection that has been silent for long says nothing about its target, a new one does.
+auto FrontDuty::probeSilentTargets(BootTime now) -> void
+{
+    auto silent = std::set<HostName>();
+    while (!m_tries.empty() && now - m_tries.front().first >= SilentTime) {
+        const auto [start, number] = m_tries.front();
+        m_tries.pop_front();
+        const auto it = m_open.find(number);
+        const auto isSameTry =
+            it != m_open.end() && it->second.phase == Phase::Running && it->second.triedAt <= start;
+        if (!isSameTry)
+            continue;
+        silent.insert(it->second.host);
+        m_tries.emplace_back(now, number);
     }
+    for (const auto &host : silent)
+        probe(host);
+}
+
+auto FrontDuty::probe(const HostName &name) -> void
+{
+    const auto host = m_configuration->hosts.find(name);
+    if (host == m_configuration->hosts.end())
+        return;
+    m_targets.probe(host->second, [this, name](bool isAlive) {
+        if (!isAlive) {
+            FrontLog.warning("target {} answers no new connection", name.value());
+            m_process.timeline.record("target.silent", name.value(), version());
+        }
+        dispatch(TargetProbed{name, isAlive});
+    });
 }
 
 auto FrontDuty::dispatch(const DispatchEvent &event) -> void
@@ -232,65 +372,118 @@
 auto FrontDuty::perform(const StartRequest &action) -> void
 {
     auto &open = m_open.at(action.number);
+    const auto now = BootClock::now();
+    open.phase = Phase::Running;
     open.host = action.host;
+    open.triedAt = now;
+    m_tries.emplace_back(now, action.number);
     const auto &host = m_configuration->hosts.at(action.host);
-    m_process.timeline.record("request.start", open.id, m_configuration->version,
+    m_process.timeline.record("request.start", open.id, version(),
                               {{"host", host.name.value()},
                                {"dataCentre", host.dataCentre.value()},
                                {"pool", open.pool.value()},
                                {"team", open.team.value()}});
-    m_process.metrics.sample(
-        "shallotproxy_queue_seconds", fmt::format("pool=\"{}\"", open.pool.value()),
-        std::chrono::duration<double>(BootClock::now() - open.arrived).count());
+    m_process.metrics.sample("shallotproxy_queue_seconds",
+                             fmt::format("pool=\"{}\"", open.pool.value()),
+                             secondsSince(open.arrived));
+    // A target may close an idle connection just as a request is written to it, and then nobody
+    // knows whether it ran. Only a request that may be repeated takes that risk.
+    const auto use = open.isIdempotent ? ConnectionUse::Reused : ConnectionUse::New;
+    const auto timeout = millisecondsOf(tryTimeout(open.deadline - now, open.isIdempotent));
     m_targets.send(
-        host, open.forwarded, millisecondsUntil(open.deadline),
+        host, open.forwarded, use, timeout,
         [this, number = action.number](const TargetReply &reply) { finish(number, reply); });
 }
 
 auto FrontDuty::perform(const RefuseRequest &action) -> void
+{
+    refuse(action.number, action.refusal);
+}
+
+auto FrontDuty::perform(const AbandonRequest &action) -> void
 {
     const auto it = m_open.find(action.number);
     if (it == m_open.end())
         return;
-    m_process.metrics.count("shallotproxy_refused_total",
-                            fmt::format("reason=\"{}\"", action.refusal.name()));
-    answer(it->second, refusalResponse(action.refusal), "not-run");
-    m_open.erase(it);
+    auto &open = it->second;
+    const auto ec = open.error.value_or(TargetError{TargetError::Kind::TimedOut});
+    FrontLog.warning("request {} unknown: {}", open.id, ec.name());
+    answer(open, jsonResponse(BadGateway, errorBody(ec.number(), ec.name(), "unknown")), "unknown");
+    if (open.isClaimed)
+        endClaim(action.number, ClaimEnd::Unknown);
+    close(action.number);
 }
 
 auto FrontDuty::finish(RequestNumber number, const TargetReply &reply) -> void
 {
-    const auto it = m_open.find(number);
-    if (it == m_open.end())
+    if (!m_open.contains(number))
         return;
-    auto &open = it->second;
-    if (!reply && reply.error().isNotRun()) {
-        m_process.timeline.record("request.not-sent", open.id, m_configuration->version,
-                                  {{"host", open.host.value()}});
-        open.host = HostName();
+    if (reply) {
+        takeAnswer(number, *reply);
+    } else {
+        takeFailure(number, reply.error());
+    }
+}
+
+auto FrontDuty::takeFailure(RequestNumber number, const TargetError &ec) -> void
+{
+    auto &open = m_open.at(number);
+    open.phase = Phase::Waiting;
+    m_process.timeline.record(ec.isNotRun() ? "request.not-sent" : "request.fail", open.id,
+                              version(),
+                              {{"host", open.host.value()}, {"error", std::string(ec.name())}});
+    if (ec.isNotRun()) {
         dispatch(RequestNotSent{number});
         return;
     }
-    m_process.metrics.sample(
-        "shallotproxy_request_seconds", fmt::format("pool=\"{}\"", open.pool.value()),
-        std::chrono::duration<double>(BootClock::now() - open.arrived).count());
-    if (reply) {
-        auto response = *reply;
-        dropReservedHeaders(response);
-        answer(open, std::move(response), "answered");
-    } else {
-        const auto &ec = reply.error();
-        FrontLog.warning("request {} unknown: {}", open.id, ec.name());
-        answer(open, jsonResponse(BadGateway, errorBody(ec.number(), ec.name(), "unknown")),
-               "unknown");
+    open.error = ec;
+    const auto isSilent = ec.kind == TargetError::Kind::TimedOut;
+    if (isSilent)
+        probe(open.host);
+    dispatch(RequestFailed{number, !isSilent});
+}
+
+auto FrontDuty::takeAnswer(RequestNumber number, HttpResponse response) -> void
+{
+    auto &open = m_open.at(number);
+    m_process.metrics.sample("shallotproxy_request_seconds",
+                             fmt::format("pool=\"{}\"", open.pool.value()),
+                             secondsSince(open.arrived));
+    const auto isFault = response.status >= FirstServerError;
+    dropReservedHeaders(response.headers);
+    if (open.isClaimed) {
+        auto kept = response.body.size() <= MaxReplayBytes ? std::optional(response) : std::nullopt;
+        endClaim(number, ClaimEnd::Answered, std::move(kept));
     }
-    m_open.erase(it);
-    dispatch(RequestFinished{number, !reply});
+    answer(open, std::move(response), "answered");
+    close(number);
+    dispatch(RequestFinished{number, isFault});
+}
+
+/// The request isn't run. If it was claimed, its key is free again.
+auto FrontDuty::refuse(RequestNumber number, const Refusal &refusal) -> void
+{
+    const auto it = m_open.find(number);
+    if (it == m_open.end())
+        return;
+    m_process.metrics.count("shallotproxy_refused_total",
+                            fmt::format("reason=\"{}\"", refusal.name()));
+    answer(it->second, refusalResponse(refusal), refusal.outcome());
+    if (it->second.isClaimed)
+        endClaim(number, ClaimEnd::NotRun);
+    close(number);
+}
+
+auto FrontDuty::close(RequestNumber number) -> void
+{
+    const auto node = m_open.extract(number);
+    if (!node.empty())
+        m_openBytes -= node.mapped().forwarded.body.size();
 }
 
 auto FrontDuty::answer(OpenRequest &open, HttpResponse response, std::string_view outcome) -> void
 {
-    m_process.timeline.record("request.end", open.id, m_configuration->version,
+    m_process.timeline.record("request.end", open.id, version(),
                               {{"outcome", std::string(outcome)},
                                {"team", open.team.value()},
                                {"status", fmt::format("{}", response.status)}});
@@ -301,4 +494,9 @@
     open.responder.answer(response);
 }
 
+auto FrontDuty::version() const -> ConfigurationVersion
+{
+    return m_configuration ? m_configuration->version : 0;
+}
+
 } // namespace shallotproxy
--- a/packages/daemon/src/front_duty.hpp
+++ b/packages/daemon/src/front_duty.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <deque>
+#include <optional>
 #include <unordered_map>
 
 #include <QObject>
@@ -28,14 +30,23 @@
     [[nodiscard]] auto isIdle() const -> bool;
 
 private:
+    enum class Phase : std::uint8_t { Claiming, Waiting, Running };
+    enum class Ending : std::uint8_t { Serving, Settling, Draining };
+
     struct OpenRequest
     {
+        Phase phase = Phase::Waiting;
+        bool isIdempotent = false;
+        bool isClaimed = false; // the claim's end is to be reported
+        std::optional<TargetError> error; // of the last try that may have run
+        RequestArrived arrival;
         HttpResponder responder;
         HttpRequest forwarded;
         QueueName queue;
         PoolName pool;
         TeamName team;
-        HostName host;
+        HostName host; // of the current try
+        BootTime triedAt;
         std::string id;
         BootTime arrived;
         BootTime deadline;
@@ -43,6 +54,9 @@
 
     auto handleRequest(HttpRequest request, HttpResponder responder) -> void;
     auto handleQueueRequest(HttpRequest request, HttpResponder responder) -> void;
+    auto open(AdmittedRequest admitted, HttpResponder responder) -> void;
+    auto claim(RequestNumber number, std::string key, std::string fingerprint) -> void;
+    auto checkHead(const HttpRequest &head) const -> std::optional<HttpResponse>;
     auto handleHealth(HttpResponder responder) -> void;
     auto handleControlCall(HttpRequest request, HttpResponder responder) -> void;
     auto drainUpdates() -> void;
@@ -51,9 +65,21 @@
     auto dispatch(const DispatchEvent &event) -> void;
     auto perform(const StartRequest &action) -> void;
     auto perform(const RefuseRequest &action) -> void;
+    auto perform(const AbandonRequest &action) -> void;
+    auto apply(const ClaimVerdict &verdict) -> void;
+    auto apply(const ControlReply &reply) -> void;
     auto finish(RequestNumber number, const TargetReply &reply) -> void;
+    auto takeFailure(RequestNumber number, const TargetError &ec) -> void;
+    auto takeAnswer(RequestNumber number, HttpResponse response) -> void;
+    auto refuse(RequestNumber number, const Refusal &refusal) -> void;
+    auto endClaim(RequestNumber number, ClaimEnd end, std::optional<HttpResponse> response = {})
+        -> void;
     auto answer(OpenRequest &open, HttpResponse response, std::string_view outcome) -> void;
-    auto dropVanishedCallers() -> void;
+    auto callerGone(RequestNumber number) -> void;
+    auto close(RequestNumber number) -> void;
+    auto probeSilentTargets(BootTime now) -> void;
+    auto probe(const HostName &name) -> void;
+    [[nodiscard]] auto version() const -> ConfigurationVersion;
 
     ProcessContext &m_process;
     Links &m_links;
@@ -63,7 +89,10 @@
     Dispatcher m_dispatcher;
     ConfigurationPointer m_configuration;
     BootTime m_freshUntil;
-    bool m_isDraining = false;
+    KeyIndex m_keys;
+    Ending m_ending = Ending::Serving;
+    std::size_t m_openBytes = 0; // of bodies held for dispatch
+    std::deque<std::pair<BootTime, RequestNumber>> m_tries; // running, in the order of their start
     RequestNumber m_lastNumber = 0;
     std::unordered_map<RequestNumber, OpenRequest> m_open;
     std::unordered_map<std::uint64_t, HttpResponder> m_controlCalls;
--- a/packages/daemon/src/links.hpp
+++ b/packages/daemon/src/links.hpp
@@ -7,6 +7,7 @@
 
 #include "shallotproxy/connection/http/http_message.hpp"
 #include "shallotproxy/process.hpp"
+#include "shallotproxy/request/claim/claim_table.hpp"
 #include "shallotproxy/request/dispatch/dispatcher.hpp"
 
 namespace shallotproxy {
@@ -35,10 +36,11 @@
     std::vector<PoolTeamLoad> loads;
 };
 
-using FrontReport = std::variant<std::monostate, ControlCall, LoadReport>;
+using FrontReport = std::variant<std::monostate, ControlCall, LoadReport, ClaimAsk, ClaimEnded>;
 
-using FrontUpdate = std::variant<std::monostate, ConfigurationChanged, FreshnessChanged,
-                                 CreditsChanged, UnitsChanged, DrainStarted, ControlReply>;
+using FrontUpdate =
+    std::variant<std::monostate, ConfigurationChanged, FreshnessChanged, CreditsChanged,
+                 UnitsChanged, DrainStarted, ControlReply, ClaimVerdict>;
 
 struct StoreOrder
 {
--- a/packages/daemon/src/operator_duty.cpp
+++ b/packages/daemon/src/operator_duty.cpp
@@ -13,8 +13,6 @@
 constexpr std::size_t MaxDeclarationBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::size_t MaxTimelineEvents = 10'000; // in one answer
 constexpr unsigned Ok = 200;
-constexpr unsigned Unauthorized = 401;
-constexpr unsigned Unavailable = 503;
 
 } // namespace
 
@@ -29,11 +27,18 @@
 {
     auto bounds = HttpBounds();
     bounds.bodyBytes = MaxDeclarationBytes;
+    bounds.totalBytes = 2 * MaxDeclarationBytes;
     bounds.connections = 16;
+    bounds.requestsPerSecond = 100;
     m_server =
         std::make_unique<HttpServer>(bounds, [this](HttpRequest request, HttpResponder responder) {
             handleRequest(std::move(request), std::move(responder));
         });
+    // Without the key no body is read, however long it says it is.
+    m_server->setHeadCheck([this](const HttpRequest &head) {
+        return isOperator(head) ? std::nullopt
+                                : std::optional(refusalResponse({Refusal::Kind::BadKey}));
+    });
     return m_server->listen(m_process.settings.operatorsEndpoint);
 }
 
@@ -52,8 +57,8 @@
             {Ok, {{"Content-Type", "text/plain; version=0.0.4"}}, m_process.metrics.exposition()});
         return;
     }
-    if (!matchesDigest(bearerKey(request), m_process.settings.operatorKeyDigest)) {
-        responder.answer(jsonResponse(Unauthorized, R"({"error":202,"name":"bad-key"})"));
+    if (!isOperator(request)) {
+        responder.answer(refusalResponse({Refusal::Kind::BadKey}));
         return;
     }
     if (request.path.starts_with("/timeline")) {
@@ -63,12 +68,17 @@
     const auto number = ++m_lastNumber;
     auto call = ControlCall{CallFace::Operators, number, {}, std::move(request)};
     if (!m_links.operatorsToControl.push(std::move(call))) {
-        responder.answer(jsonResponse(Unavailable, R"({"error":209,"name":"overloaded"})"));
+        responder.answer(refusalResponse({Refusal::Kind::Overloaded}));
         return;
     }
     m_calls.emplace(number, std::move(responder));
 }
 
+auto OperatorDuty::isOperator(const HttpRequest &request) const -> bool
+{
+    return matchesDigest(bearerKey(request), m_process.settings.operatorKeyDigest);
+}
+
 auto OperatorDuty::timelineResponse(std::string_view path) const -> HttpResponse
 {
     const auto query = QUrlQuery(QUrl(toQString(path)));
--- a/packages/daemon/src/operator_duty.hpp
+++ b/packages/daemon/src/operator_duty.hpp
@@ -23,6 +23,7 @@
 
 private:
     auto handleRequest(HttpRequest request, HttpResponder responder) -> void;
+    [[nodiscard]] auto isOperator(const HttpRequest &request) const -> bool;
     auto timelineResponse(std::string_view path) const -> HttpResponse;
     auto drainReplies() -> void;
 
--- a/packages/daemon/src/target_pool.cpp
+++ b/packages/daemon/src/target_pool.cpp
@@ -1,15 +1,29 @@
 #include "target_pool.hpp"
 
+#include <chrono>
+
 namespace shallotproxy {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t MaxIdlePerTarget = 4;
+constexpr Duration MaxIdleTime = 3s; // below the idle time after which targets close
+constexpr int ProbeMilliseconds = 1'000;
+
+} // namespace
+
 TargetPool::TargetPool(HttpBounds bounds)
     : m_bounds(bounds)
 { }
 
-auto TargetPool::send(const Host &host, const HttpRequest &request, int timeoutMilliseconds,
-                      TargetConnection::Callback callback) -> void
+auto TargetPool::send(const Host &host, const HttpRequest &request, ConnectionUse use,
+                      int timeoutMilliseconds, TargetConnection::Callback callback) -> void
 {
-    auto *connection = takeIdle(host.address);
+    auto *connection = use == ConnectionUse::Reused ? takeIdle(host.address) : nullptr;
+    if (connection == nullptr)
+        connection = create(host.address);
     connection->send(request, timeoutMilliseconds,
                      [this, connection, address = host.address,
                       callback = std::move(callback)](TargetReply reply) {
@@ -18,31 +32,64 @@
                      });
 }
 
+auto TargetPool::probe(const Host &host, std::function<void(bool isAlive)> callback) -> void
+{
+    if (!m_probed.insert(host.address).second)
+        return;
+    auto *connection = create(host.address);
+    // Any whole answer shows that the target reads and answers, also one that knows no OPTIONS.
+    connection->send({"OPTIONS", "*", {}, ""}, ProbeMilliseconds,
+                     [this, connection, address = host.address,
+                      callback = std::move(callback)](const TargetReply &reply) {
+                         m_probed.erase(address);
+                         connection->deleteLater();
+                         callback(reply.has_value());
+                     });
+}
+
+auto TargetPool::closeIdle(BootTime now) -> void
+{
+    for (auto &[address, idle] : m_idle) {
+        std::erase_if(idle, [now](const Idle &it) {
+            const auto isOld = now - it.since > MaxIdleTime;
+            if (isOld)
+                it.connection->deleteLater();
+            return isOld;
+        });
+    }
+}
+
 auto TargetPool::clear() -> void
 {
     m_idle.clear();
     m_owner.reset();
 }
 
+auto TargetPool::create(const std::string &address) -> TargetConnection *
+{
+    if (!m_owner)
+        m_owner = std::make_unique<QObject>();
+    return new TargetConnection(address, m_bounds, m_owner.get());
+}
+
 auto TargetPool::takeIdle(const std::string &address) -> TargetConnection *
 {
     auto &idle = m_idle[address];
     while (!idle.empty()) {
-        auto *connection = idle.back();
+        const auto last = idle.back();
         idle.pop_back();
-        if (connection->isReusable())
-            return connection;
-        connection->deleteLater();
+        if (last.connection->isReusable() && BootClock::now() - last.since <= MaxIdleTime)
+            return last.connection;
+        last.connection->deleteLater();
     }
-    if (!m_owner)
-        m_owner = std::make_unique<QObject>();
-    return new TargetConnection(address, m_bounds, m_owner.get());
+    return nullptr;
 }
 
 auto TargetPool::giveBack(const std::string &address, TargetConnection *connection) -> void
 {
-    if (connection->isReusable()) {
-        m_idle[address].push_back(connection);
+    auto &idle = m_idle[address];
+    if (connection->isReusable() && idle.size() < MaxIdlePerTarget) {
+        idle.push_back({connection, BootClock::now()});
     } else {
         connection->deleteLater();
     }
--- a/packages/request/include/shallotproxy/request/admission/refusal.hpp
+++ b/packages/request/include/shallotproxy/request/admission/refusal.hpp
@@ -3,11 +3,13 @@
 #include <string>
 #include <string_view>
 
+#include "shallotproxy/connection/http/http_message.hpp"
 #include "shallotproxy/process/base/error.hpp"
 
 namespace shallotproxy {
 
-/// Why a request was not run. No byte of it has reached a target.
+/// Why a request was not run. No byte of it has reached a target. After `AlreadyStarted` this
+/// holds for the repeat only: the first request with its key may have run or be running.
 struct Refusal
 {
     enum class Kind {
@@ -23,6 +25,7 @@
         AlreadyStarted = 210,
         ClaimUnavailable = 211,
         CallerGone = 212,
+        KeyReused = 213,
     };
 
     Kind kind = Kind::BadRequest;
@@ -32,6 +35,11 @@
     [[nodiscard]] auto message() const -> std::string;
     /// HTTP status that the caller is told.
     [[nodiscard]] auto status() const -> unsigned;
+    /// The outcome that the caller is told: `not-run`, or `already-started`.
+    [[nodiscard]] auto outcome() const -> std::string_view;
 };
 
+/// What the caller is told.
+auto refusalResponse(const Refusal &refusal) -> HttpResponse;
+
 } // namespace shallotproxy
--- a/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
+++ b/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
@@ -3,11 +3,16 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "../admission/key_index.hpp"
 #include "../admission/refusal.hpp"
+#include "../retry/retry_budget.hpp"
 #include "shallotproxy/process/base/boot_clock.hpp"
 #include "shallotproxy/version/configuration/configuration.hpp"
 
@@ -22,15 +27,31 @@
     QueueName queue;
     TeamName team;
     BootTime deadline;
+    KeyName key; // the one it came with; empty without
 };
 
-/// A started request has ended. `isTargetFault`: the target gave no whole answer.
+/// A started request has its whole answer. `isTargetFault`: the answer says that the target failed.
 struct RequestFinished
 {
     RequestNumber number = 0;
     bool isTargetFault = false;
 };
 
+/// A started request has no whole answer and may have run. `isTargetFault`: the target closed or
+/// answered badly; a silent connection alone says nothing about the target.
+struct RequestFailed
+{
+    RequestNumber number = 0;
+    bool isTargetFault = true;
+};
+
+/// A new connection to a target that was silent on another one has been answered, or not.
+struct TargetProbed
+{
+    HostName host;
+    bool isAlive = false;
+};
+
 /// The connection never stood: the request goes back to the front of its queue.
 struct RequestNotSent
 {
@@ -73,9 +94,9 @@
 struct DispatchTick
 { };
 
-using DispatchEvent =
-    std::variant<RequestArrived, RequestFinished, RequestNotSent, CallerGone, ConfigurationChanged,
-                 FreshnessChanged, CreditsChanged, UnitsChanged, DrainStarted, DispatchTick>;
+using DispatchEvent = std::variant<RequestArrived, RequestFinished, RequestFailed, RequestNotSent,
+                                   CallerGone, TargetProbed, ConfigurationChanged, FreshnessChanged,
+                                   CreditsChanged, UnitsChanged, DrainStarted, DispatchTick>;
 
 /// Send the request to this target, once.
 struct StartRequest
@@ -84,13 +105,20 @@
     HostName host;
 };
 
+/// No byte of the request has reached a target, and none will.
 struct RefuseRequest
 {
     RequestNumber number = 0;
     Refusal refusal;
 };
 
-using DispatchAction = std::variant<StartRequest, RefuseRequest>;
+/// The request may have run, and is not tried again.
+struct AbandonRequest
+{
+    RequestNumber number = 0;
+};
+
+using DispatchAction = std::variant<StartRequest, RefuseRequest, AbandonRequest>;
 
 /// What one team has queued and running in one pool at this member.
 struct PoolTeamLoad
@@ -105,8 +133,16 @@
 class Dispatcher
 {
 public:
+    /// Members with different seeds choose among equal targets in different orders.
+    explicit Dispatcher(std::uint64_t seed = 0)
+        : m_rotation(seed)
+    { }
+
     auto step(const DispatchEvent &event, BootTime now) -> std::vector<DispatchAction>;
 
+    /// The refusal that a request arriving now would get at once.
+    [[nodiscard]] auto check(const RequestArrived &event, BootTime now) const
+        -> std::optional<Refusal>;
     [[nodiscard]] auto loads() const -> std::vector<PoolTeamLoad>;
     [[nodiscard]] auto runningOf(const TeamName &team) const -> std::uint32_t;
     [[nodiscard]] auto openRequests() const -> std::size_t { return m_requests.size(); }
@@ -117,10 +153,15 @@
         PoolName pool;
         QueueName queue;
         TeamName team;
+        KeyName key;
         BootTime deadline;
         bool isUrgent = false;
+        bool isIdempotent = false;
         bool isRunning = false;
-        HostName host;
+        bool mayHaveRun = false;
+        unsigned tries = 0;
+        BootTime retryAt;
+        HostName host; // of the current or the last try
     };
 
     struct TeamQueue
@@ -144,13 +185,16 @@
     {
         std::uint32_t running = 0;
         std::uint32_t faults = 0; // in a row
+        std::uint32_t ejections = 0; // in a row
         BootTime ejectedUntil;
     };
 
     auto handle(const RequestArrived &event) -> void;
     auto handle(const RequestFinished &event) -> void;
+    auto handle(const RequestFailed &event) -> void;
     auto handle(const RequestNotSent &event) -> void;
     auto handle(const CallerGone &event) -> void;
+    auto handle(const TargetProbed &event) -> void;
     auto handle(const ConfigurationChanged &event) -> void;
     auto handle(const FreshnessChanged &event) -> void;
     auto handle(const CreditsChanged &event) -> void;
@@ -160,11 +204,22 @@
 
     auto queueOf(const Request &request) -> std::deque<RequestNumber> &;
     auto refuse(RequestNumber number, Refusal::Kind kind) -> void;
+    auto end(RequestNumber number, Refusal::Kind kind) -> void;
+    auto forget(RequestNumber number) -> void;
+    auto tryAgain(RequestNumber number, Request &request) -> void;
     auto expire() -> void;
+    auto resumeDelayed() -> void;
+    auto refuseWithdrawn() -> void;
+    [[nodiscard]] auto checkAdmission(const Request &request) const -> std::optional<Refusal::Kind>;
+    auto noteFault(TargetState &target) -> void;
+    auto eject(TargetState &target) -> void;
     auto startWaiting() -> void;
     auto startOne(const PoolName &name, PoolState &pool) -> bool;
     auto mayStart(const TeamName &name, const TeamQueue &team) const -> bool;
-    auto chooseTarget(const PoolName &pool) const -> const Host *;
+    auto chooseTarget(const PoolName &pool, const HostName &avoided) const -> const Host *;
+    [[nodiscard]] auto runningOn(const HostName &host) const -> std::uint32_t;
+    [[nodiscard]] auto slotsOf(const Host &host) const -> std::uint32_t;
+    [[nodiscard]] auto isEjected(const HostName &host) const -> bool;
     auto release(Request &request) -> void;
 
     BootTime m_now;
@@ -172,6 +227,11 @@
     BootTime m_freshUntil;
     bool m_isDraining = false;
     std::unordered_map<RequestNumber, Request> m_requests;
+    using TimedRequest = std::pair<BootTime, RequestNumber>;
+    std::set<TimedRequest> m_deadlines; // of every request that isn't running
+    std::set<TimedRequest> m_delayed; // by when they are tried again
+    RetryBudget m_retries;
+    std::uint64_t m_rotation = 0;
     std::map<PoolName, PoolState> m_pools;
     std::map<PoolName, std::vector<HostName>> m_targetsOfPool;
     std::map<HostName, TargetState> m_targets;
--- a/packages/request/src/admission.cpp
+++ b/packages/request/src/admission.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 
 #include "shallotproxy/request/admission/admission.hpp"
-#include "shallotproxy/version/configuration/keys.hpp"
 
 namespace shallotproxy {
 
@@ -16,6 +15,13 @@
                   [](const auto &header) { return isSameHeader(header.name, "Authorization"); });
 }
 
+/// Several values may be read differently by the next program on the path.
+auto countHeaders(const HttpRequest &request, std::string_view name) -> std::ptrdiff_t
+{
+    return std::ranges::count_if(
+        request.headers, [name](const auto &header) { return isSameHeader(header.name, name); });
+}
+
 } // namespace
 
 auto bearerKey(const HttpRequest &request) -> std::string_view
@@ -25,7 +31,15 @@
     return value.starts_with(Scheme) ? value.substr(Scheme.size()) : std::string_view();
 }
 
-auto admitRequest(const Configuration &configuration, HttpRequest request)
+auto dropReservedHeaders(std::vector<HttpHeader> &headers) -> void
+{
+    constexpr std::string_view Reserved = "Shallotproxy-";
+    std::erase_if(headers, [Reserved](const auto &header) {
+        return isSameHeader(std::string_view(header.name).substr(0, Reserved.size()), Reserved);
+    });
+}
+
+auto admitRequest(const Configuration &configuration, const KeyIndex &keys, HttpRequest request)
     -> Expected<AdmittedRequest, Refusal>
 {
     const auto path = std::string_view(request.path);
@@ -39,13 +53,15 @@
 
     auto admitted = AdmittedRequest();
     admitted.queue = &it->second;
-    const auto hasKey = !request.header("Authorization").empty();
-    if (hasKey || !it->second.isOpen) {
-        const auto team = findTeam(configuration, bearerKey(request));
-        if (!team)
+    const auto keyCount = countHeaders(request, "Authorization");
+    if (keyCount > 0 || !it->second.isOpen) {
+        const auto owner = keyCount == 1 ? keys.find(bearerKey(request)) : std::nullopt;
+        if (!owner)
             return tl::unexpected(Refusal{Refusal::Kind::BadKey});
-        admitted.team = *team;
+        admitted.owner = *owner;
     }
+    if (countHeaders(request, "Idempotency-Key") > 1)
+        return tl::unexpected(Refusal{Refusal::Kind::BadRequest});
     admitted.idempotencyKey = std::string(request.header("Idempotency-Key"));
     if (admitted.idempotencyKey.size() > MaxIdempotencyKeyBytes)
         return tl::unexpected(Refusal{Refusal::Kind::BadRequest});
@@ -54,6 +70,7 @@
         forwardedPath.insert(0, 1, '/');
     request.path = std::move(forwardedPath);
     dropCredentials(request);
+    dropReservedHeaders(request.headers);
     admitted.forwarded = std::move(request);
     return admitted;
 }
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 
 #include "shallotproxy/request/dispatch/dispatcher.hpp"
+#include "shallotproxy/request/retry/retry_timing.hpp"
 
 namespace shallotproxy {
 
@@ -11,6 +13,7 @@
 
 constexpr std::uint32_t FaultsToEject = 3; // in a row
 constexpr Duration EjectionTime = 5s;
+constexpr std::uint32_t MaxEjectionDoublings = 3;
 constexpr std::size_t MaxEjectedFraction = 2; // at most one in two targets of a pool
 
 } // namespace
@@ -42,70 +45,116 @@
     return it == m_running.end() ? 0 : it->second;
 }
 
-auto Dispatcher::handle(const RequestArrived &event) -> void
+auto Dispatcher::check(const RequestArrived &event, BootTime now) const -> std::optional<Refusal>
 {
-    if (m_isDraining) {
-        refuse(event.number, Refusal::Kind::ShuttingDown);
-        return;
-    }
-    if (!m_configuration || m_now >= m_freshUntil) {
-        refuse(event.number, Refusal::Kind::NotFresh);
-        return;
-    }
+    if (m_isDraining)
+        return Refusal{Refusal::Kind::ShuttingDown};
+    if (!m_configuration || now >= m_freshUntil)
+        return Refusal{Refusal::Kind::NotFresh};
     const auto it = m_configuration->queues.find(event.queue);
-    if (it == m_configuration->queues.end()) {
-        refuse(event.number, Refusal::Kind::UnknownQueue);
+    if (it == m_configuration->queues.end())
+        return Refusal{Refusal::Kind::UnknownQueue};
+    const auto pool = m_pools.find(it->second.pool);
+    if (pool == m_pools.end())
+        return std::nullopt;
+    const auto team = pool->second.teams.find(event.team);
+    if (team == pool->second.teams.end())
+        return std::nullopt;
+    const auto &waiting = it->second.isUrgent ? team->second.urgent : team->second.normal;
+    if (waiting.size() >= it->second.capacity)
+        return Refusal{Refusal::Kind::QueueFull};
+    return std::nullopt;
+}
+
+auto Dispatcher::handle(const RequestArrived &event) -> void
+{
+    if (const auto refusal = check(event, m_now)) {
+        refuse(event.number, refusal->kind);
         return;
     }
-    const auto &queue = it->second;
-    auto request =
-        Request{queue.pool, event.queue, event.team, event.deadline, queue.isUrgent, false, {}};
-    auto &waiting = queueOf(request);
-    if (waiting.size() >= queue.capacity) {
-        refuse(event.number, Refusal::Kind::QueueFull);
+    const auto &queue = m_configuration->queues.at(event.queue);
+    auto request = Request();
+    request.pool = queue.pool;
+    request.queue = event.queue;
+    request.team = event.team;
+    request.key = event.key;
+    request.deadline = event.deadline;
+    request.isUrgent = queue.isUrgent;
+    request.isIdempotent = queue.isIdempotent;
+    // The key may have been withdrawn between the check of the request and its arrival here.
+    if (const auto kind = checkAdmission(request)) {
+        refuse(event.number, *kind);
         return;
     }
-    waiting.push_back(event.number);
+    if (request.isIdempotent)
+        m_retries.deposit();
+    queueOf(request).push_back(event.number);
+    m_deadlines.emplace(event.deadline, event.number);
     m_requests.emplace(event.number, std::move(request));
 }
 
 auto Dispatcher::handle(const RequestFinished &event) -> void
 {
     const auto it = m_requests.find(event.number);
-    if (it == m_requests.end())
+    if (it == m_requests.end() || !it->second.isRunning)
         return;
     auto &target = m_targets[it->second.host];
-    target.faults = event.isTargetFault ? target.faults + 1 : 0;
-    if (target.faults >= FaultsToEject)
-        target.ejectedUntil = m_now + EjectionTime;
+    if (event.isTargetFault) {
+        noteFault(target);
+    } else {
+        target.faults = 0;
+        target.ejections = 0;
+        target.ejectedUntil = {};
+    }
     release(it->second);
     m_requests.erase(it);
 }
 
+auto Dispatcher::handle(const RequestFailed &event) -> void
+{
+    const auto it = m_requests.find(event.number);
+    if (it == m_requests.end() || !it->second.isRunning)
+        return;
+    auto &request = it->second;
+    if (event.isTargetFault)
+        noteFault(m_targets[request.host]);
+    release(request);
+    request.mayHaveRun = true;
+    const auto mayTryAgain = request.isIdempotent && !m_isDraining && m_now < request.deadline;
+    if (mayTryAgain && m_retries.withdraw()) {
+        tryAgain(event.number, request);
+        return;
+    }
+    m_requests.erase(it);
+    m_actions.emplace_back(AbandonRequest{event.number});
+}
+
 auto Dispatcher::handle(const RequestNotSent &event) -> void
 {
     const auto it = m_requests.find(event.number);
-    if (it == m_requests.end())
+    if (it == m_requests.end() || !it->second.isRunning)
         return;
-    auto &target = m_targets[it->second.host];
-    ++target.faults;
-    target.ejectedUntil = m_now + EjectionTime;
-    release(it->second);
+    auto &request = it->second;
+    eject(m_targets[request.host]);
+    release(request);
     if (m_isDraining) {
-        refuse(event.number, Refusal::Kind::ShuttingDown);
-        m_requests.erase(it);
+        end(event.number, Refusal::Kind::ShuttingDown);
         return;
     }
-    queueOf(it->second).push_front(event.number);
+    tryAgain(event.number, request);
 }
 
 auto Dispatcher::handle(const CallerGone &event) -> void
 {
     const auto it = m_requests.find(event.number);
-    if (it == m_requests.end() || it->second.isRunning)
-        return;
-    std::erase(queueOf(it->second), event.number);
-    m_requests.erase(it);
+    if (it != m_requests.end() && !it->second.isRunning)
+        forget(event.number);
+}
+
+auto Dispatcher::handle(const TargetProbed &event) -> void
+{
+    if (!event.isAlive)
+        eject(m_targets[event.host]);
 }
 
 auto Dispatcher::handle(const ConfigurationChanged &event) -> void
@@ -116,6 +165,7 @@
         if (host.role == HostRole::Target)
             m_targetsOfPool[host.pool].push_back(name);
     }
+    refuseWithdrawn();
 }
 
 auto Dispatcher::handle(const FreshnessChanged &event) -> void
@@ -140,21 +190,14 @@
 auto Dispatcher::handle(const DrainStarted & /*event*/) -> void
 {
     m_isDraining = true;
-    auto waiting = std::vector<RequestNumber>();
-    for (const auto &[number, request] : m_requests) {
-        if (!request.isRunning)
-            waiting.push_back(number);
-    }
-    for (const auto number : waiting) {
-        std::erase(queueOf(m_requests.at(number)), number);
-        m_requests.erase(number);
-        refuse(number, Refusal::Kind::ShuttingDown);
-    }
+    while (!m_deadlines.empty())
+        end(m_deadlines.begin()->second, Refusal::Kind::ShuttingDown);
 }
 
 auto Dispatcher::handle(const DispatchTick & /*event*/) -> void
 {
     expire();
+    resumeDelayed();
 }
 
 auto Dispatcher::queueOf(const Request &request) -> std::deque<RequestNumber> &
@@ -168,18 +211,104 @@
     m_actions.emplace_back(RefuseRequest{number, Refusal{kind}});
 }
 
+/// Ends a request that isn't running. "Not run" is only said of one that no target has had.
+auto Dispatcher::end(RequestNumber number, Refusal::Kind kind) -> void
+{
+    const auto mayHaveRun = m_requests.at(number).mayHaveRun;
+    forget(number);
+    if (mayHaveRun) {
+        m_actions.emplace_back(AbandonRequest{number});
+    } else {
+        refuse(number, kind);
+    }
+}
+
+/// Drops a request that isn't running from wherever it waits.
+auto Dispatcher::forget(RequestNumber number) -> void
+{
+    const auto it = m_requests.find(number);
+    const auto &request = it->second;
+    m_deadlines.erase({request.deadline, number});
+    if (m_delayed.erase({request.retryAt, number}) == 0) {
+        auto &waiting = queueOf(request);
+        const auto at = std::ranges::find(waiting, number);
+        if (at != waiting.end())
+            waiting.erase(at);
+    }
+    m_requests.erase(it);
+}
+
+auto Dispatcher::tryAgain(RequestNumber number, Request &request) -> void
+{
+    m_deadlines.emplace(request.deadline, number);
+    // Its key may have been withdrawn while it ran.
+    if (const auto kind = checkAdmission(request)) {
+        end(number, *kind);
+        return;
+    }
+    const auto delay = retryDelay(request.tries);
+    if (delay == Duration::zero()) {
+        queueOf(request).push_front(number);
+        return;
+    }
+    request.retryAt = m_now + delay;
+    m_delayed.emplace(request.retryAt, number);
+}
+
 auto Dispatcher::expire() -> void
 {
-    auto expired = std::vector<RequestNumber>();
-    for (const auto &[number, request] : m_requests) {
-        if (!request.isRunning && m_now >= request.deadline)
-            expired.push_back(number);
+    while (!m_deadlines.empty() && m_now >= m_deadlines.begin()->first)
+        end(m_deadlines.begin()->second, Refusal::Kind::DeadlinePassed);
+}
+
+auto Dispatcher::resumeDelayed() -> void
+{
+    while (!m_delayed.empty() && m_now >= m_delayed.begin()->first) {
+        const auto number = m_delayed.begin()->second;
+        m_delayed.erase(m_delayed.begin());
+        queueOf(m_requests.at(number)).push_front(number);
     }
-    for (const auto number : expired) {
-        std::erase(queueOf(m_requests.at(number)), number);
-        m_requests.erase(number);
-        refuse(number, Refusal::Kind::DeadlinePassed);
+}
+
+/// A withdrawn key stops working for requests that still wait, too.
+auto Dispatcher::refuseWithdrawn() -> void
+{
+    auto withdrawn = std::vector<std::pair<RequestNumber, Refusal::Kind>>();
+    for (const auto &[deadline, number] : m_deadlines) {
+        if (const auto kind = checkAdmission(m_requests.at(number)))
+            withdrawn.emplace_back(number, *kind);
     }
+    for (const auto &[number, kind] : withdrawn)
+        end(number, kind);
+}
+
+auto Dispatcher::checkAdmission(const Request &request) const -> std::optional<Refusal::Kind>
+{
+    const auto it = m_configuration->queues.find(request.queue);
+    if (it == m_configuration->queues.end())
+        return Refusal::Kind::UnknownQueue;
+    const auto isHeld = request.team.isEmpty()
+        ? it->second.isOpen
+        : request.key.isEmpty() || hasKey(*m_configuration, {request.team, request.key});
+    return isHeld ? std::nullopt : std::optional(Refusal::Kind::BadKey);
+}
+
+auto Dispatcher::noteFault(TargetState &target) -> void
+{
+    ++target.faults;
+    if (target.faults >= FaultsToEject)
+        eject(target);
+}
+
+/// Each ejection in a row lasts longer; faults of requests that were already under way when it
+/// began add nothing.
+auto Dispatcher::eject(TargetState &target) -> void
+{
+    if (m_now < target.ejectedUntil)
+        return;
+    target.faults = std::max(target.faults, FaultsToEject);
+    target.ejectedUntil = m_now + EjectionTime * (1U << target.ejections);
+    target.ejections = std::min(target.ejections + 1, MaxEjectionDoublings);
 }
 
 auto Dispatcher::startWaiting() -> void
@@ -203,15 +332,18 @@
             it = pool.teams.begin();
         if (!mayStart(it->first, it->second))
             continue;
-        const auto *host = chooseTarget(name);
-        if (host == nullptr)
-            return false;
         auto &team = it->second;
         auto &waiting = team.urgent.empty() ? team.normal : team.urgent;
         const auto number = waiting.front();
-        waiting.pop_front();
         auto &request = m_requests.at(number);
+        const auto *host = chooseTarget(name, request.host);
+        if (host == nullptr)
+            return false;
+        waiting.pop_front();
+        m_deadlines.erase({request.deadline, number});
         request.isRunning = true;
+        ++request.tries;
+        ++m_rotation;
         request.host = host->name;
         ++team.running;
         ++m_running[it->first];
@@ -233,35 +365,38 @@
     return it != m_units.end() && runningOf(name) < it->second;
 }
 
-auto Dispatcher::chooseTarget(const PoolName &pool) const -> const Host *
+/// The target with the fewest requests running; `avoided`, where the last try failed, only if there
+/// is no other.
+auto Dispatcher::chooseTarget(const PoolName &pool, const HostName &avoided) const -> const Host *
 {
     const auto targets = m_targetsOfPool.find(pool);
     if (targets == m_targetsOfPool.end())
         return nullptr;
+    using Rank = std::tuple<bool, std::uint32_t>; // is avoided, running
     const Host *best = nullptr;
-    auto bestRunning = UINT32_MAX;
+    auto bestRank = Rank();
     const Host *bestEjected = nullptr;
-    auto ejectedRunning = UINT32_MAX;
+    auto ejectedRank = Rank();
     std::size_t inService = 0;
     std::size_t ejected = 0;
-    for (const auto &name : targets->second) {
+    const auto count = targets->second.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto &name = targets->second[(m_rotation + i) % count];
         const auto &host = m_configuration->hosts.at(name);
         if (!m_configuration->takesWork(host))
             continue;
         ++inService;
-        const auto it = m_targets.find(name);
-        const auto running = it == m_targets.end() ? 0 : it->second.running;
-        const auto isEjected = it != m_targets.end() && m_now < it->second.ejectedUntil;
-        ejected += isEjected ? 1 : 0;
-        if (running >= host.slots)
+        const auto isOut = isEjected(name);
+        ejected += isOut ? 1 : 0;
+        const auto running = runningOn(name);
+        if (running >= slotsOf(host))
             continue;
-        if (!isEjected && running < bestRunning) {
-            best = &host;
-            bestRunning = running;
-        }
-        if (isEjected && running < ejectedRunning) {
-            bestEjected = &host;
-            ejectedRunning = running;
+        const auto rank = Rank(name == avoided, running);
+        auto &candidate = isOut ? bestEjected : best;
+        auto &candidateRank = isOut ? ejectedRank : bestRank;
+        if (candidate == nullptr || rank < candidateRank) {
+            candidate = &host;
+            candidateRank = rank;
         }
     }
     // Correlated failures must never empty a pool: past the cap, ejected targets are tried again.
@@ -270,6 +405,26 @@
     return best;
 }
 
+auto Dispatcher::runningOn(const HostName &host) const -> std::uint32_t
+{
+    const auto it = m_targets.find(host);
+    return it == m_targets.end() ? 0 : it->second.running;
+}
+
+/// A target that comes back from an ejection gets one request at a time until one succeeds.
+auto Dispatcher::slotsOf(const Host &host) const -> std::uint32_t
+{
+    const auto it = m_targets.find(host.name);
+    const auto isOnTrial = it != m_targets.end() && it->second.faults >= FaultsToEject;
+    return isOnTrial ? std::min(host.slots, 1U) : host.slots;
+}
+
+auto Dispatcher::isEjected(const HostName &host) const -> bool
+{
+    const auto it = m_targets.find(host);
+    return it != m_targets.end() && m_now < it->second.ejectedUntil;
+}
+
 auto Dispatcher::release(Request &request) -> void
 {
     request.isRunning = false;
--- a/packages/request/src/refusal.cpp
+++ b/packages/request/src/refusal.cpp
@@ -28,9 +28,11 @@
     case Kind::ClaimUnavailable:
         return "claim-unavailable";
     case Kind::CallerGone:
+        return "caller-gone";
+    case Kind::KeyReused:
         break;
     }
-    return "caller-gone";
+    return "idempotency-key-reused";
 }
 
 auto Refusal::message() const -> std::string
@@ -38,12 +40,18 @@
     return std::string(name());
 }
 
+auto Refusal::outcome() const -> std::string_view
+{
+    return kind == Kind::AlreadyStarted ? "already-started" : "not-run";
+}
+
 auto Refusal::status() const -> unsigned
 {
     constexpr unsigned Unauthorized = 401;
     constexpr unsigned NotFound = 404;
     constexpr unsigned BadRequestStatus = 400;
     constexpr unsigned Conflict = 409;
+    constexpr unsigned UnprocessableContent = 422;
     constexpr unsigned Unavailable = 503;
     switch (kind) {
     case Kind::UnknownQueue:
@@ -54,9 +62,17 @@
         return BadRequestStatus;
     case Kind::AlreadyStarted:
         return Conflict;
+    case Kind::KeyReused:
+        return UnprocessableContent;
     default:
         return Unavailable;
     }
 }
 
+auto refusalResponse(const Refusal &refusal) -> HttpResponse
+{
+    return jsonResponse(refusal.status(),
+                        errorBody(refusal.number(), refusal.name(), refusal.outcome()));
+}
+
 } // namespace shallotproxy
--- a/packages/version/include/shallotproxy/version/settings/member_settings.hpp
+++ b/packages/version/include/shallotproxy/version/settings/member_settings.hpp
@@ -26,6 +26,7 @@
     std::uint64_t maxBodyBytes = 0;
     std::uint64_t maxConnections = 0;
     std::uint64_t shutdownMilliseconds = 0;
+    std::uint64_t settleMilliseconds = 0;
 };
 
 /// Reads and checks a settings file's text.
--- a/packages/version/src/member_settings.cpp
+++ b/packages/version/src/member_settings.cpp
@@ -43,12 +43,14 @@
 
 auto readBounds(const YamlMap &yaml, MemberSettings &settings) -> void
 {
-    static constexpr std::array<std::string_view, 3> Keys = {"body", "connections", "shutdown"};
+    static constexpr std::array<std::string_view, 4> Keys = {"body", "connections", "shutdown",
+                                                             "settle"};
     constexpr std::uint64_t OneMiB = std::uint64_t{1024} * 1024;
     yaml.allowKeys(Keys);
     settings.maxBodyBytes = yaml.bytes("body", OneMiB);
     settings.maxConnections = yaml.number("connections", 1, 65'536, 1'024);
     settings.shutdownMilliseconds = yaml.milliseconds("shutdown", 100, 3'600'000, 30'000);
+    settings.settleMilliseconds = yaml.milliseconds("settle", 0, 600'000, 1'000);
 }
 
 auto emptyMap(const YamlMap &root, std::string_view key, InputErrors &errors) -> YamlMap
--- /dev/null
+++ b/tests/unit/unit-claims.cpp
@@ -0,0 +1,522 @@
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "shallotproxy/request.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t Members = 3;
+constexpr std::size_t Keys = 3;
+
+/// A call to the service that a member waits for, or one whose answer was lost and whose write is
+/// still on its way.
+using Call = std::variant<WriteClaims, ReadClaims, DeleteClaims>;
+
+/// The platform's service, as far as claims need it.
+class Store
+{
+public:
+    auto apply(const WriteClaims &call) -> ClaimsAnswered
+    {
+        auto names = std::vector<ClaimName>();
+        auto isAbsent = true;
+        for (const auto &it : call.claims) {
+            names.push_back(it.name);
+            isAbsent = isAbsent && !records.contains(it.name);
+        }
+        if (!isAbsent)
+            return apply(ReadClaims{names});
+        ++revision;
+        for (const auto &it : call.claims)
+            records[it.name] = {it.record, revision};
+        return {true, revision, {}};
+    }
+
+    auto apply(const ReadClaims &call) const -> ClaimsAnswered
+    {
+        auto answer = ClaimsAnswered();
+        for (const auto &name : call.names) {
+            const auto it = records.find(name);
+            answer.found.push_back(it == records.end() ? std::nullopt : std::optional(it->second));
+        }
+        return answer;
+    }
+
+    auto apply(const DeleteClaims &call) -> ClaimsDeleted
+    {
+        const auto isMatch = std::ranges::all_of(call.claims, [this](const auto &it) {
+            const auto record = records.find(it.name);
+            return record != records.end() && record->second.revision == it.revision;
+        });
+        ++revision;
+        for (const auto &it : call.claims) {
+            if (isMatch)
+                records.erase(it.name);
+        }
+        return {};
+    }
+
+    std::map<ClaimName, StoredClaim> records;
+    StoreRevision revision = 0;
+};
+
+struct Step
+{
+    int kind = 0;
+    unsigned choice = 0;
+};
+
+auto showValue(const Step &step, std::ostream &stream) -> void
+{
+    stream << step.kind << '/' << step.choice;
+}
+
+/// Several members on one store, under lost, late and repeated calls, lost peer messages and
+/// deaths. Judges: no two requests of one claim may run, unless the first is known not to have.
+class Fleet
+{
+public:
+    Fleet()
+    {
+        for (std::size_t i = 0; i < Members; ++i)
+            members.push_back(makeMember(i));
+        announce();
+    }
+
+    auto run(const Step &step) -> void
+    {
+        const auto index = step.choice % Members;
+        const auto rest = step.choice / static_cast<unsigned>(Members);
+        switch (step.kind) {
+        case 0:
+        case 1:
+        case 2:
+            ask(index, rest);
+            break;
+        case 3:
+        case 4:
+        case 5:
+            answerCall(index, rest);
+            break;
+        case 6:
+            loseCall(index, rest);
+            break;
+        case 7:
+            applyLate(rest);
+            break;
+        case 8:
+        case 9:
+            endOne(rest);
+            break;
+        case 10:
+            deliverPeer(rest);
+            break;
+        case 11:
+            if (!peerMessages.empty())
+                peerMessages.erase(peerMessages.begin());
+            break;
+        case 12:
+            now += std::chrono::milliseconds(rest % 800);
+            tickAll();
+            break;
+        default:
+            if (rest % 4 == 0)
+                kill(index);
+        }
+    }
+
+    /// The faults end: every request of a living member gets its one verdict.
+    auto settle() -> void
+    {
+        for (auto i = 0; i < 400; ++i) {
+            for (std::size_t it = 0; it < Members; ++it)
+                answerCall(it, 1);
+            while (!peerMessages.empty())
+                deliverPeer(0);
+            if (!runs.empty())
+                endOne(0);
+            now += 100ms;
+            tickAll();
+        }
+        RC_ASSERT(asked.empty());
+    }
+
+    int granted = 0;
+    int replayed = 0;
+
+private:
+    struct Member
+    {
+        Incarnation self;
+        std::unique_ptr<ClaimTable> table;
+        std::optional<Call> call;
+    };
+
+    struct Asked
+    {
+        std::size_t member = 0;
+        ClaimName name;
+        std::string fingerprint;
+    };
+
+    struct Run
+    {
+        std::size_t member = 0;
+        RequestNumber number = 0;
+        ClaimName name;
+    };
+
+    struct PeerMessage
+    {
+        std::size_t to = 0;
+        std::variant<ClaimQueried, ClaimQueryAnswered> event;
+    };
+
+    auto makeMember(std::size_t index) -> Member
+    {
+        const auto self =
+            Incarnation{MemberName(fmt::format("entry-{}", index)), ++lastIncarnation};
+        return {self, std::make_unique<ClaimTable>(self), std::nullopt};
+    }
+
+    auto announce() -> void
+    {
+        auto event = ClaimMembers();
+        for (const auto &it : members)
+            event.members.insert(it.self.member);
+        for (std::size_t i = 0; i < Members; ++i)
+            step(i, event);
+    }
+
+    auto ask(std::size_t index, unsigned choice) -> void
+    {
+        const auto number = ++lastNumber;
+        const auto team = TeamName(choice % 5 == 0 ? "blue" : "red");
+        const auto name = ClaimName{team, fmt::format("key-{}", choice % Keys)};
+        const auto fingerprint = std::string(choice % 11 == 0 ? "other" : "same");
+        asked.emplace(number, Asked{index, name, fingerprint});
+        step(index, ClaimAsk{number, name, fingerprint, now + 8s});
+    }
+
+    auto answerCall(std::size_t index, unsigned choice) -> void
+    {
+        auto &member = members[index];
+        if (!member.call)
+            return;
+        const auto call = *std::exchange(member.call, std::nullopt);
+        // The store's client may send a call twice; the second answer is the one it gets.
+        if (choice % 4 == 0)
+            std::visit([this](const auto &it) { store.apply(it); }, call);
+        std::visit([this, index](const auto &it) { step(index, store.apply(it)); }, call);
+    }
+
+    auto loseCall(std::size_t index, unsigned choice) -> void
+    {
+        auto &member = members[index];
+        if (!member.call)
+            return;
+        const auto call = *std::exchange(member.call, std::nullopt);
+        if (choice % 3 == 0)
+            std::visit([this](const auto &it) { store.apply(it); }, call);
+        if (choice % 3 == 1)
+            late.push_back(call);
+        if (std::holds_alternative<DeleteClaims>(call)) {
+            step(index, ClaimsDeleted{true});
+        } else {
+            step(index, ClaimsLost());
+        }
+    }
+
+    auto applyLate(unsigned choice) -> void
+    {
+        if (late.empty())
+            return;
+        const auto it = late.begin() + static_cast<std::ptrdiff_t>(choice % late.size());
+        std::visit([this](const auto &call) { store.apply(call); }, *it);
+        late.erase(it);
+    }
+
+    auto endOne(unsigned choice) -> void
+    {
+        if (runs.empty())
+            return;
+        const auto it = runs.begin() + static_cast<std::ptrdiff_t>(choice % runs.size());
+        const auto run = *it;
+        runs.erase(it);
+        auto event = ClaimEnded{run.number, static_cast<ClaimEnd>(choice / 7 % 3), std::nullopt};
+        if (event.end == ClaimEnd::Answered)
+            event.response = HttpResponse{200, {}, fmt::format("answer-{}", run.number)};
+        if (event.end == ClaimEnd::NotRun) {
+            starter.erase(run.name);
+        } else {
+            answers[run.name] = event.response ? event.response->body : "";
+        }
+        step(run.member, event);
+    }
+
+    auto deliverPeer(unsigned choice) -> void
+    {
+        if (peerMessages.empty())
+            return;
+        const auto it =
+            peerMessages.begin() + static_cast<std::ptrdiff_t>(choice % peerMessages.size());
+        const auto message = *it;
+        peerMessages.erase(it);
+        std::visit([&](const auto &event) { step(message.to, event); }, message.event);
+    }
+
+    /// What ran on the member stays started for ever; its callers get no verdict.
+    auto kill(std::size_t index) -> void
+    {
+        if (members[index].call)
+            late.push_back(*members[index].call);
+        members[index] = makeMember(index);
+        std::erase_if(asked, [index](const auto &it) { return it.second.member == index; });
+        std::erase_if(runs, [index](const auto &it) { return it.member == index; });
+        announce();
+    }
+
+    auto tickAll() -> void
+    {
+        for (std::size_t i = 0; i < Members; ++i)
+            step(i, ClaimTick());
+    }
+
+    auto step(std::size_t index, const ClaimEvent &event) -> void
+    {
+        for (const auto &action : members[index].table->step(event, now))
+            std::visit([this, index](const auto &it) { perform(index, it); }, action);
+    }
+
+    template <typename T>
+    auto perform(std::size_t index, const T &call) -> void requires std::constructible_from<Call, T>
+    {
+        RC_ASSERT(!members[index].call.has_value());
+        members[index].call = call;
+    }
+
+    auto perform(std::size_t index, const ClaimVerdict &verdict) -> void
+    {
+        const auto node = asked.extract(verdict.number);
+        RC_ASSERT(!node.empty());
+        const auto &[member, name, fingerprint] = node.mapped();
+        RC_ASSERT(member == index);
+        if (verdict.kind == ClaimVerdict::Kind::Granted) {
+            RC_ASSERT(!starter.contains(name));
+            starter.emplace(name, verdict.number);
+            runs.push_back({index, verdict.number, name});
+            ++granted;
+        }
+        if (verdict.kind == ClaimVerdict::Kind::Replay) {
+            RC_ASSERT(answers.contains(name));
+            RC_ASSERT(answers.at(name) == verdict.response.body);
+            ++replayed;
+        }
+    }
+
+    auto perform(std::size_t index, const AskClaimOwner &action) -> void
+    {
+        const auto event = ClaimQueried{members[index].self.member, action.query};
+        peerMessages.push_back({indexOf(action.owner), event});
+    }
+
+    auto perform(std::size_t /*index*/, const AnswerClaimQuery &action) -> void
+    {
+        peerMessages.push_back({indexOf(action.to), ClaimQueryAnswered{action.answer}});
+    }
+
+    static auto indexOf(const MemberName &name) -> std::size_t
+    {
+        return static_cast<std::size_t>(name.value().back() - '0');
+    }
+
+    Store store;
+    BootTime now = BootTime(1'000s);
+    std::vector<Member> members;
+    std::vector<Call> late;
+    std::vector<PeerMessage> peerMessages;
+    std::uint64_t lastIncarnation = 0;
+    RequestNumber lastNumber = 0;
+    std::map<RequestNumber, Asked> asked;
+    std::vector<Run> runs;
+    std::map<ClaimName, RequestNumber> starter; // who may have run under the claim
+    std::map<ClaimName, std::string> answers;
+};
+
+auto genSteps() -> rc::Gen<std::vector<Step>>
+{
+    return rc::gen::container<std::vector<Step>>(
+        rc::gen::construct<Step>(rc::gen::inRange(0, 14), rc::gen::inRange(0U, 3'000U)));
+}
+
+RC_GTEST_PROP(Claims, LetNoTwoRequestsOfOneKeyRun, ())
+{
+    const auto steps = *rc::gen::scale(5.0, genSteps());
+    auto fleet = Fleet();
+    for (const auto &step : steps)
+        fleet.run(step);
+    fleet.settle();
+    RC_CLASSIFY(fleet.granted > 0, "granted");
+    RC_CLASSIFY(fleet.replayed > 0, "replayed");
+}
+
+/// One member on a store that answers at once.
+class Single
+{
+public:
+    auto ask(RequestNumber number, const char *team, const char *key,
+             const char *fingerprint = "same") -> std::optional<ClaimVerdict::Kind>
+    {
+        verdicts.clear();
+        step(ClaimAsk{number, {TeamName(team), key}, fingerprint, now + 8s});
+        step(ClaimTick());
+        return verdicts.empty() ? std::nullopt : std::optional(verdicts.back().kind);
+    }
+
+    auto step(const ClaimEvent &event) -> void
+    {
+        now += pace;
+        for (const auto &action : table.step(event, now))
+            std::visit([this](const auto &it) { perform(it); }, action);
+    }
+
+    template <typename T>
+    auto perform(const T &call) -> void requires std::constructible_from<Call, T>
+    {
+        ++calls;
+        if (isSilent) {
+            waiting = call;
+        } else {
+            step(store.apply(call));
+        }
+    }
+    auto perform(const ClaimVerdict &verdict) -> void { verdicts.push_back(verdict); }
+    auto perform(const AskClaimOwner &) -> void { }
+    auto perform(const AnswerClaimQuery &) -> void { }
+
+    Store store;
+    ClaimTable table = ClaimTable({MemberName("entry-0"), 7});
+    BootTime now = BootTime(1'000s);
+    Duration pace = 20ms; // between two events
+    bool isSilent = false;
+    std::optional<Call> waiting;
+    int calls = 0;
+    std::vector<ClaimVerdict> verdicts;
+};
+
+TEST(Claims, OfTwoTeamsWithTheSameKeyAreTwo)
+{
+    auto single = Single();
+    EXPECT_EQ(single.ask(1, "red", "k"), ClaimVerdict::Kind::Granted);
+    EXPECT_EQ(single.ask(2, "blue", "k"), ClaimVerdict::Kind::Granted);
+}
+
+TEST(Claims, GiveARepeatTheFirstAnswer)
+{
+    auto single = Single();
+    single.ask(1, "red", "k");
+    single.step(ClaimEnded{1, ClaimEnd::Answered, HttpResponse{201, {}, "cut pattern"}});
+    EXPECT_EQ(single.ask(2, "red", "k"), ClaimVerdict::Kind::Replay);
+    EXPECT_EQ(single.verdicts.back().response.body, "cut pattern");
+}
+
+TEST(Claims, LetARepeatWaitForTheFirstThatRuns)
+{
+    auto single = Single();
+    single.ask(1, "red", "k");
+    EXPECT_EQ(single.ask(2, "red", "k"), std::nullopt);
+    single.step(ClaimEnded{1, ClaimEnd::Answered, HttpResponse{200, {}, "once"}});
+    ASSERT_EQ(single.verdicts.size(), 1U);
+    EXPECT_EQ(single.verdicts[0].number, 2U);
+    EXPECT_EQ(single.verdicts[0].kind, ClaimVerdict::Kind::Replay);
+}
+
+TEST(Claims, SayAlreadyStartedOfARequestThatEndedUnknown)
+{
+    auto single = Single();
+    single.ask(1, "red", "k");
+    single.step(ClaimEnded{1, ClaimEnd::Unknown, std::nullopt});
+    EXPECT_EQ(single.ask(2, "red", "k"), ClaimVerdict::Kind::AlreadyStarted);
+}
+
+TEST(Claims, RefuseAKeyThatOtherContentHasUsed)
+{
+    auto single = Single();
+    single.ask(1, "red", "k");
+    EXPECT_EQ(single.ask(2, "red", "k", "other"), ClaimVerdict::Kind::KeyReused);
+}
+
+TEST(Claims, LetARequestRunWhoseFirstTryWasNotRun)
+{
+    auto single = Single();
+    single.ask(1, "red", "k");
+    single.step(ClaimEnded{1, ClaimEnd::NotRun, std::nullopt});
+    single.step(ClaimTick());
+    EXPECT_TRUE(single.store.records.empty());
+    EXPECT_EQ(single.ask(2, "red", "k"), ClaimVerdict::Kind::Granted);
+}
+
+TEST(Claims, AreRefusedAsNotRunWhileTheServiceIsSilentAndReleasedWhenItIsBack)
+{
+    auto single = Single();
+    single.isSilent = true;
+    EXPECT_EQ(single.ask(1, "red", "k"), std::nullopt);
+    single.now += 3s;
+    single.step(ClaimTick());
+    ASSERT_EQ(single.verdicts.size(), 1U);
+    EXPECT_EQ(single.verdicts[0].kind, ClaimVerdict::Kind::Unavailable);
+    // The write took effect, but its answer was lost.
+    single.store.apply(std::get<WriteClaims>(*single.waiting));
+    single.isSilent = false;
+    single.step(ClaimsLost());
+    for (auto i = 0; i < 30; ++i)
+        single.step(ClaimTick());
+    EXPECT_TRUE(single.store.records.empty());
+    EXPECT_EQ(single.ask(2, "red", "k"), ClaimVerdict::Kind::Granted);
+}
+
+TEST(Claims, OfManyRequestsGoOutInFewCalls)
+{
+    auto single = Single();
+    single.isSilent = true;
+    single.pace = 0ms;
+    single.ask(1, "red", "first");
+    for (RequestNumber it = 2; it <= 90; ++it)
+        single.ask(it, "red", fmt::format("k{}", it).c_str());
+    single.pace = 20ms;
+    single.isSilent = false;
+    single.verdicts.clear();
+    single.step(single.store.apply(std::get<WriteClaims>(*single.waiting)));
+    single.step(ClaimTick());
+    single.step(ClaimTick());
+    EXPECT_EQ(single.verdicts.size(), 90U);
+    EXPECT_LE(single.calls, 3);
+}
+
+TEST(Claims, HoldABoundedPartOfTheAnswers)
+{
+    auto single = Single();
+    const auto body = std::string(50'000, 'x');
+    for (RequestNumber it = 1; it <= 300; ++it) {
+        ASSERT_EQ(single.ask(it, "red", fmt::format("k{}", it).c_str()),
+                  ClaimVerdict::Kind::Granted);
+        single.step(ClaimEnded{it, ClaimEnd::Answered, HttpResponse{200, {}, body}});
+    }
+    EXPECT_LE(single.table.heldBytes(), std::size_t{4} * 1024 * 1024);
+    // The oldest answer is gone; its request still runs once only.
+    EXPECT_EQ(single.ask(1'000, "red", "k1"), ClaimVerdict::Kind::AlreadyStarted);
+}
+
+} // namespace
+
+} // namespace shallotproxy
--- /dev/null
+++ b/tests/unit/unit-dispatcher.cpp
@@ -0,0 +1,478 @@
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "shallotproxy/request.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t Slots = 2;
+const auto poolName = PoolName("main");
+const auto red = TeamName("red");
+const auto redKey = KeyName("red-key");
+
+auto makeHost(const char *name, const char *dataCentre) -> Host
+{
+    auto host = Host();
+    host.name = HostName(name);
+    host.dataCentre = DataCentreName(dataCentre);
+    host.pool = poolName;
+    host.slots = Slots;
+    return host;
+}
+
+auto makeConfiguration() -> Configuration
+{
+    auto configuration = Configuration();
+    configuration.version = 1;
+    for (const auto *name : {"north", "south"}) {
+        const auto key = DataCentreName(name);
+        configuration.dataCentres[key] = {key, ServiceState::In};
+    }
+    for (const auto &host : {makeHost("a", "north"), makeHost("b", "north"), makeHost("c", "south"),
+                             makeHost("d", "south")})
+        configuration.hosts[host.name] = host;
+    configuration.pools[poolName] = {poolName, 1};
+    configuration.teams[red] = {red, 1, 8, {{redKey, "digest"}}};
+    auto orders = Queue();
+    orders.name = QueueName("orders");
+    orders.pool = poolName;
+    orders.capacity = 5;
+    auto quotes = orders;
+    quotes.name = QueueName("quotes");
+    quotes.isUrgent = true;
+    quotes.isIdempotent = true;
+    auto open = orders;
+    open.name = QueueName("open");
+    open.isOpen = true;
+    for (const auto &queue : {orders, quotes, open})
+        configuration.queues[queue.name] = queue;
+    return configuration;
+}
+
+/// One generated step: what happens, and a number that chooses to whom.
+struct Step
+{
+    int kind = 0;
+    unsigned choice = 0;
+};
+
+auto showValue(const Step &step, std::ostream &stream) -> void
+{
+    stream << step.kind << '/' << step.choice;
+}
+
+auto genSteps() -> rc::Gen<std::vector<Step>>
+{
+    return rc::gen::container<std::vector<Step>>(
+        rc::gen::construct<Step>(rc::gen::inRange(0, 18), rc::gen::inRange(0U, 1'000U)));
+}
+
+/// Drives a Dispatcher through a schedule and judges every action, apart from its code.
+class Judge
+{
+public:
+    Judge()
+    {
+        configuration = makeConfiguration();
+        apply(ConfigurationChanged{std::make_shared<const Configuration>(configuration)});
+        freshUntil = now + 10s;
+        apply(FreshnessChanged{freshUntil});
+        credits = {{TeamName(), 8}, {red, 8}};
+        apply(CreditsChanged{poolName, credits});
+        units = {{red, 8}};
+        apply(UnitsChanged{units});
+    }
+
+    auto run(const Step &step) -> void
+    {
+        switch (step.kind) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            arrive(step.choice);
+            break;
+        case 4:
+        case 5:
+            end(step.choice, [this](RequestNumber it) { apply(RequestFinished{it, false}); });
+            break;
+        case 6:
+            end(step.choice, [this](RequestNumber it) { apply(RequestFinished{it, true}); });
+            break;
+        case 7:
+        case 8:
+            fail(step.choice);
+            break;
+        case 9:
+            notSent(step.choice);
+            break;
+        case 10:
+            leave(step.choice);
+            break;
+        case 11:
+            now += std::chrono::milliseconds(step.choice * 3);
+            apply(DispatchTick());
+            break;
+        case 12:
+            freshUntil = step.choice % 4 == 0 ? now : now + 5s;
+            apply(FreshnessChanged{freshUntil});
+            break;
+        case 13:
+            credits[step.choice % 2 == 0 ? red : TeamName()] = step.choice % 7;
+            apply(CreditsChanged{poolName, credits});
+            break;
+        case 14:
+            units[red] = step.choice % 7;
+            apply(UnitsChanged{units});
+            break;
+        case 15:
+        case 16:
+            reconfigure(step.choice);
+            break;
+        default:
+            apply(TargetProbed{HostName(std::string(1, "abcd"[step.choice % 4])),
+                               step.choice % 3 != 0});
+        }
+    }
+
+    /// Everything ends: what waits is refused or abandoned, what runs finishes.
+    auto finishAll() -> void
+    {
+        isDraining = true;
+        apply(DrainStarted());
+        while (!running.empty())
+            end(0, [this](RequestNumber it) { apply(RequestFinished{it, false}); });
+        apply(DispatchTick());
+        RC_ASSERT(dispatcher.openRequests() == 0U);
+        RC_ASSERT(waiting.empty());
+    }
+
+private:
+    struct Known
+    {
+        QueueName queue;
+        TeamName team;
+        KeyName key;
+        HostName host;
+        bool mayHaveRun = false;
+        BootTime deadline;
+    };
+
+    auto arrive(unsigned choice) -> void
+    {
+        const auto number = ++last;
+        auto known = Known();
+        known.queue = QueueName(choice % 3 == 0 ? "orders" : choice % 3 == 1 ? "quotes" : "open");
+        if (choice % 3 != 2 || choice % 2 == 0) {
+            known.team = red;
+            known.key = redKey;
+        }
+        known.deadline = now + 2s;
+        waiting.emplace(number, known);
+        apply(RequestArrived{number, known.queue, known.team, known.deadline, known.key});
+    }
+
+    template <typename Function>
+    auto end(unsigned choice, Function &&function) -> void
+    {
+        if (running.empty())
+            return;
+        const auto it =
+            std::next(running.begin(), static_cast<std::ptrdiff_t>(choice % running.size()));
+        const auto number = it->first;
+        running.erase(it);
+        function(number);
+    }
+
+    auto fail(unsigned choice) -> void
+    {
+        if (running.empty())
+            return;
+        const auto it =
+            std::next(running.begin(), static_cast<std::ptrdiff_t>(choice % running.size()));
+        const auto number = it->first;
+        auto node = running.extract(it);
+        node.mapped().mayHaveRun = true;
+        waiting.insert(std::move(node));
+        apply(RequestFailed{number, choice % 2 == 0});
+        const auto still = waiting.find(number);
+        RC_ASSERT(still == waiting.end() || still->second.queue == QueueName("quotes"));
+    }
+
+    auto notSent(unsigned choice) -> void
+    {
+        if (running.empty())
+            return;
+        const auto it =
+            std::next(running.begin(), static_cast<std::ptrdiff_t>(choice % running.size()));
+        const auto number = it->first;
+        waiting.insert(running.extract(it));
+        apply(RequestNotSent{number});
+    }
+
+    auto leave(unsigned choice) -> void
+    {
+        if (waiting.empty())
+            return;
+        const auto it =
+            std::next(waiting.begin(), static_cast<std::ptrdiff_t>(choice % waiting.size()));
+        const auto number = it->first;
+        waiting.erase(it);
+        apply(CallerGone{number});
+    }
+
+    auto reconfigure(unsigned choice) -> void
+    {
+        ++configuration.version;
+        const auto state = static_cast<ServiceState>(choice / 10 % 3);
+        switch (choice % 3) {
+        case 0:
+            configuration.dataCentres[DataCentreName("north")].state = state;
+            break;
+        case 1:
+            configuration.hosts[HostName("c")].state = state;
+            break;
+        default:
+            configuration.teams[red].keys.clear();
+            if (choice % 2 == 0)
+                configuration.teams[red].keys.push_back({redKey, "digest"});
+        }
+        apply(ConfigurationChanged{std::make_shared<const Configuration>(configuration)});
+    }
+
+    auto apply(const DispatchEvent &event) -> void
+    {
+        for (const auto &action : dispatcher.step(event, now))
+            std::visit([this](const auto &it) { judge(it); }, action);
+    }
+
+    auto judge(const StartRequest &action) -> void
+    {
+        auto node = waiting.extract(action.number);
+        RC_ASSERT(!node.empty());
+        auto &known = node.mapped();
+        RC_ASSERT(!isDraining);
+        RC_ASSERT(now < freshUntil);
+        const auto &host = configuration.hosts.at(action.host);
+        RC_ASSERT(host.state == ServiceState::In);
+        RC_ASSERT(configuration.dataCentres.at(host.dataCentre).state == ServiceState::In);
+        RC_ASSERT(countRunning([&](const Known &it) { return it.host == host.name; }) < Slots);
+        const auto ofTeam = countRunning([&](const Known &it) { return it.team == known.team; });
+        RC_ASSERT(ofTeam < credits[known.team]);
+        RC_ASSERT(known.team.isEmpty() || ofTeam < units[known.team]);
+        RC_ASSERT(known.team.isEmpty() || !configuration.teams.at(red).keys.empty());
+        // What may have run is tried again only on a queue that allows it.
+        RC_ASSERT(!known.mayHaveRun || known.queue == QueueName("quotes"));
+        known.host = action.host;
+        running.insert(std::move(node));
+    }
+
+    auto judge(const RefuseRequest &action) -> void
+    {
+        const auto node = waiting.extract(action.number);
+        RC_ASSERT(!node.empty());
+        RC_ASSERT(!node.mapped().mayHaveRun);
+    }
+
+    auto judge(const AbandonRequest &action) -> void
+    {
+        const auto node = waiting.extract(action.number);
+        RC_ASSERT(!node.empty());
+        RC_ASSERT(node.mapped().mayHaveRun);
+    }
+
+    template <typename Predicate>
+    auto countRunning(Predicate &&predicate) const -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>(std::ranges::count_if(
+            running, [&predicate](const auto &it) { return predicate(it.second); }));
+    }
+
+    Dispatcher dispatcher;
+    Configuration configuration;
+    BootTime now = BootTime(1'000s);
+    BootTime freshUntil;
+    bool isDraining = false;
+    std::map<TeamName, std::uint32_t> credits;
+    std::map<TeamName, std::uint32_t> units;
+    RequestNumber last = 0;
+    std::map<RequestNumber, Known> waiting;
+    std::map<RequestNumber, Known> running;
+};
+
+RC_GTEST_PROP(Dispatcher, KeepsEveryBoundAndEndsEveryRequestOnce, ())
+{
+    const auto steps = *rc::gen::scale(6.0, genSteps());
+    auto judge = Judge();
+    for (const auto &step : steps)
+        judge.run(step);
+    judge.finishAll();
+}
+
+/// A dispatcher with one team whose credits and units never run out.
+struct Roomy
+{
+    explicit Roomy(const Configuration &configuration)
+    {
+        step(ConfigurationChanged{std::make_shared<const Configuration>(configuration)});
+        step(FreshnessChanged{now + 1h});
+        step(CreditsChanged{poolName, {{red, 1'000}}});
+        step(UnitsChanged{{{red, 1'000}}});
+    }
+
+    auto step(const DispatchEvent &event) -> std::vector<DispatchAction>
+    {
+        return dispatcher.step(event, now);
+    }
+
+    auto arrive(const char *queue, Duration deadline = 8s) -> std::vector<DispatchAction>
+    {
+        return step(RequestArrived{++last, QueueName(queue), red, now + deadline, redKey});
+    }
+
+    Dispatcher dispatcher;
+    BootTime now = BootTime(1'000s);
+    RequestNumber last = 0;
+};
+
+/// The host on which the last of these actions starts a request.
+auto startedOn(const std::vector<DispatchAction> &actions) -> std::optional<HostName>
+{
+    for (auto it = actions.rbegin(); it != actions.rend(); ++it) {
+        if (const auto *start = std::get_if<StartRequest>(&*it))
+            return start->host;
+    }
+    return std::nullopt;
+}
+
+TEST(Dispatcher, GivesATargetThatFailsEverythingFastLessWorkNotMore)
+{
+    auto roomy = Roomy(makeConfiguration());
+    auto onBad = 0;
+    for (auto i = 0; i < 400; ++i) {
+        roomy.now += 20ms;
+        roomy.step(DispatchTick());
+        const auto host = startedOn(roomy.arrive("orders"));
+        ASSERT_TRUE(host.has_value());
+        const auto isBad = *host == HostName("a");
+        onBad += isBad ? 1 : 0;
+        roomy.step(RequestFinished{roomy.last, isBad});
+    }
+    // 400 requests in 8 s over 4 targets: an even part would be 100.
+    EXPECT_LE(onBad, 6);
+}
+
+TEST(Dispatcher, TriesEveryTargetAgainWhenAllFail)
+{
+    auto roomy = Roomy(makeConfiguration());
+    for (auto i = 0; i < 40; ++i) {
+        const auto host = startedOn(roomy.arrive("orders"));
+        ASSERT_TRUE(host.has_value()) << "correlated failures must not empty the pool, try " << i;
+        roomy.step(RequestFinished{roomy.last, true});
+    }
+}
+
+TEST(Dispatcher, TriesAnIdempotentRequestAgainOnAnotherTarget)
+{
+    auto roomy = Roomy(makeConfiguration());
+    const auto first = startedOn(roomy.arrive("quotes"));
+    const auto second = startedOn(roomy.step(RequestFailed{roomy.last, true}));
+    ASSERT_TRUE(first && second);
+    EXPECT_NE(*first, *second);
+}
+
+TEST(Dispatcher, NeverTriesAnotherRequestAgainThatMayHaveRun)
+{
+    auto roomy = Roomy(makeConfiguration());
+    roomy.arrive("orders");
+    const auto actions = roomy.step(RequestFailed{roomy.last, true});
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<AbandonRequest>(actions[0]));
+}
+
+TEST(Dispatcher, HoldsRetriesToTheirBudgetWhenEverythingFails)
+{
+    auto roomy = Roomy(makeConfiguration());
+    auto starts = 0;
+    constexpr auto Requests = 500;
+    for (auto i = 0; i < Requests; ++i) {
+        auto actions = roomy.arrive("quotes", 1h);
+        while (startedOn(actions)) {
+            ++starts;
+            actions = roomy.step(RequestFailed{roomy.last, false});
+            roomy.now += 2s;
+            if (actions.empty())
+                actions = roomy.step(DispatchTick());
+        }
+    }
+    EXPECT_LE(starts, Requests + Requests / 10 + static_cast<int>(RetryBudget::MaxTokens));
+}
+
+TEST(Dispatcher, StartsNothingOnATargetThatAnswersNoNewConnection)
+{
+    auto roomy = Roomy(makeConfiguration());
+    roomy.step(TargetProbed{HostName("a"), false});
+    for (auto i = 0; i < 6; ++i)
+        EXPECT_NE(startedOn(roomy.arrive("orders")), HostName("a"));
+}
+
+TEST(Dispatcher, WaitsBetweenTriesWhenNoConnectionStands)
+{
+    auto configuration = makeConfiguration();
+    std::erase_if(configuration.hosts, [](const auto &it) { return it.first != HostName("a"); });
+    auto roomy = Roomy(configuration);
+    roomy.arrive("orders");
+    auto starts = 1;
+    for (auto i = 0; i < 1'000; ++i) {
+        roomy.now += 1ms;
+        starts += startedOn(roomy.step(RequestNotSent{1})) ? 1 : 0;
+        starts += startedOn(roomy.step(DispatchTick())) ? 1 : 0;
+    }
+    EXPECT_GE(starts, 4);
+    EXPECT_LE(starts, 8) << "a target that refuses at once must not be asked in a busy loop";
+}
+
+TEST(Dispatcher, RefusesWhatWaitsWhenItsKeyIsWithdrawn)
+{
+    auto configuration = makeConfiguration();
+    auto roomy = Roomy(configuration);
+    roomy.step(UnitsChanged{{{red, 0}}});
+    EXPECT_TRUE(roomy.arrive("orders").empty());
+    configuration.teams[red].keys.clear();
+    const auto actions =
+        roomy.step(ConfigurationChanged{std::make_shared<const Configuration>(configuration)});
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<RefuseRequest>(actions[0]).refusal.kind, Refusal::Kind::BadKey);
+}
+
+TEST(Dispatcher, GivesALeavingDataCentreNoNewWorkAndLetsItsRunningWorkFinish)
+{
+    auto configuration = makeConfiguration();
+    auto roomy = Roomy(configuration);
+    for (auto i = 0; i < 4; ++i)
+        roomy.arrive("orders");
+    configuration.dataCentres[DataCentreName("north")].state = ServiceState::Leaving;
+    roomy.step(ConfigurationChanged{std::make_shared<const Configuration>(configuration)});
+    for (auto i = 0; i < 2; ++i) {
+        const auto host = startedOn(roomy.arrive("orders"));
+        ASSERT_TRUE(host.has_value());
+        EXPECT_EQ(configuration.hosts.at(*host).dataCentre, DataCentreName("south"));
+    }
+    EXPECT_EQ(roomy.dispatcher.runningOf(red), 6U);
+    for (RequestNumber it = 1; it <= 6; ++it)
+        roomy.step(RequestFinished{it, false});
+    EXPECT_EQ(roomy.dispatcher.runningOf(red), 0U);
+}
+
+} // namespace
+
+} // namespace shallotproxy
--- a/tests/unit/unit-errors.cpp
+++ b/tests/unit/unit-errors.cpp
@@ -37,8 +37,8 @@
 {
     const auto page = errorsPage();
     expectDocumented<InputError>(page, 101, 109);
-    expectDocumented<Refusal>(page, 201, 212);
-    expectDocumented<HttpError>(page, 301, 305);
+    expectDocumented<Refusal>(page, 201, 213);
+    expectDocumented<HttpError>(page, 301, 306);
     expectDocumented<ListenError>(page, 311, 312);
     expectDocumented<TargetError>(page, 321, 326);
     expectDocumented<StoreError>(page, 401, 404);
--- /dev/null
+++ b/tests/unit/unit-http-target.cpp
@@ -0,0 +1,240 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "fake_target.hpp"
+#include "shallotproxy/connection.hpp"
+
+namespace shallotproxy::test {
+
+namespace {
+
+constexpr auto Whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+
+auto shortBounds() -> HttpBounds
+{
+    auto bounds = HttpBounds();
+    bounds.progressMilliseconds = 100;
+    bounds.connectMilliseconds = 200;
+    return bounds;
+}
+
+auto order() -> HttpRequest
+{
+    return {"POST", "/order", {{"Content-Type", "text/plain"}}, "one pane"};
+}
+
+/// Sends one request and waits for its outcome; fails the test if the callback runs twice.
+auto exchange(TargetConnection &connection, const HttpRequest &request, int timeout = 1'000)
+    -> TargetReply
+{
+    auto result = std::optional<TargetReply>();
+    auto calls = 0;
+    connection.send(request, timeout, [&](TargetReply reply) {
+        ++calls;
+        result = std::move(reply);
+    });
+    runUntil([&] { return calls > 0; }, timeout + 2'000);
+    runFor(20);
+    EXPECT_EQ(calls, 1);
+    return result.value_or(tl::unexpected(TargetError{TargetError::Kind::BadAnswer}));
+}
+
+auto writeAndClose(QTcpSocket &socket, const char *bytes) -> void
+{
+    socket.write(bytes);
+    socket.flush();
+    socket.disconnectFromHost();
+}
+
+/// One way for a target to fail after it has the request, and what is told of it.
+struct Fault
+{
+    const char *name;
+    std::function<void(QTcpSocket &)> act;
+    TargetError::Kind kind;
+};
+
+class TargetFault : public testing::TestWithParam<Fault>
+{ };
+
+TEST_P(TargetFault, IsToldAsUnknownAndTheRequestIsSentOnce)
+{
+    auto target = FakeTarget([](QTcpSocket &socket, int) { GetParam().act(socket); });
+    auto connection = TargetConnection(target.endpoint(), shortBounds());
+    const auto reply = exchange(connection, order(), 400);
+    ASSERT_FALSE(reply.has_value());
+    EXPECT_EQ(reply.error().name(), TargetError{GetParam().kind}.name());
+    EXPECT_FALSE(reply.error().isNotRun());
+    EXPECT_FALSE(connection.isReusable());
+    runFor(50);
+    EXPECT_EQ(target.requests(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    AfterReceiving, TargetFault,
+    testing::Values(
+        Fault{"Close", [](QTcpSocket &it) { it.disconnectFromHost(); },
+              TargetError::Kind::ClosedUnanswered},
+        Fault{"Reset", [](QTcpSocket &it) { it.abort(); }, TargetError::Kind::ClosedUnanswered},
+        Fault{"PartOfHead", [](QTcpSocket &it) { writeAndClose(it, "HTTP/1.1 200 O"); },
+              TargetError::Kind::CutAnswer},
+        Fault{"PartOfBody",
+              [](QTcpSocket &it) {
+                  writeAndClose(it, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+              },
+              TargetError::Kind::CutAnswer},
+        Fault{"PartOfChunks",
+              [](QTcpSocket &it) {
+                  writeAndClose(
+                      it, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+              },
+              TargetError::Kind::CutAnswer},
+        Fault{"NoEnd", [](QTcpSocket &it) { writeAndClose(it, "HTTP/1.1 200 OK\r\n\r\nabc"); },
+              TargetError::Kind::UnknownEnd},
+        Fault{"TwoLengths",
+              [](QTcpSocket &it) {
+                  it.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd");
+              },
+              TargetError::Kind::BadAnswer},
+        Fault{"LengthAndChunks",
+              [](QTcpSocket &it) {
+                  it.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+              },
+              TargetError::Kind::BadAnswer},
+        Fault{"NegativeLength",
+              [](QTcpSocket &it) { it.write("HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc"); },
+              TargetError::Kind::BadAnswer},
+        Fault{"NotHttp", [](QTcpSocket &it) { it.write("hello\r\n\r\n"); },
+              TargetError::Kind::BadAnswer},
+        Fault{"UnaskedUpgrade",
+              [](QTcpSocket &it) { it.write("HTTP/1.1 101 Switching Protocols\r\n\r\n"); },
+              TargetError::Kind::BadAnswer},
+        Fault{"Silent", [](QTcpSocket &) {}, TargetError::Kind::TimedOut},
+        Fault{"SilentAfterInterim",
+              [](QTcpSocket &it) { it.write("HTTP/1.1 102 Processing\r\n\r\n"); },
+              TargetError::Kind::TimedOut},
+        Fault{"StopsHalfWay",
+              [](QTcpSocket &it) { it.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"); },
+              TargetError::Kind::TimedOut}),
+    [](const auto &it) { return std::string(it.param.name); });
+
+TEST(TargetConnection, SkipsInterimAnswersAndGivesTheFinalOne)
+{
+    auto target = FakeTarget([](QTcpSocket &socket, int) {
+        socket.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+        socket.write(Whole);
+    });
+    auto connection = TargetConnection(target.endpoint(), shortBounds());
+    const auto reply = exchange(connection, order());
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->status, 200U);
+    EXPECT_EQ(reply->body, "whole");
+}
+
+TEST(TargetConnection, NeverTakesBytesThatCameTooManyForTheNextAnswer)
+{
+    auto target = FakeTarget([](QTcpSocket &socket, int) {
+        socket.write(Whole);
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ncrossed");
+    });
+    auto connection = TargetConnection(target.endpoint(), shortBounds());
+    const auto reply = exchange(connection, order());
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->body, "whole");
+    EXPECT_FALSE(connection.isReusable());
+}
+
+TEST(TargetConnection, IsNotReusedAfterBytesThatCameLate)
+{
+    auto *held = static_cast<QTcpSocket *>(nullptr);
+    auto target = FakeTarget([&held](QTcpSocket &socket, int) {
+        held = &socket;
+        socket.write(Whole);
+    });
+    auto connection = TargetConnection(target.endpoint(), shortBounds());
+    ASSERT_TRUE(exchange(connection, order()).has_value());
+    EXPECT_TRUE(connection.isReusable());
+    held->write("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ncrossed");
+    EXPECT_TRUE(runUntil([&connection] { return !connection.isReusable(); }));
+}
+
+TEST(TargetConnection, GivesTheAnswerToHeadWithoutABody)
+{
+    auto target = FakeTarget([](QTcpSocket &socket, int) {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    });
+    auto connection = TargetConnection(target.endpoint(), shortBounds());
+    const auto reply = exchange(connection, {"HEAD", "/", {}, ""});
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->body, "");
+}
+
+TEST(TargetConnection, SaysNotRunOnlyIfNoConnectionStood)
+{
+    auto port = quint16{0};
+    {
+        ensureApplication();
+        auto closed = QTcpServer();
+        closed.listen(QHostAddress::LocalHost);
+        port = closed.serverPort();
+    }
+    auto connection = TargetConnection("127.0.0.1:" + std::to_string(port), shortBounds());
+    const auto reply = exchange(connection, order());
+    ASSERT_FALSE(reply.has_value());
+    EXPECT_TRUE(reply.error().isNotRun());
+}
+
+TEST(TargetConnection, WaitsLongForAnAnswerThatHasNotBegun)
+{
+    auto target = FakeTarget([](QTcpSocket &socket, int) {
+        QTimer::singleShot(400, &socket, [&socket] { socket.write(Whole); });
+    });
+    auto connection = TargetConnection(target.endpoint(), shortBounds());
+    EXPECT_TRUE(exchange(connection, order()).has_value());
+}
+
+RC_GTEST_PROP(TargetConnection, GivesAnAnswerWholeHoweverItIsCutIntoParts, ())
+{
+    const auto body = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    const auto isChunked = *rc::gen::arbitrary<bool>();
+    auto bytes = QByteArray("HTTP/1.1 200 OK\r\n");
+    if (isChunked && !body.empty()) {
+        bytes += "Transfer-Encoding: chunked\r\n\r\n" + QByteArray::number(qint64(body.size()), 16)
+            + "\r\n" + QByteArray::fromStdString(body) + "\r\n0\r\n\r\n";
+    } else {
+        bytes += "Content-Length: " + QByteArray::number(qint64(body.size())) + "\r\n\r\n"
+            + QByteArray::fromStdString(body);
+    }
+    auto parser = HttpResponseParser({});
+    auto whole = std::optional<HttpResponseParser::Parsed>();
+    while (!bytes.isEmpty()) {
+        RC_ASSERT(!whole.has_value());
+        const auto n = *rc::gen::inRange<qsizetype>(1, bytes.size() + 1);
+        parser.append(bytes.first(n));
+        bytes.remove(0, n);
+        auto parsed = parser.next();
+        RC_ASSERT(parsed.has_value());
+        whole = std::move(*parsed);
+    }
+    RC_ASSERT(whole.has_value());
+    RC_ASSERT(whole->response.body == body);
+    RC_ASSERT(!whole->hasBytesLeft);
+}
+
+RC_GTEST_PROP(HttpResponseParser, NeverTakesACutAnswerForAWholeOne, (std::uint8_t length))
+{
+    const auto size = static_cast<qsizetype>(length) + 1;
+    const auto bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + QByteArray::number(size) + "\r\n\r\n"
+        + QByteArray(size, 'x');
+    const auto cut = *rc::gen::inRange<qsizetype>(0, bytes.size());
+    auto parser = HttpResponseParser({});
+    parser.append(bytes.first(cut));
+    const auto parsed = parser.next();
+    RC_ASSERT(parsed.has_value());
+    RC_ASSERT(!parsed->has_value());
+}
+
+} // namespace
+
+} // namespace shallotproxy::test
