--- /dev/null
+++ b/docs/examples/compare.cmake
@@ -0,0 +1,5 @@
+execute_process(COMMAND ${PROGRAM} OUTPUT_VARIABLE found RESULT_VARIABLE code)
+file(READ ${EXPECTED} expected)
+if(NOT code EQUAL 0 OR NOT found STREQUAL expected)
+  message(FATAL_ERROR "exit code ${code}, found:\n${found}\nexpected:\n${expected}")
+endif()
--- /dev/null
+++ b/docs/examples/read_declarations.cpp
@@ -0,0 +1,20 @@
+#include <iostream>
+
+#include "shallotproxy/version.hpp"
+
+// Reads declarations; a fault is reported with its file, line and what is allowed.
+auto main() -> int
+{
+    using namespace shallotproxy;
+    const auto good = std::vector<DeclarationFile>{
+        {"fleet.yaml", "dataCentres: [{name: bergen}]\npools: [{name: billing}]\n"}};
+    const auto configuration = readDeclarations(good);
+    std::cout << configuration->pools.size() << " pool\n";
+
+    const auto bad = std::vector<DeclarationFile>{
+        {"fleet.yaml", "pools:\n  - name: billing\n    maxUnavailible: 2\n"}};
+    const auto faults = readDeclarations(bad);
+    for (const auto &it : faults.error())
+        std::cout << it.message() << '\n';
+    return 0;
+}
--- a/packages/version/src/yaml_reader.cpp
+++ b/packages/version/src/yaml_reader.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <charconv>
 #include <numeric>
+#include <set>
 
 #include <QHostAddress>
 
@@ -145,8 +146,14 @@
         report(InputError::Kind::WrongType, "", "no mapping", "a mapping");
         return;
     }
+    auto seen = std::set<std::string>();
     for (const auto &it : m_node) {
         const auto key = it.first.as<std::string>("");
+        if (!seen.insert(key).second) {
+            const auto path = m_path.empty() ? key : fmt::format("{}.{}", m_path, key);
+            m_errors->push_back({InputError::Kind::Duplicate, m_file, it.first.Mark().line + 1,
+                                 path, fmt::format("'{}' again", key), "each key once"});
+        }
         if (std::ranges::find(known, key) != known.end())
             continue;
         const auto nearest = nearestWord(key, known);
--- a/tests/unit/unit-declarations.cpp
+++ b/tests/unit/unit-declarations.cpp
@@ -22,6 +22,14 @@
     EXPECT_NE(errors[0].message().find("did you mean 'maxUnavailable'"), std::string::npos);
 }
 
+TEST(Declarations, RefuseAKeyThatStandsTwiceInOneMapping)
+{
+    const auto errors = errorsOf("pools:\n  - name: a\n    maxUnavailable: 2\n    name: b\n");
+    ASSERT_EQ(errors.size(), 1U);
+    EXPECT_EQ(errors[0].kind, InputError::Kind::Duplicate);
+    EXPECT_EQ(errors[0].line, 4);
+}
+
 TEST(Declarations, RefuseAHostThatIsDeclaredTwice)
 {
     const auto errors = errorsOf(
