Run tasks on workers from submission to end, under leases and epochs

Each pool's steward (rendezvous hash) places tasks by a compare-and-swap on the task's record; the record's revision is the run's epoch, which the worker compares.

--- a/packages/daemon/src/control_context.cpp
+++ b/packages/daemon/src/control_context.cpp
@@ -30,6 +30,24 @@
         node.mapped()(std::move(result.reply));
 }
 
+auto ControlContext::platform(PlatformCall call, PlatformCallback callback) -> void
+{
+    const auto number = ++m_lastOrder;
+    if (!m_links.controlToPlatform.push({number, std::move(call)})) {
+        callback(
+            tl::unexpected(PlatformError{PlatformError::Kind::Unreachable, "call ring is full"}));
+        return;
+    }
+    m_platformOrders.emplace(number, std::move(callback));
+}
+
+auto ControlContext::handle(PlatformResult result) -> void
+{
+    auto node = m_platformOrders.extract(result.number);
+    if (!node.empty())
+        node.mapped()(std::move(result.reply));
+}
+
 auto ControlContext::key(std::string_view suffix) const -> std::string
 {
     return process.settings.storePrefix + std::string(suffix);
--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -36,6 +36,9 @@
 
     /// Sends a call to the platform's service; `callback` runs on the control thread.
     auto store(StoreCall call, StoreCallback callback) -> void;
+    using PlatformCallback = std::function<void(PlatformReply)>;
+    /// Sends a call to a worker or the platform's host list; `callback` runs on the control thread.
+    auto platform(PlatformCall call, PlatformCallback callback) -> void;
     /// Key below this deployment's prefix.
     [[nodiscard]] auto key(std::string_view suffix) const -> std::string;
     auto send(const MemberName &to, PeerMessage message) -> void;
@@ -49,11 +52,13 @@
     [[nodiscard]] auto version() const -> ConfigurationVersion;
     [[nodiscard]] auto isFresh() const -> bool;
     auto handle(StoreResult result) -> void;
+    auto handle(PlatformResult result) -> void;
 
 private:
     Links &m_links;
     std::uint64_t m_lastOrder = 0;
     std::map<std::uint64_t, StoreCallback> m_orders;
+    std::map<std::uint64_t, PlatformCallback> m_platformOrders;
 };
 
 } // namespace shallotproxy
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -30,6 +30,7 @@
     attachConsumer(links.operatorsToControl, this, [this] { drainOperators(); });
     attachConsumer(links.storeToControl, this, [this] { drainStore(); });
     attachConsumer(links.peersToControl, this, [this] { drainPeers(); });
+    attachConsumer(links.platformToControl, this, [this] { drainPlatform(); });
 }
 
 template <typename Function>
@@ -97,6 +98,12 @@
     announceChanges();
 }
 
+auto ControlDuty::drainPlatform() -> void
+{
+    m_links.platformToControl.drain(
+        [this](PlatformResult result) { m_context.handle(std::move(result)); });
+}
+
 auto ControlDuty::drainPeers() -> void
 {
     const auto now = BootClock::now();
--- a/packages/daemon/src/control_duty.hpp
+++ b/packages/daemon/src/control_duty.hpp
@@ -38,6 +38,7 @@
     auto drainOperators() -> void;
     auto drainStore() -> void;
     auto drainPeers() -> void;
+    auto drainPlatform() -> void;
     auto handleCall(const ControlCall &call) -> void;
     auto announceChanges() -> void;
     template <typename Function>
--- a/packages/daemon/src/links.hpp
+++ b/packages/daemon/src/links.hpp
@@ -8,6 +8,7 @@
 #include "shallotproxy/connection/http/http_message.hpp"
 #include "shallotproxy/process.hpp"
 #include "shallotproxy/request/dispatch/dispatcher.hpp"
+#include "shallotproxy/request/task/task_error.hpp"
 
 namespace shallotproxy {
 
@@ -70,6 +71,28 @@
     PeerEnvelope envelope;
 };
 
+/// A call to a worker or to the platform's host list: GET if `body` is empty, else POST.
+struct PlatformCall
+{
+    std::string endpoint; // ADDRESS:PORT
+    std::string path;
+    std::string body;
+};
+
+using PlatformReply = Expected<std::string, PlatformError>;
+
+struct PlatformOrder
+{
+    std::uint64_t number = 0;
+    PlatformCall call;
+};
+
+struct PlatformResult
+{
+    std::uint64_t number = 0;
+    PlatformReply reply;
+};
+
 using PeerOrder = std::variant<std::monostate, PeerRoster, PeerSend>;
 
 /// Rings between the duties, named after what they carry.
@@ -83,6 +106,8 @@
     Ring<ControlReply> controlToOperators = Ring<ControlReply>(Capacity);
     Ring<StoreOrder> controlToStore = Ring<StoreOrder>(Capacity);
     Ring<StoreResult> storeToControl = Ring<StoreResult>(Capacity);
+    Ring<PlatformOrder> controlToPlatform = Ring<PlatformOrder>(Capacity);
+    Ring<PlatformResult> platformToControl = Ring<PlatformResult>(Capacity);
     Ring<PeerOrder> controlToPeers = Ring<PeerOrder>(Capacity);
     Ring<PeerEnvelope> peersToControl = Ring<PeerEnvelope>(Capacity);
 };
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -16,6 +16,7 @@
 #include "front_duty.hpp"
 #include "operator_duty.hpp"
 #include "peer_duty.hpp"
+#include "platform_duty.hpp"
 #include "store_duty.hpp"
 
 namespace {
@@ -84,6 +85,7 @@
     explicit Daemon(ProcessContext &process)
         : m_process(process)
         , m_store(QStringLiteral("store"), process, m_links)
+        , m_platform(QStringLiteral("platform"), process, m_links)
         , m_peers(QStringLiteral("peers"), process, m_links)
         , m_operators(QStringLiteral("operators"), process, m_links)
         , m_front(QStringLiteral("front"), process, m_links)
@@ -104,6 +106,7 @@
     auto start() -> void
     {
         m_store.start();
+        m_platform.start();
         m_peers.start();
         m_operators.start();
         m_front.start();
@@ -135,6 +138,7 @@
         m_front.stop();
         m_operators.stop();
         m_peers.stop();
+        m_platform.stop();
         m_store.stop();
     }
 
@@ -142,6 +146,7 @@
     ProcessContext &m_process;
     Links m_links;
     DutyThread<StoreDuty> m_store;
+    DutyThread<PlatformDuty> m_platform;
     DutyThread<PeerDuty> m_peers;
     DutyThread<OperatorDuty> m_operators;
     DutyThread<FrontDuty> m_front;
--- /dev/null
+++ b/packages/request/src/task/task_record.cpp
@@ -0,0 +1,84 @@
+#include "shallotproxy/request/task/task_record.hpp"
+
+namespace shallotproxy {
+
+auto taskStateName(TaskState state) -> std::string_view
+{
+    switch (state) {
+    case TaskState::Waiting:
+        return "waiting";
+    case TaskState::Placed:
+        return "running";
+    case TaskState::Cancelling:
+        return "cancelling";
+    case TaskState::Done:
+        return "done";
+    case TaskState::Failed:
+        return "failed";
+    case TaskState::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+auto isEnded(TaskState state) -> bool
+{
+    return state == TaskState::Done || state == TaskState::Failed || state == TaskState::Cancelled;
+}
+
+auto fitsInto(const TaskDemand &demand, const TaskDemand &room) -> bool
+{
+    return demand.cores <= room.cores && demand.memoryBytes <= room.memoryBytes
+        && demand.accelerators <= room.accelerators;
+}
+
+auto TaskVersion::runEpoch() const -> TaskEpoch
+{
+    return record.epoch != 0 ? record.epoch : static_cast<TaskEpoch>(revision);
+}
+
+auto poolOfTask(const TaskId &id) -> PoolName
+{
+    const auto at = id.value().rfind('.');
+    return at == std::string::npos ? PoolName() : PoolName(id.value().substr(0, at));
+}
+
+auto taskPrefix(const PoolName &pool) -> std::string
+{
+    return "tasks/" + pool.value() + "/";
+}
+
+auto endedTaskPrefix(const PoolName &pool) -> std::string
+{
+    return "ended-tasks/" + pool.value() + "/";
+}
+
+auto taskKey(const TaskId &id) -> std::string
+{
+    return taskPrefix(poolOfTask(id)) + id.value();
+}
+
+auto endedTaskKey(const TaskId &id) -> std::string
+{
+    return endedTaskPrefix(poolOfTask(id)) + id.value();
+}
+
+auto packTask(const TaskRecord &record) -> std::string
+{
+    auto buf = msgpack::sbuffer();
+    msgpack::pack(buf, record);
+    return {buf.data(), buf.size()};
+}
+
+auto unpackTask(const std::string &bytes) -> std::optional<TaskRecord>
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<TaskRecord>();
+    } catch (const msgpack::type_error &) {
+        return std::nullopt;
+    } catch (const msgpack::unpack_error &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace shallotproxy
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -71,7 +71,8 @@
     : m_options(std::move(options))
 {
     constexpr auto PortsPerMember = 3;
-    const auto first = freePorts(2 + m_options.targets + PortsPerMember * m_options.members);
+    const auto first =
+        freePorts(3 + m_options.targets + m_options.workers + PortsPerMember * m_options.members);
     m_storePort = first;
     m_controlPort = static_cast<quint16>(first + 1);
     m_firstTargetPort = static_cast<quint16>(first + 2);
@@ -80,7 +81,13 @@
                       {u"--first-port"_s, QString::number(m_firstTargetPort), u"--count"_s,
                        QString::number(m_options.targets), u"--control"_s,
                        toQString(local(m_controlPort))});
-    auto port = m_firstTargetPort + m_options.targets;
+    m_platformPort = static_cast<quint16>(m_firstTargetPort + m_options.targets);
+    m_firstWorkerPort = static_cast<quint16>(m_platformPort + 1);
+    m_workers = start(programPath("standin_workers"),
+                      {u"--first-port"_s, QString::number(m_firstWorkerPort), u"--count"_s,
+                       QString::number(m_options.workers), u"--platform"_s,
+                       toQString(local(m_platformPort))});
+    auto port = m_firstWorkerPort + m_options.workers;
     for (auto i = 0; i < m_options.members; ++i, port += PortsPerMember) {
         auto member = Member();
         member.callers = static_cast<quint16>(port);
@@ -116,6 +123,8 @@
     }
     m_targets->kill();
     m_targets->waitForFinished();
+    m_workers->kill();
+    m_workers->waitForFinished();
     m_store->kill();
     m_store->waitForFinished();
 }
@@ -143,13 +152,14 @@
     auto &member = m_members[static_cast<std::size_t>(index)];
     const auto journalFile =
         m_folder.filePath(QStringLiteral("journal-%1").arg(index)).toStdString();
-    const auto text = fmt::format(
-        "name: entry-{}\ndataCentre: {}\nlisten:\n  callers: {}\n  operators: {}\n"
-        "  peers: {}\nstore:\n  endpoint: {}\n  timeout: 800 ms\nsecurity:\n"
-        "  peerSecret: test-peer-secret-of-the-fleet\n  operatorKeyDigest: {}\n"
-        "bounds:\n  shutdown: 20 s\njournal: {}\n",
-        index, index % 2 == 0 ? "north" : "south", local(member.callers), local(member.operators),
-        local(member.peers), local(m_storePort), digestKey(OperatorKey), journalFile);
+    const auto text =
+        fmt::format("name: entry-{}\ndataCentre: {}\nlisten:\n  callers: {}\n  operators: {}\n"
+                    "  peers: {}\nstore:\n  endpoint: {}\n  timeout: 800 ms\nsecurity:\n"
+                    "  peerSecret: test-peer-secret-of-the-fleet\n  operatorKeyDigest: {}\n"
+                    "platform: {}\nbounds:\n  shutdown: 20 s\njournal: {}\n",
+                    index, index % 2 == 0 ? "north" : "south", local(member.callers),
+                    local(member.operators), local(member.peers), local(m_storePort),
+                    digestKey(OperatorKey), local(m_platformPort), journalFile);
     member.settingsFile = writeFile(fmt::format("entry-{}.yaml", index), text);
 }
 
@@ -163,6 +173,12 @@
                             i, i % 2 == 0 ? "north" : "south", i,
                             local(static_cast<quint16>(m_firstTargetPort + i)));
     }
+    for (auto i = 0; i < m_options.workers; ++i) {
+        text += fmt::format("  - {{name: worker-{}, dataCentre: {}, rack: r{}, pool: main, "
+                            "role: worker, address: '{}', cores: 16, memory: 32 GiB, "
+                            "accelerators: {}}}\n",
+                            i, i % 2 == 0 ? "north" : "south", i, workerAddress(i), i % 2);
+    }
     text += "teams:\n  - {name: red, share: 2, limit: 16}\n  - {name: blue, share: 1, limit: 8}\n"
             "queues:\n  - {name: orders, pool: main, deadline: 8 s}\n"
             "  - {name: quotes, pool: main, urgent: true, idempotent: true, deadline: 8 s}\n"
@@ -273,6 +289,25 @@
     return json.value(toQString(name)).toInteger();
 }
 
+auto Fleet::workerFault(const std::string &json) -> void
+{
+    sendOnce(local(m_platformPort), {"POST", "/fault", {}, json}, 2'000);
+}
+
+auto Fleet::workerCount(const std::string &name) -> std::int64_t
+{
+    const auto reply = sendOnce(local(m_platformPort), {"GET", "/counts", {}, ""}, 2'000);
+    if (!reply)
+        return -1;
+    const auto json = QJsonDocument::fromJson(QByteArray::fromStdString(reply->body)).object();
+    return json.value(toQString(name)).toInteger();
+}
+
+auto Fleet::workerAddress(int worker) const -> std::string
+{
+    return local(static_cast<quint16>(m_firstWorkerPort + worker));
+}
+
 auto Fleet::request(int member, const HttpRequest &request, int timeoutMilliseconds) -> TargetReply
 {
     return sendOnce(callersEndpoint(member), request, timeoutMilliseconds);
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -17,6 +17,7 @@
 {
     int members = 3;
     int targets = 4;
+    int workers = 0;
     /// Declarations; empty for one pool `main` on two data centres `north` and `south` with queues
     /// `orders`, `quotes` (idempotent) and `open`, and the teams `red` and `blue`.
     std::string declarations;
@@ -62,6 +63,12 @@
     /// A count of the targets, as `runs`, `repeats` or `mostRunning`.
     auto targetCount(const std::string &name) -> std::int64_t;
 
+    /// Sets a fault of the workers or the host list; see standins/worker_platform.cpp.
+    auto workerFault(const std::string &json) -> void;
+    /// A count of the workers, as `starts`, `doubleStarts` or `reboots`.
+    auto workerCount(const std::string &name) -> std::int64_t;
+    [[nodiscard]] auto workerAddress(int worker) const -> std::string;
+
     /// Sends one request to a member's callers' face and waits for the whole answer.
     auto request(int member, const HttpRequest &request, int timeoutMilliseconds = 10'000)
         -> TargetReply;
@@ -96,8 +103,11 @@
     quint16 m_storePort = 0;
     quint16 m_controlPort = 0;
     quint16 m_firstTargetPort = 0;
+    quint16 m_platformPort = 0;
+    quint16 m_firstWorkerPort = 0;
     std::unique_ptr<QProcess> m_store;
     std::unique_ptr<QProcess> m_targets;
+    std::unique_ptr<QProcess> m_workers;
     std::vector<Member> m_members;
 };
 
--- a/tests/unit/unit-errors.cpp
+++ b/tests/unit/unit-errors.cpp
@@ -44,6 +44,8 @@
     expectDocumented<StoreError>(page, 401, 404);
     expectDocumented<PeerError>(page, 501, 504);
     expectDocumented<IntentError>(page, 601, 609);
+    expectDocumented<TaskError>(page, 801, 807);
+    expectDocumented<PlatformError>(page, 811, 814);
 }
 
 } // namespace
