Check placement, quarantine and the task board with property tests

Schedules of dead and paused stewards, lost answers and orders, a silent store, hosts out of service and cancellations: no task is ever alive twice, and all end once the faults are over.

--- /dev/null
+++ b/tests/unit/unit-tasks.cpp
@@ -0,0 +1,423 @@
+#include <algorithm>
+#include <deque>
+#include <map>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "shallotproxy/request.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t GiB = std::uint64_t{1} << 30U;
+constexpr auto TickStep = 500ms;
+constexpr auto WorkTime = 40s; // longer than a lease, so that a lost renewal shows
+constexpr auto StepsPerNumber = 30; // how long a lasting fault goes on
+
+auto hostName(int number) -> HostName
+{
+    return HostName("worker-" + std::to_string(number));
+}
+
+/// Records with compare-and-swap, as the platform's service keeps them.
+class Records
+{
+public:
+    auto put(TaskRecord record) -> void
+    {
+        auto id = record.id;
+        m_tasks[std::move(id)] = {std::move(record), ++m_revision};
+    }
+
+    auto write(const WriteTasks &order) -> std::optional<StoreRevision>
+    {
+        for (const auto &it : order.writes) {
+            const auto held = m_tasks.find(it.record.id);
+            if (held == m_tasks.end() || held->second.revision != it.revision)
+                return std::nullopt;
+        }
+        ++m_revision;
+        for (const auto &it : order.writes) {
+            if (isEnded(it.record.state)) {
+                ended[it.record.id] = it.record;
+                m_tasks.erase(it.record.id);
+            } else {
+                m_tasks[it.record.id] = {it.record, m_revision};
+            }
+        }
+        return m_revision;
+    }
+
+    [[nodiscard]] auto all() const -> std::vector<TaskVersion>
+    {
+        auto versions = std::vector<TaskVersion>();
+        for (const auto &[id, version] : m_tasks)
+            versions.push_back(version);
+        return versions;
+    }
+
+    std::map<TaskId, TaskRecord> ended;
+
+private:
+    std::map<TaskId, TaskVersion> m_tasks;
+    StoreRevision m_revision = 0;
+};
+
+/// Workers that keep each task's newest epoch and stop runs whose lease has lapsed.
+class Workers
+{
+public:
+    auto start(const StartRun &order, BootTime now) -> RunReport
+    {
+        auto &run = m_runs[{order.host, order.record.id}];
+        if (order.epoch > run.epoch) {
+            mostAlive = std::max(mostAlive, alive(order.record.id, now) + 1);
+            run = {order.epoch, RunState::Running, now + RunLease, now + WorkTime};
+            ++starts;
+        }
+        return report(order.host, {order.record.id, order.epoch}, now);
+    }
+
+    auto order(const OrderRun &order, BootTime now) -> RunReport
+    {
+        auto &run = m_runs[{order.host, order.run.task}];
+        if (order.run.epoch > run.epoch)
+            run = {order.run.epoch, RunState::Stopped, now, now};
+        report(order.host, order.run, now);
+        if (order.run.epoch == run.epoch && run.state == RunState::Running
+            && order.order != RunOrder::Throttle) {
+            run.state = order.order == RunOrder::Stop ? RunState::Stopped : RunState::Checkpointed;
+        }
+        return report(order.host, order.run, now);
+    }
+
+    auto renew(const RenewRuns &order, BootTime now) -> std::vector<RunReport>
+    {
+        auto reports = std::vector<RunReport>();
+        for (const auto &it : order.runs) {
+            reports.push_back(report(order.host, it, now));
+            if (reports.back().state == RunState::Running)
+                m_runs[{order.host, it.task}].leaseEnd = now + RunLease;
+        }
+        return reports;
+    }
+
+    int starts = 0;
+    int mostAlive = 0;
+
+private:
+    struct Run
+    {
+        TaskEpoch epoch = 0;
+        RunState state = RunState::Unknown;
+        BootTime leaseEnd;
+        BootTime workEnd;
+    };
+
+    auto report(const HostName &host, const RunId &id, BootTime now) -> RunReport
+    {
+        auto &run = m_runs[{host, id.task}];
+        if (run.epoch != id.epoch)
+            return {id, RunState::Unknown, 0, 0, 0};
+        if (run.state == RunState::Running && now >= std::min(run.workEnd, run.leaseEnd))
+            run.state = run.workEnd <= run.leaseEnd ? RunState::Done : RunState::Lapsed;
+        return {id, run.state, 0.5, 1, 1};
+    }
+
+    auto alive(const TaskId &task, BootTime now) -> int
+    {
+        auto n = 0;
+        for (auto &[key, run] : m_runs) {
+            if (key.second == task && run.epoch != 0
+                && report(key.first, {task, run.epoch}, now).state == RunState::Running) {
+                ++n;
+            }
+        }
+        return n;
+    }
+
+    std::map<std::pair<HostName, TaskId>, Run> m_runs;
+};
+
+/// What happens in one step of a schedule.
+struct Fault
+{
+    enum class Kind {
+        None,
+        StewardDies, // a new board takes over
+        StewardPauses, // its writes and orders are held back, while another board takes over
+        StewardResumes,
+        WriteAnswerLost,
+        OrderAnswersLost,
+        OrdersLost,
+        StoreDown,
+        HostOut,
+        HostIn,
+        Cancel,
+    };
+
+    Kind kind = Kind::None;
+    int number = 0;
+};
+
+auto showValue(const Fault &fault, std::ostream &stream) -> void
+{
+    stream << static_cast<int>(fault.kind) << '/' << fault.number;
+}
+
+auto faultGen() -> rc::Gen<Fault>
+{
+    return rc::gen::map(rc::gen::pair(rc::gen::weightedElement<int>({{8, 0},
+                                                                     {1, 1},
+                                                                     {1, 2},
+                                                                     {2, 3},
+                                                                     {2, 4},
+                                                                     {2, 5},
+                                                                     {1, 6},
+                                                                     {1, 7},
+                                                                     {1, 8},
+                                                                     {2, 9},
+                                                                     {1, 10}}),
+                                      rc::gen::inRange(0, 3)),
+                        [](const std::pair<int, int> &it) {
+                            return Fault{static_cast<Fault::Kind>(it.first), it.second};
+                        });
+}
+
+/// One pool with up to two boards that both take themselves for its steward.
+class Scene
+{
+public:
+    Scene()
+    {
+        for (auto i = 0; i < 3; ++i)
+            m_workers.push_back({hostName(i), DataCentreName("north"), {8, 8 * GiB, 0}, true});
+        for (auto i = 0; i < 4; ++i) {
+            auto record = TaskRecord();
+            record.id = TaskId("main." + std::to_string(i));
+            record.pool = PoolName("main");
+            record.team = TeamName("red");
+            record.declared = {4, GiB, 0};
+            records.put(std::move(record));
+        }
+        takeOver();
+    }
+
+    auto run(const Fault &fault) -> void
+    {
+        m_fault = fault.kind;
+        inject(fault);
+        const auto isLasting = fault.kind == Fault::Kind::OrderAnswersLost
+            || fault.kind == Fault::Kind::OrdersLost || fault.kind == Fault::Kind::StoreDown
+            || fault.kind == Fault::Kind::None;
+        const auto steps = isLasting ? 1 + fault.number * StepsPerNumber : 1;
+        for (auto i = 0; i < steps; ++i)
+            advance();
+    }
+
+    Records records;
+    Workers workers;
+    int startsOutOfService = 0;
+
+private:
+    auto advance() -> void
+    {
+        m_now += TickStep;
+        if (m_fault != Fault::Kind::StoreDown)
+            step(*m_active, TasksRead{records.all(), m_now});
+        step(*m_active, BoardTick());
+    }
+
+    auto takeOver() -> void
+    {
+        m_active = std::make_unique<TaskBoard>(m_now);
+        m_active->step(WorkersChanged{m_workers}, m_now);
+    }
+
+    auto inject(const Fault &fault) -> void
+    {
+        auto &worker = m_workers[static_cast<std::size_t>(fault.number)];
+        switch (fault.kind) {
+        case Fault::Kind::StewardDies:
+            takeOver();
+            break;
+        case Fault::Kind::StewardPauses:
+            // It computes one more step, whose actions come out only when it resumes.
+            m_heldActions = m_active->step(BoardTick(), m_now);
+            m_paused = std::move(m_active);
+            takeOver();
+            break;
+        case Fault::Kind::StewardResumes:
+            resume();
+            break;
+        case Fault::Kind::HostOut:
+        case Fault::Kind::HostIn:
+            worker.takesWork = fault.kind == Fault::Kind::HostIn;
+            m_active->step(WorkersChanged{m_workers}, m_now);
+            break;
+        case Fault::Kind::Cancel:
+            cancel(fault.number);
+            break;
+        default:
+            break;
+        }
+    }
+
+    auto resume() -> void
+    {
+        if (!m_paused)
+            return;
+        for (const auto &it : m_heldActions)
+            perform(*m_paused, it);
+        m_heldActions.clear();
+        m_paused.reset();
+    }
+
+    auto cancel(int number) -> void
+    {
+        for (const auto &it : records.all()) {
+            if (it.record.id != TaskId("main." + std::to_string(number)))
+                continue;
+            auto record = it.record;
+            if (record.state == TaskState::Placed) {
+                record.epoch = it.runEpoch();
+                record.state = TaskState::Cancelling;
+            } else if (record.state == TaskState::Waiting) {
+                record.state = TaskState::Cancelled;
+            }
+            records.write({{{record, it.revision}}});
+        }
+    }
+
+    auto step(TaskBoard &board, const BoardEvent &event) -> void
+    {
+        for (const auto &it : board.step(event, m_now))
+            perform(board, it);
+    }
+
+    auto perform(TaskBoard &board, const BoardAction &action) -> void
+    {
+        if (const auto *it = std::get_if<WriteTasks>(&action))
+            write(board, *it);
+        if (const auto *it = std::get_if<StartRun>(&action)) {
+            if (m_fault == Fault::Kind::OrdersLost)
+                return;
+            report(board, it->host, {workers.start(*it, m_now)});
+        }
+        if (const auto *it = std::get_if<OrderRun>(&action)) {
+            if (m_fault == Fault::Kind::OrdersLost)
+                return;
+            report(board, it->host, {workers.order(*it, m_now)});
+        }
+        if (const auto *it = std::get_if<RenewRuns>(&action)) {
+            if (m_fault == Fault::Kind::OrdersLost)
+                return;
+            report(board, it->host, workers.renew(*it, m_now));
+        }
+    }
+
+    auto write(TaskBoard &board, const WriteTasks &order) -> void
+    {
+        auto answer = TasksWritten();
+        for (const auto &it : order.writes)
+            answer.tasks.push_back(it.record.id);
+        if (m_fault != Fault::Kind::StoreDown)
+            answer.revision = records.write(order);
+        if (m_fault == Fault::Kind::WriteAnswerLost)
+            answer.revision.reset();
+        step(board, answer);
+    }
+
+    auto report(TaskBoard &board, const HostName &host, std::vector<RunReport> runs) -> void
+    {
+        if (m_fault != Fault::Kind::OrderAnswersLost)
+            step(board, WorkerReported{host, std::move(runs)});
+    }
+
+    BootTime m_now = BootTime(1h);
+    Fault::Kind m_fault = Fault::Kind::None;
+    std::vector<WorkerCapacity> m_workers;
+    std::unique_ptr<TaskBoard> m_active;
+    std::unique_ptr<TaskBoard> m_paused;
+    std::vector<BoardAction> m_heldActions;
+};
+
+RC_GTEST_PROP(Tasks, AreNeverAliveTwiceWhateverFails, ())
+{
+    const auto faults = *rc::gen::container<std::vector<Fault>>(faultGen());
+    auto scene = Scene();
+    for (const auto &it : faults) {
+        scene.run(it);
+        RC_ASSERT(scene.workers.mostAlive <= 1);
+    }
+}
+
+RC_GTEST_PROP(Tasks, AllEndOnceTheFaultsAreOver, ())
+{
+    const auto faults = *rc::gen::container<std::vector<Fault>>(faultGen());
+    auto scene = Scene();
+    for (const auto &it : faults)
+        scene.run(it);
+    for (auto i = 0; i < 3; ++i)
+        scene.run({Fault::Kind::HostIn, i});
+    // Long enough for every lease to lapse and every task to run again.
+    for (auto i = 0; i < 800; ++i)
+        scene.run({});
+    RC_ASSERT(scene.records.all().empty());
+    RC_ASSERT(scene.records.ended.size() == 4U);
+    RC_ASSERT(scene.workers.mostAlive <= 1);
+}
+
+RC_GTEST_PROP(Tasks, StartOnlyOnceWhenNothingFails, ())
+{
+    const auto steps = *rc::gen::inRange(180, 200);
+    auto scene = Scene();
+    for (auto i = 0; i < steps; ++i)
+        scene.run({});
+    RC_ASSERT(scene.workers.starts == 4);
+    RC_ASSERT(scene.records.ended.size() == 4U);
+}
+
+TEST(Tasks, KeepTheirRecordWhenItIsReadAgain)
+{
+    auto record = TaskRecord();
+    record.id = TaskId("main.1");
+    record.team = TeamName("red");
+    record.progress = 0.5;
+    const auto read = unpackTask(packTask(record));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->id, record.id);
+    EXPECT_EQ(read->progress, record.progress);
+    EXPECT_FALSE(unpackTask("no record").has_value());
+}
+
+TEST(Tasks, AreNotStartedByAStewardOnAHostOutOfService)
+{
+    const auto now = BootTime(1h);
+    auto board = TaskBoard(now);
+    board.step(WorkersChanged{{{hostName(0), DataCentreName("north"), {8, GiB, 0}, false}}}, now);
+    auto record = TaskRecord();
+    record.id = TaskId("main.1");
+    record.declared = {1, 1, 0};
+    record.state = TaskState::Placed;
+    record.host = hostName(0);
+    board.step(TasksRead{{{record, 7}}, now}, now);
+    const auto later = now + 5s;
+    const auto report = WorkerReported{hostName(0), {{{record.id, 7}, RunState::Unknown, 0, 0, 0}}};
+    for (const auto &it : board.step(report, later))
+        EXPECT_FALSE(std::holds_alternative<StartRun>(it));
+    // It is told to let go instead, which leaves the epoch behind and so fences a late start.
+    auto isOrdered = false;
+    for (const auto &it : board.step(BoardTick(), later))
+        isOrdered = isOrdered || std::holds_alternative<OrderRun>(it);
+    EXPECT_TRUE(isOrdered);
+}
+
+} // namespace
+
+} // namespace shallotproxy
