Plan maintenance in waves that keep every budget, and drive them from any member

A job is part of the configuration, so each wave is granted by the head's compare-and-swap; a new driver resumes from it. planIntent refuses what breaks a budget, counting hosts that failed by themselves.

--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -32,6 +32,7 @@
     MemberDirectory members; // registered members, this one included
     ConfigurationPointer configuration; // null until the first one is read
     BootTime freshUntil;
+    HostSet failedHosts; // that the platform's lagging list doesn't call live
     std::vector<PoolTeamLoad> loads; // of this member
 
     /// Sends a call to the platform's service; `callback` runs on the control thread.
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -24,7 +24,7 @@
     , m_status(m_context, m_configuration)
     , m_claims(m_context)
     , m_tasks(m_context)
-    , m_maintenance(m_context)
+    , m_maintenance(m_context, m_configuration)
 {
     attachConsumer(links.frontToControl, this, [this] { drainFront(); });
     attachConsumer(links.operatorsToControl, this, [this] { drainOperators(); });
--- a/packages/daemon/src/intent_module.cpp
+++ b/packages/daemon/src/intent_module.cpp
@@ -117,7 +117,7 @@
         refuse(call, intent.error());
         return;
     }
-    const auto plan = planIntent(*m_context.configuration, *intent);
+    const auto plan = planIntent(*m_context.configuration, *intent, m_context.failedHosts);
     if (!plan) {
         refuse(call, plan.error());
         return;
@@ -201,7 +201,7 @@
         refuse(call, intent.error());
         return;
     }
-    const auto plan = planIntent(*m_context.configuration, *intent);
+    const auto plan = planIntent(*m_context.configuration, *intent, m_context.failedHosts, id);
     if (!plan) {
         refuse(call, plan.error());
         return;
--- a/packages/daemon/src/maintenance_module.cpp
+++ b/packages/daemon/src/maintenance_module.cpp
@@ -1,9 +1,209 @@
 #include "maintenance_module.hpp"
 
+#include <algorithm>
+#include <chrono>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include "shallotproxy/request.hpp"
+
 namespace shallotproxy {
 
-MaintenanceModule::MaintenanceModule(ControlContext &context)
+namespace {
+
+using namespace std::chrono_literals;
+using namespace Qt::StringLiterals;
+
+constexpr auto MaintenanceLog = Log("maintenance");
+constexpr Duration ListInterval = 2s;
+constexpr Duration ForceTime = 5s; // until a version is in force on every member
+
+} // namespace
+
+MaintenanceModule::MaintenanceModule(ControlContext &context, ConfigurationModule &configuration)
     : m_context(context)
+    , m_configuration(configuration)
 { }
 
+auto MaintenanceModule::tick(BootTime now) -> void
+{
+    readHostList(now);
+    if (m_context.isFresh() && !m_isDraining)
+        step(MaintenanceTick());
+}
+
+auto MaintenanceModule::drain() -> void
+{
+    m_isDraining = true;
+}
+
+auto MaintenanceModule::configurationChanged() -> void
+{
+    followHosts();
+    tellDriver();
+}
+
+auto MaintenanceModule::membersChanged() -> void
+{
+    tellDriver();
+}
+
+auto MaintenanceModule::readHostList(BootTime now) -> void
+{
+    const auto &endpoint = m_context.process.settings.platformEndpoint;
+    if (endpoint.empty() || m_isReadingList || now < m_nextList)
+        return;
+    m_isReadingList = true;
+    m_nextList = now + ListInterval;
+    m_context.platform({endpoint, "/hosts", ""}, [this](const PlatformReply &reply) {
+        m_isReadingList = false;
+        if (reply)
+            applyHostList(*reply);
+    });
+}
+
+auto MaintenanceModule::applyHostList(const std::string &json) -> void
+{
+    if (!m_context.configuration)
+        return;
+    auto unavailable = std::set<std::string>();
+    const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(json));
+    const auto list = document.object().value("hosts"_L1).toArray();
+    for (const auto &it : list) {
+        const auto host = it.toObject();
+        if (host.value("state"_L1).toString() != u"live"_s)
+            unavailable.insert(host.value("address"_L1).toString().toStdString());
+    }
+    auto failed = HostSet();
+    for (const auto &[name, host] : m_context.configuration->hosts) {
+        if (unavailable.contains(host.address))
+            failed.insert(name);
+    }
+    if (failed == m_context.failedHosts)
+        return;
+    m_context.failedHosts = std::move(failed);
+    m_context.record("hosts.unavailable", std::to_string(m_context.failedHosts.size()));
+    tellDriver();
+}
+
+auto MaintenanceModule::followHosts() -> void
+{
+    const auto now = BootClock::now();
+    auto outSince = std::map<HostName, BootTime>();
+    for (const auto &[name, host] : m_context.configuration->hosts) {
+        if (m_context.configuration->takesWork(host))
+            continue;
+        const auto it = m_outSince.find(name);
+        outSince[name] = it == m_outSince.end() ? now : it->second;
+    }
+    m_outSince = std::move(outSince);
+}
+
+auto MaintenanceModule::tellDriver() -> void
+{
+    if (!m_context.configuration)
+        return;
+    auto members = std::vector<MemberName>();
+    for (const auto &[name, member] : m_context.members)
+        members.push_back(name);
+    auto changed = MaintenanceChanged{m_context.configuration, m_context.failedHosts, {}};
+    for (const auto &[id, job] : m_context.configuration->maintenance) {
+        if (stewardOf("maintenance/" + id.value(), members) == m_context.process.self.member)
+            changed.driven.insert(id);
+    }
+    step(changed);
+}
+
+auto MaintenanceModule::step(const MaintenanceEvent &event) -> void
+{
+    const auto actions = m_driver.step(event, BootClock::now());
+    for (const auto &action : actions)
+        std::visit([this](const auto &it) { perform(it); }, action);
+}
+
+auto MaintenanceModule::drainTime(const Host &host) const -> Duration
+{
+    if (host.role == HostRole::Worker)
+        return ForceTime;
+    auto deadline = std::uint32_t{0};
+    for (const auto &[name, queue] : m_context.configuration->queues) {
+        if (queue.pool == host.pool)
+            deadline = std::max(deadline, queue.deadlineMilliseconds);
+    }
+    // Past its deadline a request is answered, so none is left on the target.
+    return ForceTime + std::chrono::milliseconds(deadline);
+}
+
+auto MaintenanceModule::perform(const WatchHost &action) -> void
+{
+    const auto &hosts = m_context.configuration->hosts;
+    const auto host = hosts.find(action.host);
+    const auto out = m_outSince.find(action.host);
+    if (host == hosts.end() || out == m_outSince.end()
+        || BootClock::now() < out->second + drainTime(host->second)) {
+        return;
+    }
+    if (host->second.role == HostRole::Worker) {
+        readTasksOf(action, host->second.pool);
+    } else {
+        step(HostEmptied{action.job, action.host});
+    }
+}
+
+// A placement is written before its start is sent, and none can be made from an older version once
+// this one is in force: a read from now on shows every run that the worker may still have.
+auto MaintenanceModule::readTasksOf(const WatchHost &action, const PoolName &pool) -> void
+{
+    auto transaction = StoreTransaction();
+    transaction.onSuccess.emplace_back(StoreRange{m_context.key(taskPrefix(pool)), true});
+    m_context.store(std::move(transaction), [this, action](const StoreReply &reply) {
+        if (!reply)
+            return;
+        const auto isOnHost = [&action](const StoreRecord &it) {
+            const auto record = unpackTask(it.value);
+            return !record || record->host == action.host;
+        };
+        if (std::ranges::none_of(reply->reads.front(), isOnHost))
+            step(HostEmptied{action.job, action.host});
+    });
+}
+
+auto MaintenanceModule::perform(const RebootHost &action) -> void
+{
+    const auto &endpoint = m_context.process.settings.platformEndpoint;
+    const auto host = m_context.configuration->hosts.find(action.host);
+    if (host == m_context.configuration->hosts.end())
+        return;
+    if (endpoint.empty()) {
+        MaintenanceLog.warning("no platform in the settings: {} can't be rebooted",
+                               action.host.value());
+        return;
+    }
+    m_context.record("host.reboot", action.host.value(), {{"intent", action.job.value()}});
+    const auto order = QJsonObject{{u"address"_s, toQString(host->second.address)},
+                                   {u"operation"_s, toQString(action.job.value())}};
+    auto body = QJsonDocument(order).toJson(QJsonDocument::Compact).toStdString();
+    m_context.platform(
+        {endpoint, "/hosts/reboot", std::move(body)}, [this, action](const PlatformReply &reply) {
+            if (!reply)
+                return;
+            const auto answer = QJsonDocument::fromJson(QByteArray::fromStdString(*reply)).object();
+            if (answer.value("state"_L1).toString() == u"done"_s)
+                step(HostRebooted{action.job, action.host});
+        });
+}
+
+auto MaintenanceModule::perform(const GrantWave &action) -> void
+{
+    const auto subject = std::to_string(action.next.version);
+    m_context.record("maintenance.grant", subject);
+    m_configuration.publish(action.next, [this, subject](PublishOutcome outcome) {
+        const auto isApplied = outcome == PublishOutcome::Applied;
+        m_context.record(isApplied ? "maintenance.granted" : "maintenance.not-granted", subject);
+        step(GrantAnswered());
+    });
+}
+
 } // namespace shallotproxy
--- a/packages/version/include/shallotproxy/version.hpp
+++ b/packages/version/include/shallotproxy/version.hpp
@@ -10,4 +10,8 @@
 #include "version/intent/intent.hpp"
 #include "version/intent/intent_json.hpp"
 #include "version/intent/plan.hpp"
+#include "version/maintenance/budget.hpp"
+#include "version/maintenance/job.hpp"
+#include "version/maintenance/maintenance_driver.hpp"
+#include "version/maintenance/waves.hpp"
 #include "version/settings/member_settings.hpp"
--- a/packages/version/include/shallotproxy/version/configuration/configuration.hpp
+++ b/packages/version/include/shallotproxy/version/configuration/configuration.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "../maintenance/job.hpp"
 #include "shallotproxy/process/base/names.hpp"
 
 namespace shallotproxy {
@@ -88,6 +89,7 @@
     std::map<HostName, Host> hosts;
     std::map<TeamName, Team> teams;
     std::map<QueueName, Queue> queues;
+    MaintenanceJobs maintenance;
 
     /// Whether new work may start on the host: it and its data centre are in service.
     [[nodiscard]] auto takesWork(const Host &host) const -> bool;
--- a/packages/version/include/shallotproxy/version/intent/intent.hpp
+++ b/packages/version/include/shallotproxy/version/intent/intent.hpp
@@ -56,8 +56,29 @@
     KeyName key;
 };
 
+/// Reboots hosts in waves that keep every budget: of a pool, of a data centre, or all.
+struct RebootHosts
+{
+    PoolName pool; // empty: any
+    DataCentreName dataCentre; // empty: any
+};
+
+/// Moves hosts of other pools into this one, in waves that keep every budget.
+struct GrowPool
+{
+    PoolName pool;
+    HostRole role = HostRole::Target;
+    std::uint32_t hosts = 0;
+};
+
+/// Ends maintenance under way: hosts that wait stay as they are, hosts that are out go back.
+struct StopMaintenance
+{
+    IntentId intent;
+};
+
 /// What an operator wants. A new kind goes to the end.
 using Intent = std::variant<ApplyDeclarations, SetDataCentreState, SetPoolState, SetHostState,
-                            MoveHost, AddKey, WithdrawKey>;
+                            MoveHost, AddKey, WithdrawKey, RebootHosts, GrowPool, StopMaintenance>;
 
 } // namespace shallotproxy
--- a/packages/version/include/shallotproxy/version/intent/plan.hpp
+++ b/packages/version/include/shallotproxy/version/intent/plan.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "../configuration/configuration.hpp"
+#include "../maintenance/budget.hpp"
 #include "intent.hpp"
 #include "shallotproxy/process/base/error.hpp"
 
@@ -43,9 +44,11 @@
     Configuration result;
 };
 
-/// Plans an intent against a configuration. Errors: unknown subject, nothing to do, a budget that
-/// the intent would break without saying so. O(hosts).
-auto planIntent(const Configuration &current, const Intent &intent) -> Expected<Plan, IntentError>;
+/// Plans an intent against a configuration and the hosts that failed by themselves. `id` is the
+/// plan's; empty for a new one. Errors: unknown subject, nothing to do, a budget that the intent
+/// would break without saying so. O(hosts), with maintenance O(waves * hosts).
+auto planIntent(const Configuration &current, const Intent &intent, const HostSet &failed = {},
+                const IntentId &id = {}) -> Expected<Plan, IntentError>;
 
 /// The differences from one configuration to another, one line each.
 auto describeChanges(const Configuration &from, const Configuration &to)
--- a/packages/version/src/configuration.cpp
+++ b/packages/version/src/configuration.cpp
@@ -25,7 +25,7 @@
     }
 }
 
-constexpr std::uint32_t FieldCount = 6;
+constexpr std::uint32_t FieldCount = 7;
 
 } // namespace
 
@@ -47,6 +47,7 @@
     packer.pack(valuesOf(configuration.hosts));
     packer.pack(valuesOf(configuration.teams));
     packer.pack(valuesOf(configuration.queues));
+    packer.pack(valuesOf(configuration.maintenance));
 
     const auto bytes = std::string_view(buf.data(), buf.size());
     auto parts = std::vector<std::string>();
@@ -73,6 +74,7 @@
         fillMap<Host>(fields[3], configuration.hosts);
         fillMap<Team>(fields[4], configuration.teams);
         fillMap<Queue>(fields[5], configuration.queues);
+        fillMap<MaintenanceJob>(fields[6], configuration.maintenance);
         return configuration;
     } catch (const msgpack::type_error &) {
         return std::nullopt;
--- a/packages/version/src/intent_json.cpp
+++ b/packages/version/src/intent_json.cpp
@@ -68,6 +68,17 @@
     return SetHostState{HostName(name), *state, mayBreakBudget(json)};
 }
 
+auto parseGrow(const QJsonObject &json) -> IntentResult
+{
+    const auto role = textOf(json, "role"_L1);
+    const auto hosts = json.value("hosts"_L1).toInteger();
+    if (hosts < 1 || (role != "target" && role != "worker"))
+        return malformed("hosts must be 1 or more, role target or worker");
+    return GrowPool{PoolName(textOf(json, "name"_L1)),
+                    role == "worker" ? HostRole::Worker : HostRole::Target,
+                    static_cast<std::uint32_t>(hosts)};
+}
+
 auto parseAddKey(const QJsonObject &json) -> IntentResult
 {
     auto key = TeamKey{KeyName(textOf(json, "key"_L1)), textOf(json, "digest"_L1)};
@@ -91,6 +102,14 @@
         return parseState(object, kind);
     if (kind == "move-host")
         return MoveHost{HostName(textOf(object, "name"_L1)), PoolName(textOf(object, "pool"_L1))};
+    if (kind == "reboot") {
+        return RebootHosts{PoolName(textOf(object, "pool"_L1)),
+                           DataCentreName(textOf(object, "dataCentre"_L1))};
+    }
+    if (kind == "grow-pool")
+        return parseGrow(object);
+    if (kind == "stop-maintenance")
+        return StopMaintenance{IntentId(textOf(object, "id"_L1))};
     if (kind == "add-key")
         return parseAddKey(object);
     if (kind == "withdraw-key")
--- /dev/null
+++ b/packages/version/src/maintenance/maintenance_driver.cpp
@@ -0,0 +1,119 @@
+#include "shallotproxy/version/maintenance/maintenance_driver.hpp"
+
+#include <chrono>
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration CallInterval = 1s; // between questions about one host
+constexpr Duration GrantInterval = 500ms; // gathers hosts that finish at about the same time
+
+} // namespace
+
+auto MaintenanceDriver::step(const MaintenanceEvent &event, BootTime now)
+    -> std::vector<MaintenanceAction>
+{
+    m_now = now;
+    m_actions.clear();
+    std::visit([this](const auto &it) { handle(it); }, event);
+    return std::move(m_actions);
+}
+
+auto MaintenanceDriver::handle(const MaintenanceChanged &event) -> void
+{
+    m_state = event;
+    followActive();
+}
+
+/// Keeps steps of hosts that are still out for a job of ours; others begin anew.
+auto MaintenanceDriver::followActive() -> void
+{
+    auto active = std::map<HostKey, ActiveStep>();
+    if (m_state.configuration) {
+        for (const auto &[id, job] : m_state.configuration->maintenance) {
+            if (!m_state.driven.contains(id))
+                continue;
+            for (const auto &it : job.active) {
+                const auto key = HostKey(id, it.host);
+                const auto known = m_active.find(key);
+                active[key] = known == m_active.end() ? ActiveStep() : known->second;
+            }
+        }
+    }
+    m_active = std::move(active);
+}
+
+auto MaintenanceDriver::handle(const HostEmptied &event) -> void
+{
+    const auto it = m_active.find({event.job, event.host});
+    if (it == m_active.end() || it->second.step != Step::Emptying)
+        return;
+    const auto &job = m_state.configuration->maintenance.at(event.job);
+    it->second.step = job.kind == MaintenanceKind::Reboot ? Step::Rebooting : Step::Finished;
+    it->second.nextCall = m_now;
+}
+
+auto MaintenanceDriver::handle(const HostRebooted &event) -> void
+{
+    const auto it = m_active.find({event.job, event.host});
+    if (it != m_active.end() && it->second.step == Step::Rebooting)
+        it->second.step = Step::Finished;
+}
+
+auto MaintenanceDriver::handle(const GrantAnswered & /*event*/) -> void
+{
+    m_isGranting = false;
+    m_nextGrant = m_now + GrantInterval;
+}
+
+auto MaintenanceDriver::handle(const MaintenanceTick & /*event*/) -> void
+{
+    callHosts();
+    grant();
+}
+
+auto MaintenanceDriver::callHosts() -> void
+{
+    for (auto &[key, active] : m_active) {
+        if (active.step == Step::Finished || m_now < active.nextCall)
+            continue;
+        active.nextCall = m_now + CallInterval;
+        if (active.step == Step::Emptying) {
+            m_actions.emplace_back(WatchHost{key.first, key.second});
+        } else {
+            m_actions.emplace_back(RebootHost{key.first, key.second});
+        }
+    }
+}
+
+auto MaintenanceDriver::finished() const -> std::vector<FinishedHosts>
+{
+    auto jobs = std::map<IntentId, FinishedHosts>();
+    for (const auto &[key, active] : m_active) {
+        if (active.step != Step::Finished)
+            continue;
+        auto &job = jobs[key.first];
+        job.job = key.first;
+        job.hosts.insert(key.second);
+    }
+    auto list = std::vector<FinishedHosts>();
+    for (auto &[id, job] : jobs)
+        list.push_back(std::move(job));
+    return list;
+}
+
+auto MaintenanceDriver::grant() -> void
+{
+    if (m_isGranting || m_state.driven.empty() || m_now < m_nextGrant)
+        return;
+    auto next = advanceMaintenance(*m_state.configuration, m_state.failed, finished());
+    if (!next)
+        return;
+    m_isGranting = true;
+    m_actions.emplace_back(GrantWave{std::move(*next)});
+}
+
+} // namespace shallotproxy
--- a/packages/version/src/plan.cpp
+++ b/packages/version/src/plan.cpp
@@ -1,13 +1,18 @@
 #include <algorithm>
+#include <chrono>
 
 #include <fmt/format.h>
 
 #include "shallotproxy/version/intent/plan.hpp"
+#include "shallotproxy/version/maintenance/waves.hpp"
 
 namespace shallotproxy {
 
 namespace {
 
+constexpr auto ForceTime = std::chrono::seconds(5); // until a version is in force everywhere
+constexpr auto RebootTime = std::chrono::seconds(120); // of one host, for forecasts
+
 auto stateName(ServiceState state) -> std::string_view
 {
     switch (state) {
@@ -33,10 +38,13 @@
     using Result = Expected<Configuration, IntentError>;
 
     const Configuration *current;
+    const HostSet *failed;
+    IntentId id; // names maintenance that the intent begins
 
     auto operator()(const ApplyDeclarations &intent) const -> Result
     {
         auto result = intent.wanted;
+        result.maintenance = current->maintenance;
         for (auto &[name, team] : result.teams)
             keepCreatedKeys(name, team);
         for (auto &[name, dataCentre] : result.dataCentres)
@@ -63,7 +71,7 @@
             return unknown(intent.pool.value(), "pool");
         for (auto &[name, host] : result.hosts) {
             if (host.pool == intent.pool)
-                host.state = intent.state;
+                setHostState(result, host, intent.state);
         }
         return result;
     }
@@ -74,7 +82,7 @@
         const auto it = result.hosts.find(intent.host);
         if (it == result.hosts.end())
             return unknown(intent.host.value(), "host");
-        it->second.state = intent.state;
+        setHostState(result, it->second, intent.state);
         return result;
     }
 
@@ -90,6 +98,49 @@
         return result;
     }
 
+    auto operator()(const RebootHosts &intent) const -> Result
+    {
+        if (!intent.pool.isEmpty() && !current->pools.contains(intent.pool))
+            return unknown(intent.pool.value(), "pool");
+        if (!intent.dataCentre.isEmpty() && !current->dataCentres.contains(intent.dataCentre))
+            return unknown(intent.dataCentre.value(), "data centre");
+        auto hosts = std::vector<HostName>();
+        for (const auto &[name, host] : current->hosts) {
+            const auto isWanted = (intent.pool.isEmpty() || host.pool == intent.pool)
+                && (intent.dataCentre.isEmpty() || host.dataCentre == intent.dataCentre);
+            if (isWanted)
+                hosts.push_back(name);
+        }
+        return withJob(MaintenanceKind::Reboot, PoolName(), hosts);
+    }
+
+    auto operator()(const GrowPool &intent) const -> Result
+    {
+        if (!current->pools.contains(intent.pool))
+            return unknown(intent.pool.value(), "pool");
+        const auto hosts = chooseMoves(*current, *failed, intent.pool, intent.role, intent.hosts);
+        if (hosts.size() < intent.hosts) {
+            return tl::unexpected(
+                IntentError{IntentError::Kind::BreaksBudget, intent.pool.value(),
+                            fmt::format("the other pools can spare {} hosts, not {}", hosts.size(),
+                                        intent.hosts)});
+        }
+        return withJob(MaintenanceKind::Move, intent.pool, hosts);
+    }
+
+    auto operator()(const StopMaintenance &intent) const -> Result
+    {
+        auto result = *current;
+        const auto it = result.maintenance.find(intent.intent);
+        if (it == result.maintenance.end())
+            return unknown(intent.intent.value(), "maintenance under way");
+        // Hosts that are out finish their turn; a reboot under way can't be taken back.
+        it->second.waiting.clear();
+        if (it->second.active.empty())
+            result.maintenance.erase(it);
+        return result;
+    }
+
     auto operator()(const AddKey &intent) const -> Result
     {
         auto result = *current;
@@ -114,6 +165,33 @@
     }
 
 private:
+    [[nodiscard]] auto withJob(MaintenanceKind kind, const PoolName &pool,
+                               const std::vector<HostName> &hosts) const -> Result
+    {
+        auto result = *current;
+        auto job = MaintenanceJob();
+        job.name = id;
+        job.kind = kind;
+        job.pool = pool;
+        job.waiting = maintenanceOrder(*current, hosts);
+        if (!job.waiting.empty())
+            result.maintenance.emplace(id, std::move(job));
+        return result;
+    }
+
+    /// A host that maintenance has out gets the state when its turn ends, never in the middle.
+    static auto setHostState(Configuration &result, Host &host, ServiceState state) -> void
+    {
+        for (auto &[name, job] : result.maintenance) {
+            const auto it = std::ranges::find(job.active, host.name, &ActiveHost::host);
+            if (it != job.active.end()) {
+                it->before = state;
+                return;
+            }
+        }
+        host.state = state;
+    }
+
     /// Keys of a team that declarations do not mention stay until they are withdrawn.
     auto keepCreatedKeys(const TeamName &name, Team &team) const -> void
     {
@@ -208,6 +286,23 @@
     return isSame ? "" : "changed";
 }
 
+auto describeJob(const MaintenanceJob &from, const MaintenanceJob &to) -> std::string
+{
+    auto parts = std::vector<std::string>();
+    if (from.waiting.size() != to.waiting.size()) {
+        parts.push_back(
+            fmt::format("{} hosts wait, {} before", to.waiting.size(), from.waiting.size()));
+    }
+    for (const auto &it : to.active) {
+        const auto before = std::ranges::find(from.active, it.host, &ActiveHost::host);
+        if (before != from.active.end() && before->before != it.before) {
+            parts.push_back(fmt::format("host {} goes back to state {}", it.host.value(),
+                                        stateName(it.before)));
+        }
+    }
+    return fmt::format("{}", fmt::join(parts, ", "));
+}
+
 auto describePool(const Pool &from, const Pool &to) -> std::string
 {
     return from.maxUnavailable == to.maxUnavailable
@@ -215,6 +310,106 @@
         : fmt::format("budget {} -> {} hosts", from.maxUnavailable, to.maxUnavailable);
 }
 
+auto describeMargin(const PoolMargin &margin) -> std::string
+{
+    return fmt::format("pool {}: {} of {} hosts unavailable, {} allowed, margin {}",
+                       margin.pool.value(), margin.unavailable, margin.hosts, margin.allowed,
+                       margin.left());
+}
+
+auto mayBreakBudget(const Intent &intent) -> bool
+{
+    return std::visit(
+        [](const auto &it) {
+            if constexpr (requires { it.mayBreakBudget; })
+                return it.mayBreakBudget;
+            return false;
+        },
+        intent);
+}
+
+auto inServicePerCentre(const Configuration &configuration, const HostSet &failed)
+    -> std::map<DataCentreName, std::uint32_t>
+{
+    auto counts = std::map<DataCentreName, std::uint32_t>();
+    for (const auto &[name, host] : configuration.hosts) {
+        auto &count = counts[host.dataCentre];
+        if (!isUnavailable(configuration, host, failed))
+            ++count;
+    }
+    return counts;
+}
+
+/// Adds what the pools and data centres that change have left, and the least margin.
+auto describeCapacity(const Configuration &current, Plan &plan, const HostSet &failed) -> void
+{
+    const auto before = poolMargins(current, failed);
+    const auto after = poolMargins(plan.result, failed);
+    auto isChanged = false;
+    for (const auto &[name, margin] : after) {
+        const auto it = before.find(name);
+        if (it == before.end() || it->second.unavailable == margin.unavailable)
+            continue;
+        isChanged = true;
+        plan.changes.push_back("then " + describeMargin(margin));
+    }
+    const auto centresBefore = inServicePerCentre(current, failed);
+    for (const auto &[name, count] : inServicePerCentre(plan.result, failed)) {
+        const auto it = centresBefore.find(name);
+        if (it != centresBefore.end() && it->second != count) {
+            plan.changes.push_back(fmt::format("then data centre {}: {} hosts in service, was {}",
+                                               name.value(), count, it->second));
+        }
+    }
+    if (isChanged) {
+        plan.changes.push_back("least margin: " + describeMargin(leastMargin(plan.result, failed)));
+    }
+}
+
+auto joinNames(const std::vector<HostName> &hosts) -> std::string
+{
+    auto names = std::vector<std::string>();
+    for (const auto &it : hosts)
+        names.push_back(it.value());
+    return fmt::format("{}", fmt::join(names, ", "));
+}
+
+/// Adds one line a wave, with the pool and the data centre that have least left in it.
+auto describeWaves(Plan &plan, const HostSet &failed) -> void
+{
+    const auto &job = plan.result.maintenance.at(plan.id);
+    const auto forecast = forecastMaintenance(plan.result, failed, plan.id);
+    auto number = 0;
+    for (const auto &wave : forecast.waves) {
+        const auto pool =
+            std::ranges::min_element(wave.pools, [](const auto &left, const auto &right) {
+                return left.second.left() < right.second.left();
+            });
+        const auto centre =
+            std::ranges::min_element(wave.inService, [](const auto &left, const auto &right) {
+                return left.second < right.second;
+            });
+        plan.changes.push_back(fmt::format(
+            "wave {} of {}: {} {}; least: {}; data centre {}: {} hosts in service", ++number,
+            forecast.waves.size(), maintenanceName(job.kind), joinNames(wave.hosts),
+            describeMargin(pool->second), centre->first.value(), centre->second));
+    }
+    // The longest request may take its whole deadline to leave a host.
+    std::uint32_t drainMilliseconds = 0;
+    for (const auto &[name, queue] : plan.result.queues)
+        drainMilliseconds = std::max(drainMilliseconds, queue.deadlineMilliseconds);
+    const auto perWave = std::chrono::milliseconds(drainMilliseconds) + ForceTime
+        + (job.kind == MaintenanceKind::Reboot ? RebootTime : std::chrono::seconds(0));
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+        perWave * static_cast<std::int64_t>(forecast.waves.size()));
+    plan.changes.push_back(fmt::format("about {} s in {} waves, {} hosts; least margin: {}",
+                                       seconds.count(), forecast.waves.size(), job.waiting.size(),
+                                       describeMargin(forecast.least)));
+    if (!forecast.stuck.empty()) {
+        plan.warnings.push_back("no margin now, will wait for it: " + joinNames(forecast.stuck));
+    }
+}
+
 } // namespace
 
 auto IntentError::name() const -> std::string_view
@@ -258,16 +453,18 @@
     describeMap(from.hosts, to.hosts, "host", describeHost, lines);
     describeMap(from.teams, to.teams, "team", describeTeam, lines);
     describeMap(from.queues, to.queues, "queue", describeQueue, lines);
+    describeMap(from.maintenance, to.maintenance, "maintenance", describeJob, lines);
     return lines;
 }
 
-auto planIntent(const Configuration &current, const Intent &intent) -> Expected<Plan, IntentError>
+auto planIntent(const Configuration &current, const Intent &intent, const HostSet &failed,
+                const IntentId &id) -> Expected<Plan, IntentError>
 {
-    auto changed = std::visit(IntentChange{&current}, intent);
+    auto plan = Plan();
+    plan.id = id.isEmpty() ? IntentId(randomHex(8)) : id;
+    auto changed = std::visit(IntentChange{&current, &failed, plan.id}, intent);
     if (!changed)
         return tl::unexpected(changed.error());
-    auto plan = Plan();
-    plan.id = IntentId(randomHex(8));
     plan.baseVersion = current.version;
     plan.changes = describeChanges(current, *changed);
     plan.result = std::move(*changed);
@@ -276,6 +473,17 @@
         return tl::unexpected(IntentError{IntentError::Kind::NothingToDo, "configuration",
                                           "the intent changes nothing"});
     }
+    const auto broken = brokenBudgets(current, plan.result, failed);
+    for (const auto &it : broken)
+        plan.warnings.push_back("breaks the budget of " + describeMargin(it));
+    if (!broken.empty() && !mayBreakBudget(intent)) {
+        return tl::unexpected(IntentError{IntentError::Kind::BreaksBudget,
+                                          broken.front().pool.value(),
+                                          describeMargin(broken.front())});
+    }
+    describeCapacity(current, plan, failed);
+    if (plan.result.maintenance.contains(plan.id))
+        describeWaves(plan, failed);
     return plan;
 }
 
--- /dev/null
+++ b/tests/unit/unit-waves.cpp
@@ -0,0 +1,333 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "shallotproxy/version.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto HostsPerPool = 7;
+constexpr auto TickStep = 500ms;
+
+auto hostName(int pool, int number) -> HostName
+{
+    return HostName("host-" + std::to_string(pool) + "-" + std::to_string(number));
+}
+
+auto poolName(int number) -> PoolName
+{
+    return PoolName("pool-" + std::to_string(number));
+}
+
+auto fleet() -> Configuration
+{
+    auto configuration = Configuration();
+    configuration.version = 1;
+    for (auto i = 0; i < 3; ++i) {
+        const auto name = DataCentreName("centre-" + std::to_string(i));
+        configuration.dataCentres.emplace(name, DataCentre{name, ServiceState::In});
+        configuration.pools.emplace(poolName(i),
+                                    Pool{poolName(i), static_cast<std::uint32_t>(1 + i % 2)});
+        for (auto n = 0; n < HostsPerPool; ++n) {
+            auto host = Host();
+            host.name = hostName(i, n);
+            host.dataCentre = DataCentreName("centre-" + std::to_string(n % 3));
+            host.pool = poolName(i);
+            configuration.hosts.emplace(host.name, host);
+        }
+    }
+    return configuration;
+}
+
+/// What happens between two steps.
+struct Fault
+{
+    enum class Kind {
+        None,
+        DriverDies, // and another begins with nothing
+        SecondDriver, // two members both drive, the older one with its old view
+        GrantLost,
+        CallsLost,
+        HostFails,
+        HostRecovers,
+        OperatorDrains, // races with the driver
+        OperatorRestores,
+        CentreOut, // by an operator who allows it to break budgets
+        CentreIn,
+    };
+
+    Kind kind = Kind::None;
+    int pool = 0;
+    int host = 0;
+};
+
+auto showValue(const Fault &fault, std::ostream &stream) -> void
+{
+    stream << static_cast<int>(fault.kind) << '/' << fault.pool << '/' << fault.host;
+}
+
+auto faultGen() -> rc::Gen<Fault>
+{
+    const auto kind = rc::gen::weightedElement<int>(
+        {{10, 0}, {2, 1}, {2, 2}, {2, 3}, {2, 4}, {1, 5}, {2, 6}, {1, 7}, {2, 8}, {1, 9}, {2, 10}});
+    return rc::gen::map(
+        rc::gen::tuple(kind, rc::gen::inRange(0, 3), rc::gen::inRange(0, HostsPerPool)),
+        [](const std::tuple<int, int, int> &it) {
+            return Fault{static_cast<Fault::Kind>(std::get<0>(it)), std::get<1>(it),
+                         std::get<2>(it)};
+        });
+}
+
+/// One configuration with compare-and-swap on its version, drivers, and a platform that reboots.
+class Scene
+{
+public:
+    explicit Scene(const std::vector<Intent> &intents)
+    {
+        m_held = std::make_shared<const Configuration>(fleet());
+        for (const auto &it : intents)
+            confirm(it);
+        m_driver = std::make_unique<MaintenanceDriver>();
+        m_seen = m_held;
+    }
+
+    auto run(const Fault &fault) -> void
+    {
+        m_fault = fault.kind;
+        inject(fault);
+        m_now += TickStep;
+        if (m_second) {
+            // Its view is older: whatever it grants must lose.
+            drive(*m_second, m_secondSeen);
+            m_second.reset();
+        }
+        m_seen = m_held;
+        drive(*m_driver, m_seen);
+    }
+
+    [[nodiscard]] auto isDone() const -> bool { return m_held->maintenance.empty(); }
+    [[nodiscard]] auto held() const -> const Configuration & { return *m_held; }
+
+    std::map<HostName, int> reboots;
+    bool isBudgetBroken = false;
+    bool isEveryHostInOnePool = true;
+
+private:
+    auto confirm(const Intent &intent) -> void
+    {
+        const auto id = IntentId("job-" + std::to_string(++m_lastIntent));
+        auto plan = planIntent(*m_held, intent, m_failed, id);
+        if (plan)
+            publish(std::move(plan->result), false);
+    }
+
+    /// The one compare-and-swap.
+    auto publish(Configuration next, bool mayBreak) -> bool
+    {
+        if (next.version != m_held->version + 1)
+            return false;
+        if (!mayBreak && !brokenBudgets(*m_held, next, m_failed).empty())
+            isBudgetBroken = true;
+        isEveryHostInOnePool = isEveryHostInOnePool && next.hosts.size() == m_held->hosts.size();
+        for (const auto &[name, host] : next.hosts)
+            isEveryHostInOnePool = isEveryHostInOnePool && next.pools.contains(host.pool);
+        m_held = std::make_shared<const Configuration>(std::move(next));
+        return true;
+    }
+
+    auto inject(const Fault &fault) -> void
+    {
+        const auto host = hostName(fault.pool, fault.host);
+        const auto centre = DataCentreName("centre-" + std::to_string(fault.pool));
+        switch (fault.kind) {
+        case Fault::Kind::DriverDies:
+            m_driver = std::make_unique<MaintenanceDriver>();
+            break;
+        case Fault::Kind::SecondDriver:
+            m_second = std::make_unique<MaintenanceDriver>();
+            m_secondSeen = m_seen;
+            break;
+        case Fault::Kind::HostFails:
+            m_failed.insert(host);
+            break;
+        case Fault::Kind::HostRecovers:
+            m_failed.clear();
+            break;
+        case Fault::Kind::OperatorDrains:
+            confirm(SetHostState{host, ServiceState::Out, false});
+            break;
+        case Fault::Kind::OperatorRestores:
+            restore();
+            break;
+        case Fault::Kind::CentreOut:
+            setCentre(centre, ServiceState::Out);
+            break;
+        case Fault::Kind::CentreIn:
+            setCentre(centre, ServiceState::In);
+            break;
+        default:
+            break;
+        }
+    }
+
+    auto restore() -> void
+    {
+        for (const auto &[name, host] : Configuration(*m_held).hosts) {
+            if (host.state != ServiceState::In)
+                confirm(SetHostState{name, ServiceState::In, false});
+        }
+    }
+
+    auto setCentre(const DataCentreName &centre, ServiceState state) -> void
+    {
+        auto plan = planIntent(*m_held, SetDataCentreState{centre, state, true}, m_failed);
+        if (plan)
+            publish(std::move(plan->result), true);
+    }
+
+    auto drive(MaintenanceDriver &driver, const ConfigurationPointer &seen) -> void
+    {
+        auto changed = MaintenanceChanged{seen, m_failed, {}};
+        for (const auto &[id, job] : seen->maintenance)
+            changed.driven.insert(id);
+        step(driver, changed);
+        step(driver, MaintenanceTick());
+    }
+
+    auto step(MaintenanceDriver &driver, const MaintenanceEvent &event) -> void
+    {
+        for (const auto &it : driver.step(event, m_now))
+            perform(driver, it);
+    }
+
+    auto perform(MaintenanceDriver &driver, const MaintenanceAction &action) -> void
+    {
+        if (const auto *grant = std::get_if<GrantWave>(&action)) {
+            if (m_fault != Fault::Kind::GrantLost)
+                publish(grant->next, false);
+            // When the answer is lost, the caller's deadline passes: it learns no more than this.
+            step(driver, GrantAnswered());
+            return;
+        }
+        if (const auto *watch = std::get_if<WatchHost>(&action)) {
+            if (m_fault != Fault::Kind::CallsLost)
+                step(driver, HostEmptied{watch->job, watch->host});
+            return;
+        }
+        if (const auto *reboot = std::get_if<RebootHost>(&action)) {
+            // The platform knows the operation: its repeat does nothing.
+            if (m_operations[reboot->host].insert(reboot->job).second)
+                ++reboots[reboot->host];
+            if (m_fault != Fault::Kind::CallsLost)
+                step(driver, HostRebooted{reboot->job, reboot->host});
+        }
+    }
+
+    BootTime m_now = BootTime(1h);
+    Fault::Kind m_fault = Fault::Kind::None;
+    int m_lastIntent = 0;
+    HostSet m_failed;
+    ConfigurationPointer m_held;
+    ConfigurationPointer m_seen;
+    ConfigurationPointer m_secondSeen;
+    std::unique_ptr<MaintenanceDriver> m_driver;
+    std::unique_ptr<MaintenanceDriver> m_second;
+    std::map<HostName, std::set<IntentId>> m_operations;
+};
+
+auto finish(Scene &scene) -> void
+{
+    scene.run({Fault::Kind::HostRecovers, 0, 0});
+    scene.run({Fault::Kind::OperatorRestores, 0, 0});
+    for (auto i = 0; i < 3; ++i)
+        scene.run({Fault::Kind::CentreIn, i, 0});
+    for (auto i = 0; i < 400 && !scene.isDone(); ++i)
+        scene.run({Fault::Kind::OperatorRestores, 0, 0});
+    scene.run({Fault::Kind::OperatorRestores, 0, 0});
+}
+
+RC_GTEST_PROP(Waves, KeepEveryBudgetAndRebootEveryHostOnceWhateverFails, ())
+{
+    const auto faults = *rc::gen::container<std::vector<Fault>>(faultGen());
+    auto scene = Scene({RebootHosts{}});
+    for (const auto &it : faults) {
+        scene.run(it);
+        RC_ASSERT(!scene.isBudgetBroken);
+        RC_ASSERT(scene.isEveryHostInOnePool);
+    }
+    finish(scene);
+    RC_ASSERT(!scene.isBudgetBroken);
+    RC_ASSERT(scene.isDone());
+    RC_ASSERT(scene.reboots.size() == static_cast<std::size_t>(3 * HostsPerPool));
+    for (const auto &[host, n] : scene.reboots)
+        RC_ASSERT(n == 1);
+    for (const auto &[name, host] : scene.held().hosts)
+        RC_ASSERT(host.state == ServiceState::In);
+}
+
+RC_GTEST_PROP(Waves, KeepEveryBudgetWhenTwoIntentsRace, ())
+{
+    const auto faults = *rc::gen::container<std::vector<Fault>>(faultGen());
+    auto scene = Scene({RebootHosts{poolName(0), {}}, GrowPool{poolName(2), HostRole::Target, 2},
+                        RebootHosts{{}, DataCentreName("centre-1")}});
+    for (const auto &it : faults) {
+        scene.run(it);
+        RC_ASSERT(!scene.isBudgetBroken);
+        RC_ASSERT(scene.isEveryHostInOnePool);
+    }
+    finish(scene);
+    RC_ASSERT(scene.isDone());
+    RC_ASSERT(!scene.isBudgetBroken);
+    const auto margins = poolMargins(scene.held(), {});
+    RC_ASSERT(margins.at(poolName(2)).hosts == static_cast<std::uint32_t>(HostsPerPool + 2));
+}
+
+TEST(Waves, TakeAsManyWavesAsTheBudgetsAllow)
+{
+    const auto plan = planIntent(fleet(), RebootHosts{}, {}, IntentId("a"));
+    ASSERT_TRUE(plan.has_value());
+    const auto forecast = forecastMaintenance(plan->result, {}, IntentId("a"));
+    // Pools with one host out at a time take a wave a host.
+    EXPECT_EQ(forecast.waves.size(), static_cast<std::size_t>(HostsPerPool));
+    EXPECT_EQ(forecast.least.left(), 0);
+    EXPECT_TRUE(forecast.stuck.empty());
+}
+
+TEST(Waves, WaitForAPoolWhoseHostsFailedByThemselves)
+{
+    const auto plan = planIntent(fleet(), RebootHosts{poolName(0), {}}, {}, IntentId("a"));
+    ASSERT_TRUE(plan.has_value());
+    const auto failed = HostSet{hostName(0, 3)};
+    // The failed host costs nothing, so it goes; no other may.
+    const auto next = advanceMaintenance(plan->result, failed, {});
+    ASSERT_TRUE(next.has_value());
+    const auto &active = next->maintenance.at(IntentId("a")).active;
+    ASSERT_EQ(active.size(), 1U);
+    EXPECT_EQ(active.front().host, hostName(0, 3));
+}
+
+TEST(Waves, PutAHostBackToTheStateThatAnOperatorGaveIt)
+{
+    auto current = fleet();
+    current.hosts.at(hostName(0, 0)).state = ServiceState::Out;
+    auto plan = planIntent(current, RebootHosts{poolName(0), {}}, {}, IntentId("a"));
+    ASSERT_TRUE(plan.has_value());
+    const auto out = advanceMaintenance(plan->result, {}, {});
+    ASSERT_TRUE(out.has_value());
+    const auto back =
+        advanceMaintenance(*out, {}, {FinishedHosts{IntentId("a"), {hostName(0, 0)}}});
+    ASSERT_TRUE(back.has_value());
+    EXPECT_TRUE(back->hosts.at(hostName(0, 0)).state == ServiceState::Out);
+}
+
+} // namespace
+
+} // namespace shallotproxy
