--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -32,10 +32,14 @@
     MemberDirectory members; // registered members, this one included
     ConfigurationPointer configuration; // null until the first one is read
     BootTime freshUntil;
+    HostSet failedHosts; // that the platform's lagging list doesn't call live
     std::vector<PoolTeamLoad> loads; // of this member
 
     /// Sends a call to the platform's service; `callback` runs on the control thread.
     auto store(StoreCall call, StoreCallback callback) -> void;
+    using PlatformCallback = std::function<void(PlatformReply)>;
+    /// Sends a call to a worker or the platform's host list; `callback` runs on the control thread.
+    auto platform(PlatformCall call, PlatformCallback callback) -> void;
     /// Key below this deployment's prefix.
     [[nodiscard]] auto key(std::string_view suffix) const -> std::string;
     auto send(const MemberName &to, PeerMessage message) -> void;
@@ -52,6 +56,7 @@
     [[nodiscard]] auto version() const -> ConfigurationVersion;
     [[nodiscard]] auto isFresh() const -> bool;
     auto handle(StoreResult result) -> void;
+    auto handle(PlatformResult result) -> void;
 
 private:
     Links &m_links;
@@ -59,6 +64,7 @@
     std::uint64_t m_causeSequence = 0;
     std::uint64_t m_lastOrder = 0;
     std::map<std::uint64_t, StoreCallback> m_orders;
+    std::map<std::uint64_t, PlatformCallback> m_platformOrders;
 };
 
 } // namespace shallotproxy
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -19,6 +19,7 @@
 {
     int members = 3;
     int targets = 4;
+    int workers = 0;
     /// Declarations; empty for one pool `main` on two data centres `north` and `south` with queues
     /// `orders`, `quotes` (idempotent) and `open`, and the teams `red` and `blue`.
     std::string declarations;
@@ -70,6 +71,11 @@
 
     /// Most requests of a team that ran at once, by the callers' header `Team`.
     auto targetMostRunning(const std::string &team) -> std::int64_t;
+    /// Sets a fault of the workers or the host list; see standins/worker_platform.cpp.
+    auto workerFault(const std::string &json) -> void;
+    /// A count of the workers, as `starts`, `doubleStarts` or `reboots`.
+    auto workerCount(const std::string &name) -> std::int64_t;
+    [[nodiscard]] auto workerAddress(int worker) const -> std::string;
 
     /// Sends one request to a member's callers' face and waits for the whole answer.
     auto request(int member, const HttpRequest &request, int timeoutMilliseconds = 10'000)
@@ -109,8 +115,11 @@
     quint16 m_storePort = 0;
     quint16 m_controlPort = 0;
     quint16 m_firstTargetPort = 0;
+    quint16 m_platformPort = 0;
+    quint16 m_firstWorkerPort = 0;
     std::unique_ptr<QProcess> m_store;
     std::unique_ptr<QProcess> m_targets;
+    std::unique_ptr<QProcess> m_workers;
     std::vector<Member> m_members;
 };
 
--- a/tests/unit/unit-fleet-report.cpp
+++ b/tests/unit/unit-fleet-report.cpp
@@ -72,7 +72,7 @@
                       "address: '127.0.0.1:1', slots: 1, connections: 4}\n"
                       "  - {name: b, dataCentre: south, rack: r, pool: main, "
                       "address: '127.0.0.1:2', slots: 1, connections: 4}\n"
-                      "teams: [{name: red, share: 1, limit: 9}, {name: blue, share: 1, limit: 9}]\n"
+                      "teams: [{name: red, share: 1, limit: 2}, {name: blue, share: 1, limit: 2}]\n"
                       "queues: [{name: orders, pool: main}]\n";
     const auto files = std::vector<shallotproxy::DeclarationFile>{{"small.yaml", text}};
     return shallotproxy::readDeclarations(files).value();
