--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <QCoreApplication>
+#include <QDir>
 #include <QTemporaryFile>
 #include <QTimer>
 
@@ -227,7 +228,7 @@
 {
     constexpr auto Targets = 4;
     auto fleet = Fleet({size.members, Targets, {}, false});
-    auto file = QTemporaryFile(u"XXXXXX.yaml"_s);
+    auto file = QTemporaryFile(QDir::tempPath() + u"/shallotproxy-XXXXXX.yaml"_s);
     if (!file.open())
         return std::nullopt;
     file.write(QByteArray::fromStdString(declarations(size, fleet, Targets)));
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -486,6 +486,7 @@
     m_process.timeline.record("request.end", open.id, version(),
                               {{"outcome", std::string(outcome)},
                                {"team", open.team.value()},
+                               {"replayed", std::string(response.header("Shallotproxy-Replayed"))},
                                {"status", fmt::format("{}", response.status)}});
     m_process.metrics.count("shallotproxy_requests_total",
                             fmt::format(R"(team="{}",outcome="{}")", open.team.value(), outcome));
--- a/tests/process/process-faults.cpp
+++ b/tests/process/process-faults.cpp
@@ -228,6 +228,7 @@
     auto rules = TimelineRules();
     rules.limits = {{"red", 16}, {"blue", 8}};
     rules.deadlines = {{"orders", 8s}, {"quotes", 8s}, {"open", 8s}};
+    rules.idempotentQueues = {"quotes"};
     return rules;
 }
 
