--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned Unavailable = 503;
 constexpr unsigned FirstServerError = 500;
 constexpr Duration SilentTime = 2s; // without an answer, then the target is probed
+constexpr auto ProbeInterval = 1s; // of a target that didn't answer the last probe
 constexpr std::size_t MaxOpenBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t MaxReplayBytes = std::size_t{64} * 1024; // longest answer kept for repeats
 
@@ -357,6 +358,7 @@
         if (!isAlive) {
             FrontLog.warning("target {} answers no new connection", name.value());
             m_process.timeline.record("target.silent", name.value(), version());
+            QTimer::singleShot(ProbeInterval, this, [this, name] { probe(name); });
         }
         dispatch(TargetProbed{name, isAlive});
     });
@@ -433,6 +435,7 @@
                               version(),
                               {{"host", open.host.value()}, {"error", std::string(ec.name())}});
     if (ec.isNotRun()) {
+        probe(open.host);
         dispatch(RequestNotSent{number});
         return;
     }
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -153,8 +153,12 @@
 
 auto Dispatcher::handle(const TargetProbed &event) -> void
 {
-    if (!event.isAlive)
-        eject(m_targets[event.host]);
+    if (event.isAlive)
+        return;
+    // It stays out for as long as it is found dead again and again.
+    auto &target = m_targets[event.host];
+    target.faults = std::max(target.faults, FaultsToEject);
+    target.ejectedUntil = std::max(target.ejectedUntil, m_now + EjectionTime);
 }
 
 auto Dispatcher::handle(const ConfigurationChanged &event) -> void
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] auto callersEndpoint(int member) const -> std::string;
     [[nodiscard]] auto operatorsEndpoint(int member) const -> std::string;
     [[nodiscard]] auto peersEndpoint(int member) const -> std::string;
+    /// Port of the first target; the others follow it.
+    [[nodiscard]] auto firstTargetPort() const -> int { return m_firstTargetPort; }
     [[nodiscard]] auto storeEndpoint() const -> std::string;
     /// Time-line events that all members, dead ones too, have written, one line of JSON each.
     [[nodiscard]] auto journal() const -> std::vector<std::string>;
