--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -199,7 +199,9 @@
     open.arrival = RequestArrived{number, queue.name, open.team, open.deadline, admitted.owner.key};
     open.responder.onClientGone([this, number] { callerGone(number); });
     m_process.timeline.record("request.arrive", open.id, version(),
-                              {{"queue", queue.name.value()}, {"team", open.team.value()}});
+                              {{"queue", queue.name.value()},
+                               {"team", open.team.value()},
+                               {"idempotent", queue.isIdempotent ? "true" : "false"}});
     m_openBytes += open.forwarded.body.size();
     const auto arrival = open.arrival;
     m_open.emplace(number, std::move(open));
@@ -235,6 +237,8 @@
         return;
     }
     auto &open = it->second;
+    m_process.timeline.record("request.claim", open.id, version(),
+                              {{"verdict", std::string(verdict.name())}});
     switch (verdict.kind) {
     case ClaimVerdict::Kind::Granted: {
         open.phase = Phase::Waiting;
@@ -379,6 +383,8 @@
     open.host = action.host;
     open.triedAt = now;
     m_tries.emplace_back(now, action.number);
+    if (open.error)
+        m_process.metrics.count("shallotproxy_retries_total");
     const auto &host = m_configuration->hosts.at(action.host);
     m_process.timeline.record("request.start", open.id, version(),
                               {{"host", host.name.value()},
--- a/packages/request/include/shallotproxy/request/claim/claim_table.hpp
+++ b/packages/request/include/shallotproxy/request/claim/claim_table.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <variant>
@@ -129,6 +130,8 @@
     RequestNumber number = 0;
     Kind kind = Kind::Unavailable;
     HttpResponse response;
+
+    [[nodiscard]] auto name() const -> std::string_view;
 };
 
 struct AskClaimOwner
--- a/packages/request/src/claim_table.cpp
+++ b/packages/request/src/claim_table.cpp
@@ -53,6 +53,23 @@
 
 } // namespace
 
+auto ClaimVerdict::name() const -> std::string_view
+{
+    switch (kind) {
+    case Kind::Granted:
+        return "granted";
+    case Kind::Unavailable:
+        return "unavailable";
+    case Kind::KeyReused:
+        return "key-reused";
+    case Kind::AlreadyStarted:
+        return "already-started";
+    case Kind::Replay:
+        break;
+    }
+    return "replay";
+}
+
 auto ClaimTable::step(const ClaimEvent &event, BootTime now) -> std::vector<ClaimAction>
 {
     m_now = now;
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -303,6 +303,11 @@
     return local(m_members[static_cast<std::size_t>(member)].peers);
 }
 
+auto Fleet::memberProcess(int member) const -> qint64
+{
+    return m_members[static_cast<std::size_t>(member)].process->processId();
+}
+
 auto Fleet::storeEndpoint() const -> std::string
 {
     return local(m_storePort);
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -72,6 +72,7 @@
     [[nodiscard]] auto callersEndpoint(int member) const -> std::string;
     [[nodiscard]] auto operatorsEndpoint(int member) const -> std::string;
     [[nodiscard]] auto peersEndpoint(int member) const -> std::string;
+    [[nodiscard]] auto memberProcess(int member) const -> qint64;
     /// Port of the first target; the others follow it.
     [[nodiscard]] auto firstTargetPort() const -> int { return m_firstTargetPort; }
     [[nodiscard]] auto storeEndpoint() const -> std::string;
--- a/tests/process/process-requests.cpp
+++ b/tests/process/process-requests.cpp
@@ -1,5 +1,11 @@
-#include <QElapsedTimer>
-#include <QEventLoop>
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <random>
+
+#include <QHostAddress>
+#include <QTcpSocket>
 #include <QTimer>
 
 #include <fmt/format.h>
@@ -234,6 +240,100 @@
     }
 }
 
+TEST(ProcessRequests, ClaimsStayWithinTheStoresBudgetUnderLoad)
+{
+    constexpr auto Members = 3;
+    constexpr auto Callers = 24;
+    constexpr auto Milliseconds = 4'000;
+    auto fleet = Fleet({Members, 4, {}});
+    const auto key = fleet.createKey("red");
+    const auto calls = [&fleet] {
+        const auto reply = sendOnce(fleet.storeEndpoint(), {"GET", "/calls", {}, ""}, 2'000);
+        return reply ? std::stoll(reply->body) : -1;
+    };
+    auto answered = 0;
+    auto open = 0;
+    auto last = 0;
+    auto isStopping = false;
+    auto owner = QObject();
+    std::function<void(int)> send = [&](int caller) {
+        if (isStopping)
+            return;
+        auto connection = std::make_shared<TargetConnection>(
+            fleet.callersEndpoint(caller % Members), HttpBounds());
+        ++open;
+        connection->send(keyedRequest("orders", key, fmt::format("load-{}", ++last)), 10'000,
+                         [&, caller, connection](const TargetReply &reply) {
+                             answered += outcomeOf(reply) == "answered" ? 1 : 0;
+                             --open;
+                             QTimer::singleShot(0, &owner,
+                                                [&send, caller, connection] { send(caller); });
+                         });
+    };
+    const auto before = calls();
+    for (auto i = 0; i < Callers; ++i)
+        send(i);
+    waitUntil([] { return false; }, Milliseconds);
+    const auto perSecond = (calls() - before) * 1'000 / Milliseconds;
+    isStopping = true;
+    EXPECT_TRUE(waitUntil([&open] { return open == 0; }, 10'000));
+    RecordProperty("answered", answered);
+    RecordProperty("storeCallsPerSecond", static_cast<int>(perSecond));
+    std::cout << answered << " answered with a claim each, " << perSecond << " store calls/s\n";
+    EXPECT_GT(answered, 200);
+    EXPECT_LE(perSecond, 200);
+    EXPECT_EQ(fleet.targetCount("runs"), answered);
+}
+
+/// Resident memory of a process in KiB.
+auto residentKiB(qint64 process) -> long
+{
+    auto file = std::ifstream(fmt::format("/proc/{}/status", process));
+    auto line = std::string();
+    while (std::getline(file, line)) {
+        if (line.starts_with("VmRSS:"))
+            return std::stol(line.substr(6));
+    }
+    return -1;
+}
+
+TEST(ProcessRequests, StrangersBytesLeaveEveryPortServingAndMemoryBounded)
+{
+    auto fleet = Fleet({1, 2, {}});
+    const auto key = fleet.createKey("red");
+    const auto before = residentKiB(fleet.memberProcess(0));
+    auto sockets = std::vector<std::unique_ptr<QTcpSocket>>();
+    const auto write = [&sockets](const std::string &endpoint, const QByteArray &bytes) {
+        const auto port = QString::fromStdString(endpoint.substr(endpoint.rfind(':') + 1));
+        sockets.push_back(std::make_unique<QTcpSocket>());
+        sockets.back()->connectToHost(QHostAddress(QHostAddress::LocalHost), port.toUShort());
+        sockets.back()->write(bytes);
+    };
+    const auto big = "POST /intents HTTP/1.1\r\nHost: x\r\nContent-Length: 15000000\r\n\r\n"
+        + QByteArray(4'000'000, 'a');
+    auto random = std::mt19937(7);
+    for (auto i = 0; i < 12; ++i) {
+        write(fleet.operatorsEndpoint(0), big);
+        write(fleet.callersEndpoint(0), big);
+        auto noise = QByteArray(2'000, '\0');
+        std::ranges::generate(noise, [&random] { return static_cast<char>(random()); });
+        for (const auto &endpoint :
+             {fleet.operatorsEndpoint(0), fleet.callersEndpoint(0), fleet.peersEndpoint(0)}) {
+            write(endpoint, noise);
+            write(endpoint, "GET / HTTP/1.1\r\n" + noise);
+        }
+        const auto body = fmt::format("pane {}", i);
+        const auto reply = fleet.request(0, Fleet::queueRequest("orders", key, 1, body));
+        ASSERT_TRUE(reply.has_value());
+        EXPECT_EQ(reply->body, body);
+    }
+    EXPECT_TRUE(fleet.waitForVersion(2));
+    const auto grown = residentKiB(fleet.memberProcess(0)) - before;
+    RecordProperty("grownKiB", static_cast<int>(grown));
+    // 96 MB were offered without a key.
+    EXPECT_LT(grown, 16 * 1024);
+}
+
 TEST(ProcessRequests, AnotherTeamsPathsAreNotFoundAndStrangersLearnNothing)
 {
     auto fleet = Fleet({1, 2, {}});
