--- a/examples/run-demo.sh
+++ b/examples/run-demo.sh
@@ -36,6 +36,9 @@
 start store "$bin/standin_store" --listen "127.0.0.1:$((base + 300))"
 start targets "$bin/standin_targets" --first-port "$targets" --count "$target_count" \
     --control "127.0.0.1:$((base + 301))"
+worker_count=$(grep -c 'role: worker' "$folder/declarations/30-hosts.yaml")
+start workers "$bin/standin_workers" --first-port "$workers" --count "$worker_count" \
+    --platform "127.0.0.1:$((base + 302))"
 members=""
 for i in 1 2 3 4 5 6 7 8; do
     start "entry-$i" "$bin/shallotproxyd" --settings "$folder/members/entry-$i.yaml"
--- /dev/null
+++ b/tests/process/process-maintenance.cpp
@@ -0,0 +1,93 @@
+#include <algorithm>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <gtest/gtest.h>
+
+#include "fleet.hpp"
+#include "shallotproxy/request.hpp"
+
+namespace shallotproxy::test {
+
+namespace {
+
+using namespace Qt::StringLiterals;
+
+/// One pool of workers that run nothing; the platform reboots any address.
+auto declarations(int hosts, int budget) -> std::string
+{
+    auto text = fmt::format("dataCentres: [{{name: north}}, {{name: south}}]\n"
+                            "pools: [{{name: spare, maxUnavailable: {}}}]\nhosts:\n",
+                            budget);
+    for (auto i = 0; i < hosts; ++i) {
+        text += fmt::format("  - {{name: spare-{}, dataCentre: {}, rack: r, pool: spare, "
+                            "role: worker, address: '127.0.0.1:{}', cores: 4, memory: 1 GiB, "
+                            "accelerators: 0}}\n",
+                            i, i % 2 == 0 ? "north" : "south", i + 1);
+    }
+    return text;
+}
+
+auto jsonOf(const CommandResult &result) -> QJsonObject
+{
+    return QJsonDocument::fromJson(QByteArray::fromStdString(result.output)).object();
+}
+
+/// Plans and confirms the reboot of all hosts; returns the intent's id.
+auto reboot(Fleet &fleet) -> std::string
+{
+    const auto plan =
+        fleet.ctl({u"--output"_s, u"json"_s, u"intent"_s, u"plan"_s, uR"({"kind":"reboot"})"_s});
+    const auto id = jsonOf(plan).value("id"_L1).toString();
+    EXPECT_EQ(fleet.ctl({u"intent"_s, u"confirm"_s, id}).exitCode, 0);
+    return id.toStdString();
+}
+
+auto waitForReboots(Fleet &fleet, int count) -> bool
+{
+    constexpr auto TimeoutMilliseconds = 30'000;
+    return waitUntil([&] { return fleet.workerCount("reboots") == count; }, TimeoutMilliseconds);
+}
+
+TEST(ProcessMaintenance, RebootsAPoolInWavesThatItsBudgetAllows)
+{
+    auto fleet = Fleet({3, 1, 0, declarations(4, 2)});
+    fleet.workerFault(R"({"rebootMilliseconds":300})");
+    const auto started = BootClock::now();
+    reboot(fleet);
+    EXPECT_TRUE(waitForReboots(fleet, 4));
+    // Two waves, each of which waits until its version is in force everywhere.
+    EXPECT_GE(BootClock::now() - started, std::chrono::seconds(10));
+    EXPECT_TRUE(fleet.waitForVersion(5)); // declared, confirmed, wave, wave, all back
+    EXPECT_EQ(fleet.workerCount("reboots"), 4);
+}
+
+TEST(ProcessMaintenance, GoesOnWhenTheMemberThatDrivesItDies)
+{
+    auto fleet = Fleet({3, 1, 0, declarations(2, 2)});
+    const auto id = reboot(fleet);
+    const auto members =
+        std::vector{MemberName("entry-0"), MemberName("entry-1"), MemberName("entry-2")};
+    EXPECT_TRUE(fleet.waitForVersion(3)); // the wave is granted
+    fleet.killMember(stewardOf("maintenance/" + id, members).value().back() - '0');
+    EXPECT_TRUE(waitForReboots(fleet, 2));
+    EXPECT_TRUE(fleet.waitForVersion(4)); // all back
+    EXPECT_EQ(fleet.workerCount("reboots"), 2);
+}
+
+TEST(ProcessMaintenance, RefusesADrainThatBreaksABudgetAndNamesThePool)
+{
+    auto fleet = Fleet({3, 1, 0, declarations(4, 1)});
+    const auto refused = fleet.ctl({u"--yes"_s, u"data-centre"_s, u"out"_s, u"north"_s});
+    EXPECT_NE(refused.exitCode, 0);
+    EXPECT_NE(refused.errors.find("breaks-budget (603): spare"), std::string::npos);
+    const auto allowed =
+        fleet.ctl({u"--yes"_s, u"--may-break-budget"_s, u"data-centre"_s, u"out"_s, u"north"_s});
+    EXPECT_EQ(allowed.exitCode, 0);
+    EXPECT_NE(allowed.output.find("breaks the budget of pool spare"), std::string::npos);
+}
+
+} // namespace
+
+} // namespace shallotproxy::test
