Know freshness by the store or by a majority's vouches, and tell only certain outcomes

Until now a member was fresh only while the store answered, so an outage of the store stopped all service, and a lost answer to the swap of the head was read back without fencing the swap that could still be under way.

Freshness and HeadChange are pure units: a writer announces its change of the head's revision to a majority of the registered members, then swaps.

ConfigurationModule is not yet proved by process tests; they follow.

--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 
+#include <QDateTime>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -49,6 +50,8 @@
         std::cerr << fmt::format("shallotctl: {} ({}): {}: {}\n", textOf(json, "name"_L1),
                                  json.value("error"_L1).toInt(), textOf(json, "subject"_L1),
                                  textOf(json, "detail"_L1));
+        for (const auto &it : json.value("changes"_L1).toArray())
+            std::cerr << "  " << it.toString().toStdString() << '\n';
         constexpr auto OutcomeUnknown = static_cast<int>(IntentError::Kind::OutcomeUnknown);
         const auto isUnknown = json.value("error"_L1).toInt() == OutcomeUnknown;
         return isUnknown ? ExitCode::OutcomeUnknown : ExitCode::Refused;
@@ -204,7 +207,38 @@
     const auto reply = context.client->get("/intents/" + parameters[0]);
     if (!reply)
         return fail(reply.error());
-    printLine(reply->toStdString());
+    if (context.output == OutputFormat::Json) {
+        printLine(reply->toStdString());
+        return ExitCode::Done;
+    }
+    const auto json = objectOf(*reply);
+    const auto state = textOf(json, "state"_L1);
+    const auto outcome = state == "applied"
+        ? fmt::format("applied as version {}", json.value("version"_L1).toInteger())
+        : state;
+    printLine(fmt::format("intent {}, planned from version {}: {}", textOf(json, "id"_L1),
+                          json.value("baseVersion"_L1).toInteger(), outcome));
+    return ExitCode::Done;
+}
+
+auto runConfigHistory(const CommandContext &context, Parameters /*parameters*/) -> ExitCode
+{
+    const auto reply = context.client->get("/history");
+    if (!reply)
+        return fail(reply.error());
+    if (context.output == OutputFormat::Json) {
+        printLine(reply->toStdString());
+        return ExitCode::Done;
+    }
+    for (const auto &it : objectOf(*reply).value("versions"_L1).toArray()) {
+        const auto version = it.toObject();
+        const auto time = QDateTime::fromMSecsSinceEpoch(
+            version.value("wallMilliseconds"_L1).toInteger(), Qt::UTC);
+        printLine(fmt::format("version {} at {}", version.value("version"_L1).toInteger(),
+                              time.toString(Qt::ISODateWithMs).toStdString()));
+        for (const auto &line : version.value("changes"_L1).toArray())
+            printLine("  " + line.toString().toStdString());
+    }
     return ExitCode::Done;
 }
 
@@ -314,6 +348,7 @@
     {"config check", "DIR", 1, "check declarations without a member", runConfigCheck},
     {"config diff", "DIR", 1, "show what applying declarations would change", runConfigDiff},
     {"config apply", "DIR", 1, "plan to put declarations in force", runConfigApply},
+    {"config history", "", 0, "show the newest versions and what each changed", runConfigHistory},
     {"data-centre out", "NAME", 1, "plan to take a data centre out", runDataCentreOut},
     {"data-centre in", "NAME", 1, "plan to bring a data centre back", runDataCentreIn},
     {"pool drain", "NAME", 1, "plan to drain a pool", runPoolDrain},
--- a/packages/daemon/src/configuration_module.cpp
+++ b/packages/daemon/src/configuration_module.cpp
@@ -13,12 +13,22 @@
 constexpr Duration PollInterval = 500ms;
 constexpr Duration HeartbeatInterval = 500ms;
 constexpr Duration KeepAliveInterval = 3s;
-constexpr Duration FreshTime = 3s;
-constexpr Duration PublishTime = 5s;
+constexpr Duration RequestInterval = 200ms;
+constexpr Duration StoreSilence = 1s; // then a newer configuration is asked of peers
+constexpr Duration AbsenceGrace = 2s; // a member whose lease lapsed in an outage comes back
+constexpr Duration AbsenceTime = 15s; // then it is no longer registered
+constexpr Duration MemberChangeDelay = 150ms; // per rank, so that members don't race
+constexpr Duration AttemptInterval = 200ms;
+constexpr Duration PublishTime = 5s; // no new attempt after that
+constexpr std::size_t MaxPublications = 16; // waiting at one member
+constexpr std::size_t MaxHistoryLines = 200;
+constexpr ConfigurationVersion KeptVersions = 16;
 constexpr std::int64_t MemberLeaseSeconds = 10;
 
 constexpr std::string_view HeadKey = "config/head";
 constexpr std::string_view MembersPrefix = "members/";
+constexpr std::string_view DepartedPrefix = "departed/";
+constexpr std::string_view HistoryPrefix = "history/";
 
 template <typename T>
 auto pack(const T &value) -> std::string
@@ -40,15 +50,41 @@
     }
 }
 
-auto partsPrefix(const ConfigurationHead &head) -> std::string
+auto partsPrefix(const HeadRecord &head) -> std::string
 {
     return fmt::format("config/{}.{}/", head.version, head.writer);
 }
 
+auto historyKey(ConfigurationVersion version) -> std::string
+{
+    return fmt::format("{}{:020}", HistoryPrefix, version);
+}
+
+auto headOf(const std::vector<StoreRecord> &records) -> std::optional<ConfigurationHead>
+{
+    if (records.empty())
+        return ConfigurationHead();
+    auto record = unpack<HeadRecord>(records.front().value);
+    if (!record)
+        return std::nullopt;
+    return ConfigurationHead{records.front().revision, std::move(*record)};
+}
+
+auto boundedLines(std::vector<std::string> lines) -> std::vector<std::string>
+{
+    if (lines.size() <= MaxHistoryLines)
+        return lines;
+    const auto rest = lines.size() - MaxHistoryLines;
+    lines.resize(MaxHistoryLines);
+    lines.push_back(fmt::format("and {} more", rest));
+    return lines;
+}
+
 } // namespace
 
 ConfigurationModule::ConfigurationModule(ControlContext &context)
     : m_context(context)
+    , m_freshness(context.process.self)
 { }
 
 auto ConfigurationModule::tick(BootTime now) -> void
@@ -58,28 +94,80 @@
     keepLease(now);
     if (now >= m_nextPoll)
         poll(now);
-    if (now >= m_nextHeartbeat) {
-        m_nextHeartbeat = now + HeartbeatInterval;
-        m_versions[m_context.process.self.member] = m_context.version();
-        m_context.broadcast(Heartbeat{m_context.version()});
-    }
-    checkPublication(now);
+    stepFreshness(FreshnessTick(), now);
+    stepChange(ChangeTick(), now);
+    startPublication(now);
+    if (now >= m_nextHeartbeat)
+        sendHeartbeat(now);
+}
+
+auto ConfigurationModule::sendHeartbeat(BootTime now) -> void
+{
+    const auto &settings = m_context.process.settings;
+    const auto revision = m_freshness.held().revision;
+    m_nextHeartbeat = now + HeartbeatInterval;
+    m_versions[m_context.process.self.member] = m_context.version();
+    m_context.broadcast(Heartbeat{m_context.version(), revision, settings.dataCentre.value(),
+                                  settings.peersEndpoint, settings.operatorsEndpoint});
+    stepChange(MemberHolds{m_context.process.self, revision}, now);
 }
 
 auto ConfigurationModule::receive(const PeerEnvelope &envelope, BootTime now) -> void
 {
-    const auto *heartbeat = std::get_if<Heartbeat>(&envelope.message);
-    if (heartbeat == nullptr)
+    const auto &message = envelope.message;
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
+        m_versions[envelope.from.member] = heartbeat->version;
+        learnMember(envelope, *heartbeat);
+        if (heartbeat->revision > m_freshness.held().revision) {
+            m_nextPoll = now;
+            requestFrom(envelope.from.member, now);
+        }
+        stepChange(MemberHolds{envelope.from, heartbeat->revision}, now);
+    }
+    if (const auto *it = std::get_if<Announce>(&message))
+        stepFreshness(FreshnessMessageReceived{envelope.from, *it}, now);
+    if (const auto *it = std::get_if<AnnounceCancel>(&message))
+        stepFreshness(FreshnessMessageReceived{envelope.from, *it}, now);
+    if (const auto *it = std::get_if<VouchRequest>(&message))
+        stepFreshness(FreshnessMessageReceived{envelope.from, *it}, now);
+    if (const auto *it = std::get_if<VouchAnswer>(&message))
+        stepFreshness(FreshnessMessageReceived{envelope.from, *it}, now);
+    if (const auto *it = std::get_if<AnnounceAnswer>(&message))
+        stepChange(AnnounceAnswered{envelope.from, *it}, now);
+    if (const auto *it = std::get_if<ConfigurationRequest>(&message))
+        answerRequest(envelope.from, *it);
+    if (const auto *it = std::get_if<ConfigurationReply>(&message))
+        takeReply(*it, now);
+}
+
+auto ConfigurationModule::configurationChanged() -> void
+{
+    m_isFrontBehind = false;
+    updateFreshness();
+    sendHeartbeat(BootClock::now());
+}
+
+// A member that boots in an outage of the store learns of the others by their heartbeats.
+auto ConfigurationModule::learnMember(const PeerEnvelope &envelope, const Heartbeat &heartbeat)
+    -> void
+{
+    if (m_lastAnswer != BootTime() || m_context.members.contains(envelope.from.member))
         return;
-    m_versions[envelope.from.member] = heartbeat->version;
-    if (heartbeat->version > m_context.version())
-        m_nextPoll = now;
-    checkPublication(now);
+    m_context.members.emplace(envelope.from.member,
+                              MemberRecord{envelope.from, DataCentreName(heartbeat.dataCentre),
+                                           heartbeat.peersEndpoint, heartbeat.operatorsEndpoint});
 }
 
 auto ConfigurationModule::drain() -> void
 {
     m_isDraining = true;
+    stepFreshness(FreshnessRetired(), BootClock::now());
+    // Its record tells writers that this incarnation vouches no more.
+    const auto &self = m_context.process.self;
+    auto transaction = StoreTransaction();
+    const auto key = m_context.key(std::string(DepartedPrefix) + self.member.value());
+    transaction.onSuccess.emplace_back(StorePut{key, pack(self), 0});
+    m_context.store(std::move(transaction), [](const StoreReply &) {});
     if (m_lease != 0)
         m_context.store(StoreLeaseRevoke{m_lease}, [](const StoreReply &) {});
 }
@@ -141,175 +229,483 @@
     auto transaction = StoreTransaction();
     transaction.onSuccess.emplace_back(StoreRange{m_context.key(HeadKey), false});
     transaction.onSuccess.emplace_back(StoreRange{m_context.key(MembersPrefix), true});
+    transaction.onSuccess.emplace_back(StoreRange{m_context.key(DepartedPrefix), true});
     m_context.store(std::move(transaction), [this, now](const StoreReply &reply) {
         m_isPolling = false;
-        if (reply && reply->reads.size() == 2)
+        constexpr std::size_t Reads = 3;
+        if (reply && reply->reads.size() == Reads)
             applyPoll(*reply, now);
     });
 }
 
 auto ConfigurationModule::applyPoll(const StoreAnswer &answer, BootTime started) -> void
+{
+    const auto now = BootClock::now();
+    const auto head = headOf(answer.reads[0]);
+    if (!head)
+        return;
+    m_lastAnswer = started;
+    m_departed.clear();
+    for (const auto &it : answer.reads[2]) {
+        if (const auto incarnation = unpack<Incarnation>(it.value))
+            m_departed[incarnation->member] = *incarnation;
+    }
+    updateDirectory(answer.reads[1], now);
+    if (head->revision == 0 && !m_context.configuration)
+        hold(*head, Configuration());
+    stepFreshness(HeadRead{started, *head}, now);
+    for (const auto &[name, incarnation] : m_departed)
+        stepChange(MemberLeft{incarnation}, now);
+    changeMembers(now);
+}
+
+auto ConfigurationModule::updateDirectory(const std::vector<StoreRecord> &records, BootTime now)
+    -> void
 {
     auto members = MemberDirectory();
-    for (const auto &it : answer.reads[1]) {
+    for (const auto &it : records) {
         auto record = unpack<MemberRecord>(it.value);
         if (record)
             members.emplace(record->incarnation.member, std::move(*record));
     }
+    const auto &self = m_context.process.self;
+    const auto own = members.find(self.member);
+    if (own == members.end() || own->second.incarnation != self)
+        m_isRegistered = false;
+    for (const auto &[name, record] : members)
+        m_absentSince.erase(name);
+    for (const auto &[name, record] : m_context.members) {
+        if (members.contains(name))
+            continue;
+        const auto departed = m_departed.find(name);
+        const auto hasLeft = departed != m_departed.end() && departed->second == record.incarnation;
+        const auto since = m_absentSince.try_emplace(name, now).first->second;
+        if (!hasLeft && now - since < AbsenceGrace)
+            members.emplace(name, record);
+    }
     m_context.members = std::move(members);
-    if (answer.reads[0].empty()) {
-        if (!m_context.configuration)
-            hold(std::make_shared<const Configuration>());
-        extendFreshness(started + FreshTime);
+}
+
+auto ConfigurationModule::answerRequest(const Incarnation &from,
+                                        const ConfigurationRequest &request) -> void
+{
+    if (m_freshness.held().revision <= request.revision || !m_context.configuration)
         return;
-    }
-    const auto head = unpack<ConfigurationHead>(answer.reads[0].front().value);
-    if (!head || head->version < m_context.version())
+    const auto &head = m_freshness.held();
+    auto parts = head.record.parts == 0 ? std::vector<std::string>()
+                                        : encodeConfiguration(*m_context.configuration);
+    m_context.send(from.member, ConfigurationReply{head, std::move(parts)});
+}
+
+auto ConfigurationModule::takeReply(const ConfigurationReply &reply, BootTime now) -> void
+{
+    if (reply.head.revision <= m_freshness.held().revision)
         return;
-    if (head->version == m_context.version() && m_context.configuration) {
-        m_headRevision = answer.reads[0].front().revision;
-        m_head = *head;
-        extendFreshness(started + FreshTime);
+    auto configuration = reply.head.record.parts == 0 ? std::optional(Configuration())
+                                                      : decodeConfiguration(reply.parts);
+    if (!configuration || configuration->version != reply.head.record.version)
         return;
-    }
-    readParts(*head, answer.reads[0].front().revision, started);
+    hold(reply.head, std::move(*configuration));
+    stepFreshness(HeadHeld{reply.head}, now);
+}
+
+auto ConfigurationModule::requestFrom(const MemberName &peer, BootTime now) -> void
+{
+    if (now - m_lastAnswer < StoreSilence || now < m_nextRequest)
+        return;
+    m_nextRequest = now + RequestInterval;
+    m_context.send(peer, ConfigurationRequest{m_freshness.held().revision});
+}
+
+auto ConfigurationModule::stepFreshness(const FreshnessEvent &event, BootTime now) -> void
+{
+    const auto actions = m_freshness.step(event, now);
+    for (const auto &action : actions)
+        std::visit([this](const auto &it) { perform(it); }, action);
+    updateFreshness();
 }
 
-auto ConfigurationModule::readParts(const ConfigurationHead &head, StoreRevision revision,
-                                    BootTime started) -> void
+auto ConfigurationModule::perform(const SendFreshnessMessage &action) -> void
 {
+    std::visit([this, &action](const auto &message) { m_context.send(action.to, message); },
+               action.message);
+}
+
+auto ConfigurationModule::perform(const FetchFromStore &action) -> void
+{
+    const auto &head = action.head;
+    if (head.record.parts == 0) {
+        hold(head, Configuration());
+        stepFreshness(HeadHeld{head}, BootClock::now());
+        return;
+    }
     if (m_isReading)
         return;
     m_isReading = true;
     auto transaction = StoreTransaction();
-    transaction.onSuccess.emplace_back(StoreRange{m_context.key(partsPrefix(head)), true});
-    m_context.store(
-        std::move(transaction), [this, head, revision, started](const StoreReply &reply) {
-            m_isReading = false;
-            if (!reply || reply->reads.size() != 1 || reply->reads[0].size() != head.parts)
-                return;
-            auto parts = std::vector<std::string>();
-            for (const auto &it : reply->reads[0])
-                parts.push_back(it.value);
-            auto configuration = decodeConfiguration(parts);
-            if (!configuration || configuration->version <= m_context.version())
-                return;
-            m_head = head;
-            m_headRevision = revision;
-            hold(std::make_shared<const Configuration>(std::move(*configuration)));
-            extendFreshness(started + FreshTime);
-            m_nextPoll = started;
-        });
-}
-
-auto ConfigurationModule::hold(ConfigurationPointer configuration) -> void
-{
-    m_context.configuration = std::move(configuration);
-    ConfigurationLog.info("holds version {}", m_context.version());
-    m_nextHeartbeat = {};
-}
-
-auto ConfigurationModule::extendFreshness(BootTime until) -> void
-{
-    if (until <= m_context.freshUntil)
+    transaction.onSuccess.emplace_back(StoreRange{m_context.key(partsPrefix(head.record)), true});
+    m_context.store(std::move(transaction), [this, head](const StoreReply &reply) {
+        m_isReading = false;
+        if (!reply || reply->reads.size() != 1 || reply->reads[0].size() != head.record.parts)
+            return;
+        auto parts = std::vector<std::string>();
+        for (const auto &it : reply->reads[0])
+            parts.push_back(it.value);
+        auto configuration = decodeConfiguration(parts);
+        if (!configuration || configuration->version != head.record.version)
+            return;
+        hold(head, std::move(*configuration));
+        stepFreshness(HeadHeld{head}, BootClock::now());
+    });
+}
+
+auto ConfigurationModule::perform(const FetchFromPeer &action) -> void
+{
+    requestFrom(action.peer, BootClock::now());
+}
+
+auto ConfigurationModule::perform(const FenceHead &action) -> void
+{
+    const auto key = m_context.key(HeadKey);
+    auto transaction = StoreTransaction();
+    transaction.compares.push_back({key, action.head.revision});
+    transaction.onSuccess.emplace_back(StorePut{key, pack(action.head.record), 0});
+    m_context.record("configuration.fence", "head");
+    m_context.store(std::move(transaction),
+                    [this](const StoreReply &) { m_nextPoll = BootTime(); });
+}
+
+auto ConfigurationModule::hold(const ConfigurationHead &head, Configuration configuration) -> void
+{
+    if (m_context.configuration && configuration.version <= m_context.version())
+        return;
+    m_context.configuration = std::make_shared<const Configuration>(std::move(configuration));
+    m_isFrontBehind = true;
+    ConfigurationLog.info("holds version {} (revision {})", m_context.version(), head.revision);
+}
+
+// The front learns of a new version before it learns that this is fresh.
+auto ConfigurationModule::updateFreshness() -> void
+{
+    const auto until = m_freshness.freshUntil();
+    if (m_isFrontBehind || until <= m_context.freshUntil)
         return;
     m_context.freshUntil = until;
     m_context.updateFront(FreshnessChanged{until});
 }
 
+auto ConfigurationModule::wantedMembers(BootTime now) -> std::vector<Incarnation>
+{
+    auto wanted = m_freshness.held().record.registered;
+    std::erase_if(wanted, [this, now](const Incarnation &it) {
+        if (m_context.members.contains(it.member))
+            return false;
+        const auto departed = m_departed.find(it.member);
+        if (departed != m_departed.end() && departed->second == it)
+            return true;
+        return now - m_absentSince.try_emplace(it.member, now).first->second >= AbsenceTime;
+    });
+    for (const auto &[name, record] : m_context.members) {
+        const auto it = std::ranges::find(wanted, name, &Incarnation::member);
+        if (it == wanted.end()) {
+            wanted.push_back(record.incarnation);
+        } else {
+            *it = record.incarnation;
+        }
+    }
+    return wanted;
+}
+
+// Any member registers all that have a record, and one swap often does for many. The lowest name
+// goes first.
+auto ConfigurationModule::changeMembers(BootTime now) -> void
+{
+    const auto &held = m_freshness.held();
+    const auto &members = m_context.members;
+    const auto own = members.find(m_context.process.self.member);
+    auto wanted = wantedMembers(now);
+    if (wanted == held.record.registered || own == members.end() || m_isDraining) {
+        m_membersDifferSince = BootTime();
+        return;
+    }
+    if (m_membersDifferSince == BootTime())
+        m_membersDifferSince = now;
+    const auto rank = std::distance(members.begin(), own);
+    if (m_change || now - m_membersDifferSince < rank * MemberChangeDelay)
+        return;
+    auto next = held.record;
+    next.registered = std::move(wanted);
+    m_isMembersChange = true;
+    startChange("members", std::move(next), now);
+}
+
 auto ConfigurationModule::publish(const Configuration &next, PublishCallback callback) -> void
 {
-    if (m_publication || next.version != m_context.version() + 1) {
+    publish(next, {}, std::move(callback));
+}
+
+auto ConfigurationModule::publish(const Configuration &next, std::vector<StorePut> records,
+                                  PublishCallback callback) -> void
+{
+    if (next.version != m_context.version() + 1 || m_publications.size() >= MaxPublications) {
         callback(PublishOutcome::NotApplied);
         return;
     }
-    const auto parts = encodeConfiguration(next);
-    m_publication = std::make_unique<Publication>();
-    m_publication->head = {next.version, randomHex(8), static_cast<std::uint32_t>(parts.size())};
-    m_publication->callback = std::move(callback);
-    m_publication->deadline = BootClock::now() + PublishTime;
-    writeParts(parts);
+    const auto now = BootClock::now();
+    m_publications.push_back(
+        {randomHex(8), next, std::move(records), std::move(callback), now + PublishTime, false});
+    if (m_publications.size() == 1)
+        writeParts();
+}
+
+auto ConfigurationModule::isPublishing() const -> bool
+{
+    return m_change && !m_isMembersChange;
 }
 
 // Parts go first, under a name of this writer's own, so that the head never names a version that
 // is not whole.
-auto ConfigurationModule::writeParts(const std::vector<std::string> &parts) -> void
+auto ConfigurationModule::writeParts() -> void
 {
+    const auto &publication = m_publications.front();
+    const auto parts = encodeConfiguration(publication.next);
+    const auto prefix = partsPrefix({publication.next.version, publication.id, 0, {}});
     auto transaction = StoreTransaction();
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        const auto suffix = fmt::format("{}{:04}", partsPrefix(m_publication->head), i);
-        transaction.onSuccess.emplace_back(StorePut{m_context.key(suffix), parts[i], 0});
+        const auto key = m_context.key(fmt::format("{}{:04}", prefix, i));
+        transaction.onSuccess.emplace_back(StorePut{key, parts[i], 0});
     }
-    m_context.store(std::move(transaction), [this](const StoreReply &reply) {
-        if (reply) {
-            swapHead();
-        } else {
+    m_context.store(std::move(transaction), [this, id = publication.id](const StoreReply &reply) {
+        if (m_publications.empty() || m_publications.front().id != id)
+            return;
+        if (!reply) {
             finishPublication(PublishOutcome::NotApplied);
+            return;
         }
+        m_publications.front().isWritten = true;
+        startPublication(BootClock::now());
     });
 }
 
-auto ConfigurationModule::swapHead() -> void
+// A change of the members, or a fence, may come between: then the same version is tried again on
+// the new revision. A change of the version may not.
+auto ConfigurationModule::startPublication(BootTime now) -> void
+{
+    if (m_publications.empty() || !m_publications.front().isWritten || m_change)
+        return;
+    const auto &publication = m_publications.front();
+    const auto &held = m_freshness.held();
+    if (held.record.version >= publication.next.version || now >= publication.deadline) {
+        finishPublication(PublishOutcome::NotApplied);
+        return;
+    }
+    if (now < m_nextAttempt)
+        return;
+    auto next = held.record;
+    next.version = publication.next.version;
+    next.writer = publication.id;
+    next.parts = static_cast<std::uint32_t>(encodeConfiguration(publication.next).size());
+    m_isMembersChange = false;
+    startChange(publication.id, std::move(next), now);
+}
+
+auto ConfigurationModule::startChange(const std::string &id, HeadRecord next, BootTime now) -> void
+{
+    const auto &self = m_context.process.self;
+    const auto unique =
+        fmt::format("{}/{}.{}.{}", id, self.member.value(), self.number, ++m_lastAttempt);
+    m_change.emplace(unique, m_freshness.held(), std::move(next), now);
+    stepChange(ChangeStarted(), now);
+    m_context.record("configuration.announce", id);
+    for (const auto &[name, incarnation] : m_departed)
+        stepChange(MemberLeft{incarnation}, now);
+}
+
+auto ConfigurationModule::stepChange(const HeadChangeEvent &event, BootTime now) -> void
+{
+    if (!m_change)
+        return;
+    const auto actions = m_change->step(event, now);
+    for (const auto &action : actions) {
+        // This member's own answer may have finished the change.
+        if (m_change)
+            std::visit([this](const auto &it) { perform(it); }, action);
+    }
+}
+
+auto ConfigurationModule::perform(const SendAnnounce &action) -> void
+{
+    const auto &self = m_context.process.self;
+    const auto announce = Announce{m_change->base().revision, m_change->id()};
+    if (action.to.member != self.member) {
+        m_context.send(action.to.member, announce);
+        return;
+    }
+    const auto now = BootClock::now();
+    const auto actions = m_freshness.step(FreshnessMessageReceived{self, announce}, now);
+    for (const auto &it : actions) {
+        const auto *sent = std::get_if<SendFreshnessMessage>(&it);
+        const auto *answer =
+            sent == nullptr ? nullptr : std::get_if<AnnounceAnswer>(&sent->message);
+        if (answer != nullptr)
+            stepChange(AnnounceAnswered{self, *answer}, now);
+    }
+}
+
+auto ConfigurationModule::perform(const SendAnnounceCancel & /*action*/) -> void
+{
+    const auto cancel = AnnounceCancel{m_change->id()};
+    m_context.broadcast(cancel);
+    m_freshness.step(FreshnessMessageReceived{m_context.process.self, cancel}, BootClock::now());
+}
+
+auto ConfigurationModule::readOperations() const -> std::vector<StoreOperation>
+{
+    const auto version = m_change->next().version;
+    return {StoreRange{m_context.key(HeadKey), false},
+            StoreRange{m_context.key(historyKey(version)), false}};
+}
+
+auto ConfigurationModule::historyPut(const Publication &publication) const -> StorePut
+{
+    const auto &next = publication.next;
+    const auto record =
+        HistoryRecord{next.version, publication.id, wallMilliseconds(),
+                      boundedLines(describeChanges(*m_context.configuration, next))};
+    return {m_context.key(historyKey(next.version)), pack(record), 0};
+}
+
+auto ConfigurationModule::perform(const SwapHead & /*action*/) -> void
 {
     const auto key = m_context.key(HeadKey);
     auto transaction = StoreTransaction();
-    transaction.compares.push_back({key, m_headRevision});
-    transaction.onSuccess.emplace_back(StorePut{key, pack(m_publication->head), 0});
-    transaction.onFailure.emplace_back(StoreRange{key, false});
-    m_context.store(std::move(transaction), [this](const StoreReply &reply) {
-        if (reply && reply->isSucceeded) {
-            m_publication->isSwapped = true;
-            m_nextPoll = {};
+    transaction.compares.push_back({key, m_change->base().revision});
+    transaction.onSuccess.emplace_back(StorePut{key, pack(m_change->next()), 0});
+    if (isPublishing()) {
+        const auto &publication = m_publications.front();
+        transaction.onSuccess.emplace_back(historyPut(publication));
+        for (const auto &it : publication.records)
+            transaction.onSuccess.emplace_back(it);
+    }
+    transaction.onFailure = readOperations();
+    m_context.store(std::move(transaction), [this, id = m_change->id()](const StoreReply &reply) {
+        if (!m_change || m_change->id() != id)
             return;
+        if (reply && reply->isSucceeded) {
+            m_nextPoll = BootTime();
+            stepChange(ChangeRead{reply->revision, true}, BootClock::now());
+        } else {
+            answerChange(reply, false);
         }
-        readBack();
     });
 }
 
-// The answer to the swap was lost, or a repeat of it failed its compare: the head says which.
-auto ConfigurationModule::readBack() -> void
+auto ConfigurationModule::perform(const ReadBack & /*action*/) -> void
 {
     auto transaction = StoreTransaction();
-    transaction.onSuccess.emplace_back(StoreRange{m_context.key(HeadKey), false});
-    m_context.store(std::move(transaction), [this](const StoreReply &reply) {
-        if (!reply) {
-            if (BootClock::now() < m_publication->deadline) {
-                readBack();
-            } else {
-                finishPublication(PublishOutcome::Unknown);
-            }
-            return;
-        }
-        const auto &records = reply->reads.front();
-        const auto head =
-            records.empty() ? std::nullopt : unpack<ConfigurationHead>(records.front().value);
-        if (head && head->writer == m_publication->head.writer) {
-            m_publication->isSwapped = true;
-            m_nextPoll = {};
-            return;
-        }
-        finishPublication(PublishOutcome::NotApplied);
+    transaction.onSuccess = readOperations();
+    m_context.store(std::move(transaction), [this, id = m_change->id()](const StoreReply &reply) {
+        if (m_change && m_change->id() == id)
+            answerChange(reply, false);
     });
 }
 
-auto ConfigurationModule::checkPublication(BootTime now) -> void
+auto ConfigurationModule::perform(const FenceSwap & /*action*/) -> void
 {
-    if (!m_publication || !m_publication->isSwapped)
-        return;
-    const auto version = m_publication->head.version;
-    const auto isInForce = std::ranges::all_of(m_context.members, [this, version](const auto &it) {
-        const auto held = m_versions.find(it.first);
-        return held != m_versions.end() && held->second >= version;
+    const auto key = m_context.key(HeadKey);
+    auto transaction = StoreTransaction();
+    transaction.compares.push_back({key, m_change->base().revision});
+    transaction.onSuccess.emplace_back(StorePut{key, pack(m_change->base().record), 0});
+    transaction.onFailure = readOperations();
+    m_context.store(std::move(transaction), [this, id = m_change->id()](const StoreReply &reply) {
+        if (m_change && m_change->id() == id)
+            answerChange(reply, true);
     });
-    // Past the deadline a silent member's freshness has lapsed, so it starts nothing.
-    if (isInForce || now >= m_publication->deadline)
-        finishPublication(PublishOutcome::Applied);
+}
+
+auto ConfigurationModule::answerChange(const StoreReply &reply, bool isFence) -> void
+{
+    const auto now = BootClock::now();
+    m_nextPoll = BootTime();
+    if (!reply) {
+        stepChange(ChangeAnswerLost(), now);
+    } else if (isFence && reply->isSucceeded) {
+        stepChange(ChangeFenced(), now);
+    } else {
+        stepChange(readChange(*reply), now);
+    }
+}
+
+auto ConfigurationModule::readChange(const StoreAnswer &answer) const -> ChangeRead
+{
+    constexpr std::size_t Reads = 2;
+    const auto head = answer.reads.size() == Reads ? headOf(answer.reads[0]) : std::nullopt;
+    if (!head)
+        return {m_change->base().revision, false};
+    if (m_isMembersChange)
+        return {head->revision, head->record == m_change->next()};
+    const auto history = answer.reads[1].empty()
+        ? std::nullopt
+        : unpack<HistoryRecord>(answer.reads[1].front().value);
+    return {head->revision, history && history->change == m_publications.front().id};
+}
+
+auto ConfigurationModule::perform(const ChangeFinished &action) -> void
+{
+    const auto now = BootClock::now();
+    const auto wasPublishing = isPublishing();
+    m_nextPoll = BootTime();
+    m_nextAttempt = now + AttemptInterval;
+    m_membersDifferSince = BootTime();
+    m_change.reset();
+    if (wasPublishing && action.outcome != PublishOutcome::NotApplied)
+        finishPublication(action.outcome);
 }
 
 auto ConfigurationModule::finishPublication(PublishOutcome outcome) -> void
 {
-    const auto publication = std::move(m_publication);
-    publication->callback(outcome);
+    const auto publication = std::move(m_publications.front());
+    m_publications.pop_front();
+    if (outcome == PublishOutcome::Applied)
+        removeOldVersions();
+    if (outcome == PublishOutcome::NotApplied) {
+        const auto prefix = partsPrefix({publication.next.version, publication.id, 0, {}});
+        auto transaction = StoreTransaction();
+        transaction.onSuccess.emplace_back(StoreDelete{m_context.key(prefix), true});
+        m_context.store(std::move(transaction), [](const StoreReply &) {});
+    }
+    publication.callback(outcome);
+    if (!m_publications.empty())
+        writeParts();
+}
+
+auto ConfigurationModule::removeOldVersions() -> void
+{
+    const auto version = m_context.version();
+    if (version <= KeptVersions)
+        return;
+    const auto old = version - KeptVersions;
+    auto transaction = StoreTransaction();
+    transaction.onSuccess.emplace_back(
+        StoreDelete{m_context.key(fmt::format("config/{}.", old)), true});
+    transaction.onSuccess.emplace_back(StoreDelete{m_context.key(historyKey(old)), false});
+    m_context.store(std::move(transaction), [](const StoreReply &) {});
+}
+
+auto ConfigurationModule::readHistory(HistoryCallback callback) -> void
+{
+    auto transaction = StoreTransaction();
+    transaction.onSuccess.emplace_back(StoreRange{m_context.key(HistoryPrefix), true});
+    m_context.store(std::move(transaction), [callback](const StoreReply &reply) {
+        auto history = std::vector<HistoryRecord>();
+        if (reply && reply->reads.size() == 1) {
+            for (const auto &it : reply->reads[0]) {
+                if (auto record = unpack<HistoryRecord>(it.value))
+                    history.push_back(std::move(*record));
+            }
+        }
+        callback(history);
+    });
 }
 
 } // namespace shallotproxy
--- a/packages/daemon/src/intent_module.cpp
+++ b/packages/daemon/src/intent_module.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::string_view IntentsPath = "/intents";
 constexpr std::string_view ConfirmSuffix = "/confirm";
+constexpr std::string_view HistoryPath = "/history";
+constexpr std::string_view Planned = "planned";
+constexpr std::string_view Applied = "applied";
 constexpr unsigned Ok = 200;
 constexpr unsigned Created = 201;
 constexpr unsigned BadRequest = 400;
@@ -77,7 +80,13 @@
 auto IntentModule::handle(const ControlCall &call) -> bool
 {
     const auto path = std::string_view(call.request.path);
-    if (call.face != CallFace::Operators || !path.starts_with(IntentsPath))
+    if (call.face != CallFace::Operators)
+        return false;
+    if (path == HistoryPath) {
+        showHistory(call);
+        return true;
+    }
+    if (!path.starts_with(IntentsPath))
         return false;
     const auto rest = path.substr(IntentsPath.size());
     if (rest.empty() && call.request.method == "POST") {
@@ -96,12 +105,15 @@
     return true;
 }
 
-auto IntentModule::refuse(const ControlCall &call, const IntentError &ec) -> void
+auto IntentModule::refuse(const ControlCall &call, const IntentError &ec,
+                          const std::vector<std::string> &changes) -> void
 {
-    const auto json = QJsonObject{{u"error"_s, ec.number()},
-                                  {u"name"_s, toQString(ec.name())},
-                                  {u"subject"_s, toQString(ec.subject)},
-                                  {u"detail"_s, toQString(ec.detail)}};
+    auto json = QJsonObject{{u"error"_s, ec.number()},
+                            {u"name"_s, toQString(ec.name())},
+                            {u"subject"_s, toQString(ec.subject)},
+                            {u"detail"_s, toQString(ec.detail)}};
+    if (!changes.empty())
+        json.insert("changes"_L1, linesJson(changes));
     const auto body = QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
     m_context.reply(call, jsonResponse(statusOf(ec.kind), body));
 }
@@ -122,10 +134,13 @@
         refuse(call, plan.error());
         return;
     }
-    const auto record = IntentRecord{call.request.body, plan->baseVersion, "planned"};
+    const auto record = IntentRecord{call.request.body, plan->baseVersion, std::string(Planned), 0};
+    const auto key = m_context.key(intentKey(plan->id));
+    // Only if absent: a repeat of this write must not undo what the intent has become since. Its id
+    // is new, so a record that is there is this one.
     auto transaction = StoreTransaction();
-    transaction.onSuccess.emplace_back(
-        StorePut{m_context.key(intentKey(plan->id)), pack(record), 0});
+    transaction.compares.push_back({key, 0});
+    transaction.onSuccess.emplace_back(StorePut{key, pack(record), 0});
     const auto body = planJson(*plan);
     const auto id = plan->id;
     m_context.store(std::move(transaction), [this, call, body, id](const StoreReply &reply) {
@@ -139,36 +154,40 @@
 }
 
 template <typename Function>
-auto IntentModule::withRecord(const ControlCall &call, const IntentId &id, Function function)
-    -> void
+auto IntentModule::withRecord(const ControlCall &call, const IntentId &id, Function function,
+                              IntentError::Kind ifSilent) -> void
 {
     auto transaction = StoreTransaction();
     transaction.onSuccess.emplace_back(StoreRange{m_context.key(intentKey(id)), false});
-    m_context.store(std::move(transaction), [this, call, id, function](const StoreReply &reply) {
-        if (!reply) {
-            refuse(call, {IntentError::Kind::NotFresh, id.value(), "the store is silent"});
-            return;
-        }
-        if (reply->reads.front().empty()) {
-            refuse(call, {IntentError::Kind::UnknownIntent, id.value(), "no such intent"});
-            return;
-        }
-        const auto &bytes = reply->reads.front().front().value;
-        try {
-            function(msgpack::unpack(bytes.data(), bytes.size()).get().as<IntentRecord>());
-        } catch (const msgpack::type_error &) {
-            refuse(call, {IntentError::Kind::Malformed, id.value(), "unreadable record"});
-        }
-    });
+    m_context.store(
+        std::move(transaction), [this, call, id, function, ifSilent](const StoreReply &reply) {
+            if (!reply) {
+                refuse(call, {ifSilent, id.value(), "the store is silent"});
+                return;
+            }
+            if (reply->reads.front().empty()) {
+                refuse(call, {IntentError::Kind::UnknownIntent, id.value(), "no such intent"});
+                return;
+            }
+            const auto &bytes = reply->reads.front().front().value;
+            try {
+                function(msgpack::unpack(bytes.data(), bytes.size()).get().as<IntentRecord>());
+            } catch (const msgpack::type_error &) {
+                refuse(call, {IntentError::Kind::Malformed, id.value(), "unreadable record"});
+            }
+        });
 }
 
 auto IntentModule::show(const ControlCall &call, const IntentId &id) -> void
 {
     withRecord(call, id, [this, call, id](const IntentRecord &record) {
+        const auto isStale = record.state == Planned && record.baseVersion != m_context.version();
+        const auto state = isStale ? std::string("stale") : record.state;
         const auto json =
             QJsonObject{{u"id"_s, toQString(id.value())},
                         {u"baseVersion"_s, static_cast<qint64>(record.baseVersion)},
-                        {u"state"_s, toQString(record.state)},
+                        {u"state"_s, toQString(state)},
+                        {u"version"_s, static_cast<qint64>(record.appliedVersion)},
                         {u"intent"_s,
                          QJsonDocument::fromJson(QByteArray::fromStdString(record.json)).object()}};
         const auto body = QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
@@ -185,15 +204,16 @@
 auto IntentModule::confirmRecord(const ControlCall &call, const IntentId &id,
                                  const IntentRecord &record) -> void
 {
+    if (record.state == Applied) {
+        answerApplied(call, id, record.appliedVersion);
+        return;
+    }
     if (!m_context.isFresh()) {
         refuse(call, {IntentError::Kind::NotFresh, id.value(), "the store is silent"});
         return;
     }
     if (record.baseVersion != m_context.version()) {
-        refuse(call,
-               {IntentError::Kind::Stale, id.value(),
-                fmt::format("planned from version {}, now {}", record.baseVersion,
-                            m_context.version())});
+        refuseStale(call, id, record.baseVersion);
         return;
     }
     const auto intent = parseIntent(QByteArray::fromStdString(record.json));
@@ -208,21 +228,83 @@
     }
     m_context.record("intent.confirm", id.value());
     const auto version = plan->result.version;
-    m_configuration.publish(plan->result, [this, call, id, version](PublishOutcome outcome) {
+    auto applied = record;
+    applied.state = Applied;
+    applied.appliedVersion = version;
+    const auto put = StorePut{m_context.key(intentKey(id)), pack(applied), 0};
+    m_configuration.publish(plan->result, {put}, [this, call, id, version](PublishOutcome outcome) {
         if (outcome == PublishOutcome::Applied) {
             m_context.record("intent.applied", id.value());
-            const auto body = fmt::format(R"({{"id":"{}","outcome":"applied","version":{}}})",
-                                          id.value(), version);
-            m_context.reply(call, jsonResponse(Ok, body));
+            answerApplied(call, id, version);
         } else if (outcome == PublishOutcome::NotApplied) {
-            refuse(call,
-                   {IntentError::Kind::NotApplied, id.value(),
-                    "another change came first, or the store was silent"});
+            settle(call, id);
         } else {
             refuse(call,
-                   {IntentError::Kind::OutcomeUnknown, id.value(), "ask with: shallotctl status"});
+                   {IntentError::Kind::OutcomeUnknown, id.value(),
+                    "ask with: shallotctl intent status " + id.value()});
         }
     });
 }
 
+auto IntentModule::answerApplied(const ControlCall &call, const IntentId &id,
+                                 ConfigurationVersion version) -> void
+{
+    const auto body =
+        fmt::format(R"({{"id":"{}","outcome":"applied","version":{}}})", id.value(), version);
+    m_context.reply(call, jsonResponse(Ok, body));
+}
+
+// The same intent may have been confirmed twice, here and by another member, and applied once.
+auto IntentModule::settle(const ControlCall &call, const IntentId &id) -> void
+{
+    withRecord(
+        call, id,
+        [this, call, id](const IntentRecord &record) {
+            if (record.state == Applied) {
+                answerApplied(call, id, record.appliedVersion);
+            } else if (record.baseVersion != m_context.version()) {
+                refuseStale(call, id, record.baseVersion);
+            } else {
+                refuse(call,
+                       {IntentError::Kind::NotApplied, id.value(),
+                        "no majority of the members answered, or the store was silent"});
+            }
+        },
+        IntentError::Kind::OutcomeUnknown);
+}
+
+auto IntentModule::refuseStale(const ControlCall &call, const IntentId &id,
+                               ConfigurationVersion base) -> void
+{
+    const auto now = m_context.version();
+    m_configuration.readHistory(
+        [this, call, id, base, now](const std::vector<HistoryRecord> &history) {
+            auto changes = std::vector<std::string>();
+            for (const auto &it : history) {
+                for (const auto &line : it.lines) {
+                    if (it.version > base)
+                        changes.push_back(fmt::format("version {}: {}", it.version, line));
+                }
+            }
+            const auto detail = fmt::format("planned from version {}, now {}", base, now);
+            refuse(call, {IntentError::Kind::Stale, id.value(), detail}, changes);
+        });
+}
+
+auto IntentModule::showHistory(const ControlCall &call) -> void
+{
+    m_configuration.readHistory([this, call](const std::vector<HistoryRecord> &history) {
+        auto versions = QJsonArray();
+        for (const auto &it : history) {
+            versions.append(
+                QJsonObject{{u"version"_s, static_cast<qint64>(it.version)},
+                            {u"wallMilliseconds"_s, static_cast<qint64>(it.wallMilliseconds)},
+                            {u"changes"_s, linesJson(it.lines)}});
+        }
+        const auto json = QJsonObject{{u"versions"_s, versions}};
+        const auto body = QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
+        m_context.reply(call, jsonResponse(Ok, body));
+    });
+}
+
 } // namespace shallotproxy
--- a/packages/daemon/src/intent_module.hpp
+++ b/packages/daemon/src/intent_module.hpp
@@ -21,8 +21,9 @@
     {
         std::string json;
         ConfigurationVersion baseVersion = 0;
-        std::string state;
-        MSGPACK_DEFINE(json, baseVersion, state)
+        std::string state; // planned or applied
+        ConfigurationVersion appliedVersion = 0;
+        MSGPACK_DEFINE(json, baseVersion, state, appliedVersion)
     };
 
     auto plan(const ControlCall &call) -> void;
@@ -30,9 +31,19 @@
     auto confirm(const ControlCall &call, const IntentId &id) -> void;
     auto confirmRecord(const ControlCall &call, const IntentId &id, const IntentRecord &record)
         -> void;
-    auto refuse(const ControlCall &call, const IntentError &ec) -> void;
+    /// Tells the outcome of a confirmation that this member didn't apply.
+    auto settle(const ControlCall &call, const IntentId &id) -> void;
+    auto showHistory(const ControlCall &call) -> void;
+    auto answerApplied(const ControlCall &call, const IntentId &id, ConfigurationVersion version)
+        -> void;
+    /// Refuses a plan as stale and lists what has changed since it was made.
+    auto refuseStale(const ControlCall &call, const IntentId &id, ConfigurationVersion base)
+        -> void;
+    auto refuse(const ControlCall &call, const IntentError &ec,
+                const std::vector<std::string> &changes = {}) -> void;
     template <typename Function>
-    auto withRecord(const ControlCall &call, const IntentId &id, Function function) -> void;
+    auto withRecord(const ControlCall &call, const IntentId &id, Function function,
+                    IntentError::Kind ifSilent = IntentError::Kind::NotFresh) -> void;
 
     ControlContext &m_context;
     ConfigurationModule &m_configuration;
--- a/packages/daemon/src/store_duty.cpp
+++ b/packages/daemon/src/store_duty.cpp
@@ -1,5 +1,6 @@
 #include "store_duty.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 #include "duty_thread.hpp"
@@ -10,6 +11,15 @@
 
 constexpr auto StoreLog = Log("store");
 
+auto isRead(const StoreCall &call) -> bool
+{
+    const auto *transaction = std::get_if<StoreTransaction>(&call);
+    return transaction != nullptr
+        && std::ranges::all_of(transaction->onSuccess, [](const StoreOperation &it) {
+               return std::holds_alternative<StoreRange>(it);
+           });
+}
+
 } // namespace
 
 StoreDuty::StoreDuty(ProcessContext &process, Links &links)
@@ -35,7 +45,8 @@
     m_links.controlToStore.drain([this](StoreOrder order) {
         if (!m_store)
             return;
-        m_process.metrics.count("shallotproxy_store_calls_total");
+        m_process.metrics.count("shallotproxy_store_calls_total",
+                                isRead(order.call) ? R"(kind="read")" : R"(kind="write")");
         const auto started = BootClock::now();
         m_store->call(
             std::move(order.call), [this, started, number = order.number](StoreReply reply) {
--- a/packages/process/include/shallotproxy/process/store/store_types.hpp
+++ b/packages/process/include/shallotproxy/process/store/store_types.hpp
@@ -44,9 +44,11 @@
     StoreLease lease = 0;
 };
 
+/// Deletes one key, or all keys that start with it.
 struct StoreDelete
 {
     std::string key;
+    bool isPrefix = false;
 };
 
 using StoreOperation = std::variant<StorePut, StoreDelete, StoreRange>;
--- a/packages/process/src/etcd_store.cpp
+++ b/packages/process/src/etcd_store.cpp
@@ -52,7 +52,9 @@
     }
     auto operator()(const StoreDelete &it) const -> QJsonObject
     {
-        const auto body = QJsonObject{{QStringLiteral("key"), base64(it.key)}};
+        auto body = QJsonObject{{QStringLiteral("key"), base64(it.key)}};
+        if (it.isPrefix)
+            body.insert(QStringLiteral("range_end"), base64(prefixEnd(it.key)));
         return {{QStringLiteral("request_delete_range"), body}};
     }
     auto operator()(const StoreRange &range) const -> QJsonObject
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <iostream>
 
 #include <QCoreApplication>
 #include <QDateTime>
 #include <QElapsedTimer>
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QTimer>
 
@@ -23,12 +25,14 @@
 constexpr auto Never = 1 << 30;
 
 /// How the service misbehaves. `POST /fault` sets it: {"mode": "none" | "down" | "slow" |
-/// "lose-answer", "milliseconds": delay of "slow", "count": calls that "lose-answer" hits}.
+/// "lose-answer", "milliseconds": delay of "slow", "count": calls that "lose-answer" hits, "match":
+/// only writes of a key that contains this}.
 struct Fault
 {
     QString mode = u"none"_s;
     int milliseconds = 0;
     int count = 0;
+    QByteArray match;
 };
 
 class StoreServer
@@ -68,8 +72,7 @@
             return;
         ++m_calls;
         const auto answer = m_table.call(request.path, body, m_clock.elapsed());
-        if (m_fault.mode == "lose-answer"_L1 && m_fault.count > 0
-            && request.body.find("request_put") != std::string::npos) {
+        if (m_fault.mode == "lose-answer"_L1 && m_fault.count > 0 && writesMatch(body)) {
             --m_fault.count;
             return;
         }
@@ -85,8 +88,19 @@
                            [held, response] { held->answer(response); });
     }
 
+    [[nodiscard]] auto writesMatch(const QJsonObject &body) const -> bool
+    {
+        const auto operations = body.value("success"_L1).toArray();
+        return std::any_of(operations.begin(), operations.end(), [this](const auto &it) {
+            const auto put = it.toObject().value("request_put"_L1).toObject();
+            const auto key = QByteArray::fromBase64(put.value("key"_L1).toString().toLatin1());
+            return !key.isEmpty() && key.contains(m_fault.match);
+        });
+    }
+
     auto setFault(const QJsonObject &body) -> void
     {
+        m_fault.match = body.value("match"_L1).toString().toUtf8();
         m_fault.mode = body.value("mode"_L1).toString(u"none"_s);
         m_fault.milliseconds = body.value("milliseconds"_L1).toInt();
         m_fault.count = body.value("count"_L1).toInt(Never);
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -76,6 +76,7 @@
     m_controlPort = static_cast<quint16>(first + 1);
     m_firstTargetPort = static_cast<quint16>(first + 2);
     m_store = start(programPath("standin_store"), {u"--listen"_s, toQString(local(m_storePort))});
+    m_relay = std::make_unique<Relay>(m_storePort);
     m_targets = start(programPath("standin_targets"),
                       {u"--first-port"_s, QString::number(m_firstTargetPort), u"--count"_s,
                        QString::number(m_options.targets), u"--control"_s,
@@ -141,6 +142,7 @@
 auto Fleet::writeSettings(int index) -> void
 {
     auto &member = m_members[static_cast<std::size_t>(index)];
+    const auto storePort = index == m_options.relayedMember ? m_relay->port() : m_storePort;
     const auto journalFile =
         m_folder.filePath(QStringLiteral("journal-%1").arg(index)).toStdString();
     const auto text = fmt::format(
@@ -149,7 +151,7 @@
         "  peerSecret: test-peer-secret-of-the-fleet\n  operatorKeyDigest: {}\n"
         "bounds:\n  shutdown: 20 s\njournal: {}\n",
         index, index % 2 == 0 ? "north" : "south", local(member.callers), local(member.operators),
-        local(member.peers), local(m_storePort), digestKey(OperatorKey), journalFile);
+        local(member.peers), local(storePort), digestKey(OperatorKey), journalFile);
     member.settingsFile = writeFile(fmt::format("entry-{}.yaml", index), text);
 }
 
@@ -226,6 +228,31 @@
     return waitUntil([&] { return std::ranges::all_of(m_members, serves); }, timeoutMilliseconds);
 }
 
+auto Fleet::cutFromStore(bool isCut) -> void
+{
+    m_relay->setSilent(isCut);
+}
+
+auto Fleet::startCtl(const QStringList &words, int member) -> std::unique_ptr<QProcess>
+{
+    auto process = std::make_unique<QProcess>();
+    process->start(programPath("shallotctl"),
+                   QStringList{u"--members"_s, toQString(operatorsEndpoint(member)), u"--key"_s,
+                               QString::fromLatin1(OperatorKey)}
+                       + words);
+    process->waitForStarted();
+    return process;
+}
+
+// The event loop runs on meanwhile, for the relay.
+auto Fleet::finishCtl(QProcess &process) -> CommandResult
+{
+    waitUntil([&process] { return process.state() == QProcess::NotRunning; },
+              EndTimeoutMilliseconds);
+    return {process.exitCode(), process.readAllStandardOutput().toStdString(),
+            process.readAllStandardError().toStdString()};
+}
+
 auto Fleet::ctl(const QStringList &words) -> CommandResult
 {
     auto endpoints = QStringList();
@@ -238,9 +265,7 @@
                   QStringList{u"--members"_s, endpoints.join(u","_s), u"--key"_s,
                               QString::fromLatin1(OperatorKey)}
                       + words);
-    process.waitForFinished(EndTimeoutMilliseconds);
-    return {process.exitCode(), process.readAllStandardOutput().toStdString(),
-            process.readAllStandardError().toStdString()};
+    return finishCtl(process);
 }
 
 auto Fleet::createKey(const std::string &team) -> std::string
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -8,6 +8,7 @@
 #include <QProcess>
 #include <QTemporaryDir>
 
+#include "relay.hpp"
 #include "shallotproxy/connection.hpp"
 
 namespace shallotproxy::test {
@@ -17,6 +18,7 @@
 {
     int members = 3;
     int targets = 4;
+    int relayedMember = -1; // reaches the store through a relay that can be silenced
     /// Declarations; empty for one pool `main` on two data centres `north` and `south` with queues
     /// `orders`, `quotes` (idempotent) and `open`, and the teams `red` and `blue`.
     std::string declarations;
@@ -57,6 +59,12 @@
     auto createKey(const std::string &team) -> std::string;
     /// Sets a fault of the key-value service; see standins/store_main.cpp.
     auto storeFault(const std::string &json) -> void;
+    /// Silences the store towards the relayed member, or ends that.
+    auto cutFromStore(bool isCut) -> void;
+    /// Starts shallotctl with these words against one member, for commands that race.
+    auto startCtl(const QStringList &words, int member) -> std::unique_ptr<QProcess>;
+    /// Waits for a started shallotctl.
+    static auto finishCtl(QProcess &process) -> CommandResult;
     /// Sets a fault of the targets; see standins/targets_main.cpp.
     auto targetFault(const std::string &json) -> void;
     /// A count of the targets, as `runs`, `repeats` or `mostRunning`.
@@ -96,6 +104,7 @@
     quint16 m_storePort = 0;
     quint16 m_controlPort = 0;
     quint16 m_firstTargetPort = 0;
+    std::unique_ptr<Relay> m_relay;
     std::unique_ptr<QProcess> m_store;
     std::unique_ptr<QProcess> m_targets;
     std::vector<Member> m_members;
--- a/tests/unit/unit-frame.cpp
+++ b/tests/unit/unit-frame.cpp
@@ -13,7 +13,7 @@
 {
     const auto from = Incarnation{MemberName("entry-1"), number};
     auto reader = FrameReader(Secret);
-    reader.append(encodeFrame({from, 7, Heartbeat{version}}, Secret));
+    reader.append(encodeFrame({from, 7, Heartbeat{version, 0, "", "", ""}}, Secret));
     const auto frame = reader.next();
     RC_ASSERT(frame.has_value());
     RC_ASSERT(frame->has_value());
@@ -23,7 +23,7 @@
 
 RC_GTEST_PROP(Frame, IsRefusedWhenAnyBitOfItsBodyOrDigestChanged, ())
 {
-    auto bytes = encodeFrame({{MemberName("entry-1"), 1}, 7, Heartbeat{3}}, Secret);
+    auto bytes = encodeFrame({{MemberName("entry-1"), 1}, 7, Heartbeat{3, 0, "", "", ""}}, Secret);
     const auto bit = *rc::gen::inRange<qsizetype>(32, bytes.size() * 8);
     bytes[bit / 8] = static_cast<char>(bytes[bit / 8] ^ (1 << (bit % 8)));
     auto reader = FrameReader(Secret);
