Add pure units for teams' limits and shares

PoolShares, ShareLedger: a steward per pool by rendezvous hashing, weighted max-min credits with a deficit, falling back to an even part. Ruled out: a store write per start (rate, outages), a static split (members' views differ). Not wired yet.

--- a/packages/process/include/shallotproxy/process/peer/messages.hpp
+++ b/packages/process/include/shallotproxy/process/peer/messages.hpp
@@ -16,7 +16,8 @@
 /// Every message between members. New types go to the end: the index is the wire tag.
 using PeerMessage =
     std::variant<Heartbeat, Announce, AnnounceAnswer, VouchRequest, VouchAnswer, UnitRequest,
-                 UnitTransfer, UnitTransferAck, DemandReport, CreditGrant, ClaimQuery, ClaimAnswer>;
+                 UnitTransfer, UnitTransferAck, DemandReport, CreditGrant, ClaimQuery, ClaimAnswer,
+                 UnitAttestRequest, UnitAttestation>;
 
 /// A message with its sender; `sequence` is the sender's time-line sequence.
 struct PeerEnvelope
--- a/packages/process/include/shallotproxy/process/peer/messages/share_messages.hpp
+++ b/packages/process/include/shallotproxy/process/peer/messages/share_messages.hpp
@@ -30,7 +30,8 @@
     MSGPACK_DEFINE(team, slots)
 };
 
-/// Slots of one pool that the receiver may keep busy, per team, for a short time.
+/// Slots of one pool that the receiver may keep busy, per team, for a short time. `round` rises
+/// with every grant of one steward's incarnation.
 struct CreditGrant
 {
     PoolName pool;
--- /dev/null
+++ b/packages/process/src/share/pool_shares.cpp
@@ -0,0 +1,168 @@
+#include "shallotproxy/process/share/pool_shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "shallotproxy/process/share/fair_allocation.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+constexpr auto MemorySeconds = 10.0; // a deficit fades out over this time
+constexpr auto RepaySeconds = 1.0; // and is repaid within about this one
+constexpr auto LongestStep = 0.5; // seconds; a gap in the rounds says nothing
+
+auto secondsOf(Duration time) -> double
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+auto PoolShares::report(const MemberName &member, const std::vector<TeamDemand> &teams,
+                        BootTime now) -> void
+{
+    auto &demand = m_members[member];
+    demand.at = now;
+    demand.teams.clear();
+    for (const auto &it : teams)
+        demand.teams.emplace(it.team, it);
+}
+
+auto PoolShares::isComplete(const std::set<MemberName> &members, BootTime now) const -> bool
+{
+    return std::ranges::all_of(members, [this, now](const MemberName &it) {
+        const auto demand = m_members.find(it);
+        return demand != m_members.end() && now - demand->second.at < ReportTime;
+    });
+}
+
+auto PoolShares::allocate(const std::set<MemberName> &members, BootTime now)
+    -> std::map<MemberName, TeamSlots>
+{
+    forgetSilent(members, now);
+    auto teams = std::vector<TeamName>();
+    auto demands = std::vector<WeightedDemand>();
+    for (const auto &[team, state] : m_teams) {
+        auto demand = 0.0;
+        for (const auto &[member, it] : m_members) {
+            const auto found = it.teams.find(team);
+            if (found != it.teams.end())
+                demand += found->second.queued + found->second.running;
+        }
+        teams.push_back(team);
+        demands.push_back({weightOf(team), demand});
+    }
+    const auto capacity = capacityFor(members);
+    const auto fair = weightedMaxMin(capacity, demands);
+    updateDeficits(fair, teams, now);
+    auto targets = fair;
+    auto carry = std::vector<double>();
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        targets[i] += m_teams.at(teams[i]).deficit / RepaySeconds;
+        carry.push_back(m_teams.at(teams[i]).carry);
+    }
+    const auto parts = levelToCapacity(capacity, demands, targets);
+    const auto whole = roundWithCarry(parts, carry);
+    auto credits = std::map<MemberName, TeamSlots>();
+    for (const auto &[member, demand] : m_members)
+        credits[member] = {};
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        m_teams.at(teams[i]).carry = carry[i];
+        split(teams[i], whole[i], credits);
+    }
+    const auto used = std::accumulate(whole.begin(), whole.end(), 0.0);
+    addStanding(capacity - used, credits);
+    return credits;
+}
+
+auto PoolShares::weightOf(const TeamName &team) const -> double
+{
+    const auto it = m_terms.weights.find(team);
+    return it == m_terms.weights.end() ? 1.0 : std::max(1.0, static_cast<double>(it->second));
+}
+
+// A registered member that is silent goes on alone with its even part; the rest is for the others.
+auto PoolShares::capacityFor(const std::set<MemberName> &members) const -> double
+{
+    if (members.empty())
+        return 0;
+    const auto present = std::ranges::count_if(
+        members, [this](const MemberName &it) { return m_members.contains(it); });
+    return static_cast<double>(m_terms.slots) * static_cast<double>(present)
+        / static_cast<double>(members.size());
+}
+
+auto PoolShares::forgetSilent(const std::set<MemberName> &members, BootTime now) -> void
+{
+    std::erase_if(m_members, [&members, now](const auto &it) {
+        return now - it.second.at >= ReportTime || !members.contains(it.first);
+    });
+    for (const auto &[team, weight] : m_terms.weights)
+        m_teams.try_emplace(team);
+    m_teams.try_emplace(TeamName());
+    std::erase_if(m_teams, [this](const auto &it) {
+        return !it.first.isEmpty() && !m_terms.weights.contains(it.first);
+    });
+}
+
+auto PoolShares::updateDeficits(std::span<const double> fair, const std::vector<TeamName> &teams,
+                                BootTime now) -> void
+{
+    const auto passed = std::clamp(secondsOf(now - m_last), 0.0, LongestStep);
+    m_last = now;
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        auto running = 0.0;
+        for (const auto &[member, it] : m_members) {
+            const auto found = it.teams.find(teams[i]);
+            if (found != it.teams.end())
+                running += found->second.running;
+        }
+        auto &deficit = m_teams.at(teams[i]).deficit;
+        deficit += (fair[i] - running) * passed;
+        deficit *= 1 - passed / MemorySeconds;
+        const auto most = static_cast<double>(m_terms.slots) * RepaySeconds;
+        deficit = std::clamp(deficit, -most, most);
+    }
+}
+
+auto PoolShares::split(const TeamName &team, std::uint32_t slots,
+                       std::map<MemberName, TeamSlots> &credits) -> void
+{
+    auto members = std::vector<MemberName>();
+    auto demands = std::vector<double>();
+    auto carry = std::vector<double>();
+    auto &state = m_teams.at(team);
+    for (const auto &[member, it] : m_members) {
+        const auto found = it.teams.find(team);
+        const auto demand =
+            found == it.teams.end() ? 0.0 : found->second.queued + found->second.running;
+        members.push_back(member);
+        demands.push_back(demand);
+        carry.push_back(state.memberCarry[member]);
+    }
+    const auto sum = std::accumulate(demands.begin(), demands.end(), 0.0);
+    for (auto &it : demands)
+        it = sum > 0 ? it * slots / sum : 0;
+    const auto whole = roundWithCarry(demands, carry);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        state.memberCarry[members[i]] = carry[i];
+        credits[members[i]][team] = whole[i];
+    }
+}
+
+// Slots that nobody asks for stand ready at every member for whichever team comes first.
+auto PoolShares::addStanding(double unused, std::map<MemberName, TeamSlots> &credits) const -> void
+{
+    if (credits.empty() || unused <= 0)
+        return;
+    const auto part = static_cast<std::uint32_t>(unused / static_cast<double>(credits.size()));
+    for (auto &[member, teams] : credits) {
+        for (auto &[team, slots] : teams)
+            slots += part;
+    }
+}
+
+} // namespace shallotproxy
