--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned Unavailable = 503;
 constexpr unsigned FirstServerError = 500;
 constexpr Duration SilentTime = 2s; // without an answer, then the target is probed
+constexpr auto ProbeInterval = 1s; // of a target that didn't answer the last probe
 constexpr std::size_t MaxOpenBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t MaxReplayBytes = std::size_t{64} * 1024; // longest answer kept for repeats
 
@@ -198,7 +199,9 @@
     open.arrival = RequestArrived{number, queue.name, open.team, open.deadline, admitted.owner.key};
     open.responder.onClientGone([this, number] { callerGone(number); });
     m_process.timeline.record("request.arrive", open.id, version(),
-                              {{"queue", queue.name.value()}, {"team", open.team.value()}});
+                              {{"queue", queue.name.value()},
+                               {"team", open.team.value()},
+                               {"idempotent", queue.isIdempotent ? "true" : "false"}});
     m_openBytes += open.forwarded.body.size();
     const auto arrival = open.arrival;
     m_open.emplace(number, std::move(open));
@@ -234,6 +237,8 @@
         return;
     }
     auto &open = it->second;
+    m_process.timeline.record("request.claim", open.id, version(),
+                              {{"verdict", std::string(verdict.name())}});
     switch (verdict.kind) {
     case ClaimVerdict::Kind::Granted: {
         open.phase = Phase::Waiting;
@@ -357,6 +362,7 @@
         if (!isAlive) {
             FrontLog.warning("target {} answers no new connection", name.value());
             m_process.timeline.record("target.silent", name.value(), version());
+            QTimer::singleShot(ProbeInterval, this, [this, name] { probe(name); });
         }
         dispatch(TargetProbed{name, isAlive});
     });
@@ -377,6 +383,8 @@
     open.host = action.host;
     open.triedAt = now;
     m_tries.emplace_back(now, action.number);
+    if (open.error)
+        m_process.metrics.count("shallotproxy_retries_total");
     const auto &host = m_configuration->hosts.at(action.host);
     m_process.timeline.record("request.start", open.id, version(),
                               {{"host", host.name.value()},
@@ -433,6 +441,7 @@
                               version(),
                               {{"host", open.host.value()}, {"error", std::string(ec.name())}});
     if (ec.isNotRun()) {
+        probe(open.host);
         dispatch(RequestNotSent{number});
         return;
     }
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <iostream>
 #include <memory>
 #include <vector>
@@ -5,6 +6,7 @@
 #include <QCoreApplication>
 #include <QDateTime>
 #include <QElapsedTimer>
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QTimer>
 
@@ -30,12 +32,14 @@
 ///   after "milliseconds"; "lose-answer" closes the connection after a write took effect.
 /// - "calls": "all", "writes", "reads" or "leases": which calls are hit.
 /// - "count": how many calls are hit, all by default.
+/// - "match": only writes of a key that contains this.
 struct Fault
 {
     QString mode = u"none"_s;
     QString calls = u"all"_s;
     int milliseconds = 0;
     int count = 0;
+    QByteArray match;
 };
 
 auto isWrite(const HttpRequest &request) -> bool
@@ -110,6 +114,17 @@
                            [held, response] { held->answer(response); });
     }
 
+    [[nodiscard]] auto writesMatch(const HttpRequest &request) const -> bool
+    {
+        const auto body = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
+        const auto operations = body.value("success"_L1).toArray();
+        return std::any_of(operations.begin(), operations.end(), [this](const auto &it) {
+            const auto put = it.toObject().value("request_put"_L1).toObject();
+            const auto key = QByteArray::fromBase64(put.value("key"_L1).toString().toLatin1());
+            return !key.isEmpty() && key.contains(m_fault.match);
+        });
+    }
+
     /// Whether the fault hits this call; counts it if it does.
     auto takeHit(const HttpRequest &request) -> bool
     {
@@ -122,12 +137,15 @@
         // An answer can only be lost after an effect if the call has one.
         if (!isOfKind || (m_fault.mode == "lose-answer"_L1 && !isWrite(request)))
             return false;
+        if (!m_fault.match.isEmpty() && !writesMatch(request))
+            return false;
         --m_fault.count;
         return true;
     }
 
     auto setFault(const QJsonObject &body) -> void
     {
+        m_fault.match = body.value("match"_L1).toString().toUtf8();
         m_fault.mode = body.value("mode"_L1).toString(u"none"_s);
         m_fault.calls = body.value("calls"_L1).toString(u"all"_s);
         m_fault.milliseconds = body.value("milliseconds"_L1).toInt();
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -10,6 +10,7 @@
 #include <QProcess>
 #include <QTemporaryDir>
 
+#include "relay.hpp"
 #include "shallotproxy/connection.hpp"
 
 namespace shallotproxy::test {
@@ -20,6 +21,7 @@
     int members = 3;
     int targets = 4;
     int workers = 0;
+    int relayedMember = -1; // reaches the store through a relay that can be silenced
     /// Declarations; empty for one pool `main` on two data centres `north` and `south` with queues
     /// `orders`, `quotes` (idempotent) and `open`, and the teams `red` and `blue`.
     std::string declarations;
@@ -64,6 +66,12 @@
     auto createKey(const std::string &team) -> std::string;
     /// Sets a fault of the key-value service; see standins/store_main.cpp.
     auto storeFault(const std::string &json) -> void;
+    /// Silences the store towards the relayed member, or ends that.
+    auto cutFromStore(bool isCut) -> void;
+    /// Starts shallotctl with these words against one member, for commands that race.
+    auto startCtl(const QStringList &words, int member) -> std::unique_ptr<QProcess>;
+    /// Waits for a started shallotctl.
+    static auto finishCtl(QProcess &process) -> CommandResult;
     /// Sets a fault of the targets; see standins/targets_main.cpp.
     auto targetFault(const std::string &json) -> void;
     /// A count of the targets, as `runs`, `repeats` or `mostRunning`.
@@ -87,6 +95,9 @@
     [[nodiscard]] auto callersEndpoint(int member) const -> std::string;
     [[nodiscard]] auto operatorsEndpoint(int member) const -> std::string;
     [[nodiscard]] auto peersEndpoint(int member) const -> std::string;
+    [[nodiscard]] auto memberProcess(int member) const -> qint64;
+    /// Port of the first target; the others follow it.
+    [[nodiscard]] auto firstTargetPort() const -> int { return m_firstTargetPort; }
     [[nodiscard]] auto storeEndpoint() const -> std::string;
     [[nodiscard]] auto targetPort(int target) const -> int { return m_firstTargetPort + target; }
     [[nodiscard]] auto isRunning(int member) const -> bool;
@@ -117,6 +128,7 @@
     quint16 m_firstTargetPort = 0;
     quint16 m_platformPort = 0;
     quint16 m_firstWorkerPort = 0;
+    std::unique_ptr<Relay> m_relay;
     std::unique_ptr<QProcess> m_store;
     std::unique_ptr<QProcess> m_targets;
     std::unique_ptr<QProcess> m_workers;
