--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -227,7 +227,8 @@
 auto measure(const Size &size, int seconds) -> std::optional<Cost>
 {
     constexpr auto Targets = 4;
-    auto fleet = Fleet({size.members, Targets, {}, false});
+    auto fleet = Fleet(
+        {.members = size.members, .targets = Targets, .declarations = {}, .hasJournal = false});
     auto file = QTemporaryFile(QDir::tempPath() + u"/shallotproxy-XXXXXX.yaml"_s);
     if (!file.open())
         return std::nullopt;
@@ -307,7 +308,7 @@
 auto measureLatency(int seconds) -> void
 {
     constexpr auto Rounds = 4;
-    auto fleet = Fleet({3, 4, {}, false});
+    auto fleet = Fleet({.members = 3, .targets = 4, .declarations = {}, .hasJournal = false});
     const auto request = Fleet::queueRequest("open", "", 0, "one pane");
     auto direct = ClosedLoop(fmt::format("127.0.0.1:{}", fleet.targetPort(0)), request, 1);
     auto through = ClosedLoop(fleet.callersEndpoint(0), request, 1);
@@ -338,7 +339,7 @@
 {
     fmt::print("| open requests | requests/s | core % | core ms a request | p50 ms | p99 ms | "
                "failures |\n| --- | --- | --- | --- | --- | --- | --- |\n");
-    auto fleet = Fleet({1, 8, {}, false});
+    auto fleet = Fleet({.members = 1, .targets = 8, .declarations = {}, .hasJournal = false});
     for (const auto connections : {1, 4, 16, 48}) {
         auto loop = ClosedLoop(fleet.callersEndpoint(0),
                                Fleet::queueRequest("open", "", 0, "one pane"), connections);
--- a/tests/process/load.hpp
+++ b/tests/process/load.hpp
@@ -21,6 +21,7 @@
     std::string key;
     double rate = 0; // requests a second
     int workMilliseconds = 0;
+    bool isIdempotent = false; // targets need not count repeats
 };
 
 /// What became of a load's requests.
--- a/tests/process/process-configuration.cpp
+++ b/tests/process/process-configuration.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "fleet.hpp"
+#include "shallotproxy/process/base/text.hpp"
 
 namespace shallotproxy::test {
 
