--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -108,7 +108,16 @@
             return json.object().value("members"_L1).toArray().size() == m_options.members;
         },
         StartTimeoutMilliseconds);
-    ctl({u"--yes"_s, u"config"_s, u"apply"_s, toQString(file)});
+    // A member that has just registered may not be fresh yet; applying may be repeated.
+    auto result = CommandResult();
+    const auto isApplied = waitUntil(
+        [this, &result, &file] {
+            result = ctl({u"--yes"_s, u"config"_s, u"apply"_s, toQString(file)});
+            return result.exitCode == 0;
+        },
+        StartTimeoutMilliseconds);
+    if (!isApplied)
+        fmt::print(stderr, "declarations not applied: {}{}\n", result.output, result.errors);
     waitForVersion(1);
 }
 
