Ask once more before the first byte, tell a dead claim owner from a busy one, end keyed requests before their claims

A member paused between the start's decision and the connection wrote to a target that had left meanwhile; the guard withholds it (not run). A deadline of up to an hour could outlive a claim of 10 min.

--- a/packages/connection/include/shallotproxy/connection/target/target_connection.hpp
+++ b/packages/connection/include/shallotproxy/connection/target/target_connection.hpp
@@ -23,6 +23,7 @@
         UnknownEnd = 324,
         BadAnswer = 325,
         TimedOut = 326,
+        Withheld = 327,
     };
 
     Kind kind = Kind::NotConnected;
@@ -31,7 +32,10 @@
     [[nodiscard]] auto name() const -> std::string_view;
     [[nodiscard]] auto message() const -> std::string;
     /// Whether no byte of the request can have reached the target.
-    [[nodiscard]] auto isNotRun() const -> bool { return kind == Kind::NotConnected; }
+    [[nodiscard]] auto isNotRun() const -> bool
+    {
+        return kind == Kind::NotConnected || kind == Kind::Withheld;
+    }
 };
 
 using TargetReply = Expected<HttpResponse, TargetError>;
@@ -41,13 +45,16 @@
 {
 public:
     using Callback = std::function<void(TargetReply)>;
+    /// Asked right before the first byte is written; `false` withholds the request.
+    using Guard = std::function<bool()>;
 
     TargetConnection(std::string endpoint, HttpBounds bounds, QObject *parent = nullptr);
 
     /// Sends the request once and hands the outcome to `callback`, exactly once. Ends with an error
     /// if the connection doesn't stand within its bound, if an answer that has begun makes no
     /// progress within its bound, or if there is no whole answer within `timeoutMilliseconds`.
-    auto send(const HttpRequest &request, int timeoutMilliseconds, Callback callback) -> void;
+    auto send(const HttpRequest &request, int timeoutMilliseconds, Callback callback,
+              Guard guard = {}) -> void;
     /// Whether another request may use this connection.
     [[nodiscard]] auto isReusable() const -> bool;
 
@@ -68,6 +75,7 @@
     bool m_isWritten = false;
     bool m_isReusable = true;
     Callback m_callback;
+    Guard m_guard;
 };
 
 } // namespace shallotproxy
--- a/packages/connection/src/target_connection.cpp
+++ b/packages/connection/src/target_connection.cpp
@@ -18,9 +18,11 @@
     case Kind::BadAnswer:
         return "target-bad-answer";
     case Kind::TimedOut:
+        return "target-timed-out";
+    case Kind::Withheld:
         break;
     }
-    return "target-timed-out";
+    return "request-withheld";
 }
 
 auto TargetError::message() const -> std::string
@@ -46,10 +48,11 @@
     connect(&m_progress, &QTimer::timeout, this, timeOut);
 }
 
-auto TargetConnection::send(const HttpRequest &request, int timeoutMilliseconds, Callback callback)
-    -> void
+auto TargetConnection::send(const HttpRequest &request, int timeoutMilliseconds, Callback callback,
+                            Guard guard) -> void
 {
     m_callback = std::move(callback);
+    m_guard = std::move(guard);
     m_parser = std::make_unique<HttpResponseParser>(m_bounds);
     if (request.method == "HEAD")
         m_parser->expectNoBody();
@@ -76,6 +79,10 @@
 {
     if (!m_callback || m_isWritten)
         return;
+    if (m_guard && !m_guard()) {
+        fail(TargetError::Kind::Withheld);
+        return;
+    }
     // From here on the target may have the request, whatever happens to the connection.
     m_isWritten = true;
     m_progress.stop();
--- a/packages/daemon/src/claim_module.cpp
+++ b/packages/daemon/src/claim_module.cpp
@@ -10,8 +10,8 @@
 
 // Claims don't end with the member that wrote them: a lease is never renewed but replaced, so that
 // each claim lasts for the difference of the two at least.
-constexpr std::int64_t ClaimLeaseSeconds = 900;
 constexpr Duration ClaimLeaseUse = 300s;
+constexpr Duration ClaimLease = ClaimLeaseUse + ShortestClaimTime;
 
 } // namespace
 
@@ -80,16 +80,17 @@
 {
     // Counted from before the request is sent, so that the service never ends it earlier.
     const auto usableUntil = BootClock::now() + ClaimLeaseUse;
-    m_context.store(StoreLeaseGrant{ClaimLeaseSeconds},
-                    [this, action, usableUntil](const StoreReply &reply) {
-                        if (!reply || reply->lease == 0) {
-                            step(ClaimsLost());
-                            return;
-                        }
-                        m_lease = reply->lease;
-                        m_leaseUsableUntil = usableUntil;
-                        write(action);
-                    });
+    m_context.store(
+        StoreLeaseGrant{std::chrono::duration_cast<std::chrono::seconds>(ClaimLease).count()},
+        [this, action, usableUntil](const StoreReply &reply) {
+            if (!reply || reply->lease == 0) {
+                step(ClaimsLost());
+                return;
+            }
+            m_lease = reply->lease;
+            m_leaseUsableUntil = usableUntil;
+            write(action);
+        });
 }
 
 auto ClaimModule::write(const WriteClaims &action) -> void
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -195,6 +195,9 @@
     open.id = fmt::format("{:x}-{}", m_process.self.number, number);
     open.arrived = now;
     open.deadline = now + std::chrono::milliseconds(queue.deadlineMilliseconds);
+    // A request must not outlive its claim.
+    if (!admitted.idempotencyKey.empty())
+        open.deadline = std::min(open.deadline, now + ShortestClaimTime);
     open.forwarded.headers.push_back({"Shallotproxy-Request", open.id});
     open.arrival = RequestArrived{number, queue.name, open.team, open.deadline, admitted.owner.key};
     open.responder.onClientGone([this, number] { callerGone(number); });
@@ -400,7 +403,17 @@
     const auto timeout = millisecondsOf(tryTimeout(open.deadline - now, open.isIdempotent));
     m_targets.send(
         host, open.forwarded, use, timeout,
-        [this, number = action.number](const TargetReply &reply) { finish(number, reply); });
+        [this, number = action.number](const TargetReply &reply) { finish(number, reply); },
+        [this, name = action.host] { return mayWrite(name); });
+}
+
+/// Asked when the connection stands: the process may have been paused since the start was decided,
+/// and the configuration may have changed.
+auto FrontDuty::mayWrite(const HostName &name) const -> bool
+{
+    const auto it = m_configuration->hosts.find(name);
+    return BootClock::now() < m_freshUntil && it != m_configuration->hosts.end()
+        && m_configuration->takesWork(it->second);
 }
 
 auto FrontDuty::perform(const RefuseRequest &action) -> void
@@ -441,8 +454,10 @@
                               version(),
                               {{"host", open.host.value()}, {"error", std::string(ec.name())}});
     if (ec.isNotRun()) {
-        probe(open.host);
-        dispatch(RequestNotSent{number});
+        const auto isWithheld = ec.kind == TargetError::Kind::Withheld;
+        if (!isWithheld)
+            probe(open.host);
+        dispatch(RequestNotSent{number, !isWithheld});
         return;
     }
     open.error = ec;
--- a/packages/daemon/src/front_duty.hpp
+++ b/packages/daemon/src/front_duty.hpp
@@ -68,6 +68,7 @@
     auto perform(const AbandonRequest &action) -> void;
     auto apply(const ClaimVerdict &verdict) -> void;
     auto apply(const ControlReply &reply) -> void;
+    [[nodiscard]] auto mayWrite(const HostName &name) const -> bool;
     auto finish(RequestNumber number, const TargetReply &reply) -> void;
     auto takeFailure(RequestNumber number, const TargetError &ec) -> void;
     auto takeAnswer(RequestNumber number, HttpResponse response) -> void;
--- a/packages/daemon/src/target_pool.cpp
+++ b/packages/daemon/src/target_pool.cpp
@@ -19,17 +19,20 @@
 { }
 
 auto TargetPool::send(const Host &host, const HttpRequest &request, ConnectionUse use,
-                      int timeoutMilliseconds, TargetConnection::Callback callback) -> void
+                      int timeoutMilliseconds, TargetConnection::Callback callback,
+                      TargetConnection::Guard guard) -> void
 {
     auto *connection = use == ConnectionUse::Reused ? takeIdle(host.address) : nullptr;
     if (connection == nullptr)
         connection = create(host.address);
-    connection->send(request, timeoutMilliseconds,
-                     [this, connection, address = host.address,
-                      callback = std::move(callback)](TargetReply reply) {
-                         giveBack(address, connection);
-                         callback(std::move(reply));
-                     });
+    connection->send(
+        request, timeoutMilliseconds,
+        [this, connection, address = host.address,
+         callback = std::move(callback)](TargetReply reply) {
+            giveBack(address, connection);
+            callback(std::move(reply));
+        },
+        std::move(guard));
 }
 
 auto TargetPool::probe(const Host &host, std::function<void(bool isAlive)> callback) -> void
--- a/packages/daemon/src/target_pool.hpp
+++ b/packages/daemon/src/target_pool.hpp
@@ -23,7 +23,8 @@
 
     /// Sends the request once, over a new connection or over an idle one if `use` allows it.
     auto send(const Host &host, const HttpRequest &request, ConnectionUse use,
-              int timeoutMilliseconds, TargetConnection::Callback callback) -> void;
+              int timeoutMilliseconds, TargetConnection::Callback callback,
+              TargetConnection::Guard guard) -> void;
     /// Asks the target over a new connection whether it answers at all. Nothing happens if it is
     /// being asked already.
     auto probe(const Host &host, std::function<void(bool isAlive)> callback) -> void;
--- a/packages/process/include/shallotproxy/process/peer/messages/claim_messages.hpp
+++ b/packages/process/include/shallotproxy/process/peer/messages/claim_messages.hpp
@@ -15,6 +15,7 @@
     MSGPACK_DEFINE(team, key, query)
 };
 
+/// The answer to a query. `isPending`: the request is running, and another answer follows.
 struct ClaimAnswer
 {
     std::uint64_t query = 0;
@@ -22,7 +23,8 @@
     std::uint32_t status = 0;
     std::string contentType;
     std::string body;
-    MSGPACK_DEFINE(query, isKnown, status, contentType, body)
+    bool isPending = false;
+    MSGPACK_DEFINE(query, isKnown, status, contentType, body, isPending)
 };
 
 } // namespace shallotproxy
--- a/packages/request/include/shallotproxy/request/claim/claim_table.hpp
+++ b/packages/request/include/shallotproxy/request/claim/claim_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -20,6 +21,9 @@
 
 namespace shallotproxy {
 
+/// How long a claim lasts at least, and so the longest deadline of a request with a key.
+inline constexpr Duration ShortestClaimTime = std::chrono::minutes(10);
+
 /// A request with an idempotency key asks whether it may run.
 struct ClaimAsk
 {
@@ -175,6 +179,14 @@
         BootTime deadline;
     };
 
+    /// A query to another member; a member that is alive says at once that it heard it.
+    struct Query
+    {
+        RequestNumber number = 0;
+        BootTime deadline;
+        BootTime heardBy;
+    };
+
     struct PeerWaiter
     {
         MemberName member;
@@ -241,7 +253,7 @@
     std::vector<ClaimDelete> m_deleting;
     std::unordered_set<RequestNumber> m_neverRan;
     std::deque<RequestNumber> m_neverRanOrder;
-    std::map<std::uint64_t, Waiter> m_queries;
+    std::map<std::uint64_t, Query> m_queries;
     std::deque<std::pair<ClaimName, RequestNumber>> m_kept;
     std::size_t m_heldBytes = 0;
     std::vector<ClaimAction> m_actions;
--- a/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
+++ b/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
@@ -52,10 +52,12 @@
     bool isAlive = false;
 };
 
-/// The connection never stood: the request goes back to the front of its queue.
+/// No byte was written: the request goes back to the front of its queue. `isTargetFault`: because
+/// no connection stood.
 struct RequestNotSent
 {
     RequestNumber number = 0;
+    bool isTargetFault = true;
 };
 
 /// The caller of a request has gone; if it is still queued, it is dropped.
--- a/packages/request/src/claim_table.cpp
+++ b/packages/request/src/claim_table.cpp
@@ -20,6 +20,7 @@
 constexpr Duration StoreWait = 2500ms; // longest wait for the service
 constexpr Duration OwnerWait = 10s; // longest wait for the first request's answer
 constexpr Duration LostDelay = 250ms; // before the next call after one without an answer
+constexpr Duration HeardWait = 1s; // longest wait for any word of the owner
 constexpr Duration IntervalPerMember = 10ms; // so that all members together make 100 calls a second
 
 auto bytesOf(const HttpResponse &response) -> std::size_t
@@ -195,6 +196,10 @@
     const auto isRunning = it != m_entries.end() && it->second.state == State::Granted
         && it->second.peerWaiters.size() < MaxWaitersPerClaim;
     if (isRunning) {
+        auto pending = ClaimAnswer();
+        pending.query = event.query.query;
+        pending.isPending = true;
+        m_actions.emplace_back(AnswerClaimQuery{event.from, pending});
         it->second.peerWaiters.push_back({event.from, event.query.query});
         return;
     }
@@ -204,9 +209,14 @@
 
 auto ClaimTable::handle(const ClaimQueryAnswered &event) -> void
 {
-    const auto node = m_queries.extract(event.answer.query);
-    if (node.empty())
+    const auto it = m_queries.find(event.answer.query);
+    if (it == m_queries.end())
+        return;
+    if (event.answer.isPending) {
+        it->second.heardBy = it->second.deadline;
         return;
+    }
+    const auto node = m_queries.extract(it);
     if (event.answer.isKnown) {
         giveVerdict(node.mapped().number, ClaimVerdict::Kind::Replay, toResponse(event.answer));
     } else {
@@ -300,7 +310,7 @@
         giveVerdict(number, ClaimVerdict::Kind::AlreadyStarted);
         return;
     }
-    m_queries.emplace(number, Waiter{number, deadline});
+    m_queries.emplace(number, Query{number, deadline, std::min(deadline, m_now + HeardWait)});
     m_actions.emplace_back(AskClaimOwner{owner, {name.team, name.key, number}});
 }
 
@@ -383,7 +393,7 @@
 auto ClaimTable::expireWaiters() -> void
 {
     std::erase_if(m_queries, [this](const auto &it) {
-        const auto isLate = m_now >= it.second.deadline;
+        const auto isLate = m_now >= it.second.heardBy;
         if (isLate)
             giveVerdict(it.second.number, ClaimVerdict::Kind::AlreadyStarted);
         return isLate;
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -135,7 +135,8 @@
     if (it == m_requests.end() || !it->second.isRunning)
         return;
     auto &request = it->second;
-    eject(m_targets[request.host]);
+    if (event.isTargetFault)
+        eject(m_targets[request.host]);
     release(request);
     if (m_isDraining) {
         end(event.number, Refusal::Kind::ShuttingDown);
--- a/tests/process/process-requests.cpp
+++ b/tests/process/process-requests.cpp
@@ -197,6 +197,38 @@
     EXPECT_EQ(fleet.targetCount("runs"), 2);
 }
 
+TEST(ProcessRequests, ARepeatWhileTheFirstRunsGetsItsAnswerAndNoneFromAPausedMember)
+{
+    auto fleet = Fleet({2, 2, {}});
+    const auto key = fleet.createKey("red");
+    const auto sendLater = [&fleet](const HttpRequest &request) {
+        auto reply = std::make_shared<std::optional<TargetReply>>();
+        auto connection =
+            std::make_shared<TargetConnection>(fleet.callersEndpoint(0), HttpBounds());
+        connection->send(request, 10'000, [reply, connection](TargetReply it) {
+            *reply = std::move(it);
+            QTimer::singleShot(0, [connection] {});
+        });
+        return reply;
+    };
+    const auto running = sendLater(keyedRequest("orders", key, "slow", 1'500));
+    EXPECT_TRUE(waitUntil([&] { return fleet.targetCount("runs") == 1; }, 3'000));
+    const auto repeat = fleet.request(1, keyedRequest("orders", key, "slow", 1'500));
+    EXPECT_EQ(outcomeOf(repeat), "answered");
+    EXPECT_EQ(repeat->header("Shallotproxy-Replayed"), "true");
+    EXPECT_TRUE(waitUntil([&] { return running->has_value(); }, 3'000));
+
+    const auto paused = sendLater(keyedRequest("orders", key, "paused", 1'500));
+    EXPECT_TRUE(waitUntil([&] { return fleet.targetCount("runs") == 2; }, 3'000));
+    fleet.pauseMember(0);
+    EXPECT_EQ(outcomeOf(fleet.request(1, keyedRequest("orders", key, "paused", 1'500))),
+              "already-started");
+    fleet.resumeMember(0);
+    EXPECT_TRUE(waitUntil([&] { return paused->has_value(); }, 8'000));
+    EXPECT_EQ(outcomeOf(**paused), "answered");
+    EXPECT_EQ(fleet.targetCount("runs"), 2);
+}
+
 TEST(ProcessRequests, AClaimIsKeptTrueByASilentStoreAndByALostAnswer)
 {
     auto fleet = Fleet({});
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -216,7 +216,7 @@
             std::next(running.begin(), static_cast<std::ptrdiff_t>(choice % running.size()));
         const auto number = it->first;
         waiting.insert(running.extract(it));
-        apply(RequestNotSent{number});
+        apply(RequestNotSent{number, choice % 2 == 0});
     }
 
     auto leave(unsigned choice) -> void
@@ -434,7 +434,7 @@
     auto starts = 1;
     for (auto i = 0; i < 1'000; ++i) {
         roomy.now += 1ms;
-        starts += startedOn(roomy.step(RequestNotSent{1})) ? 1 : 0;
+        starts += startedOn(roomy.step(RequestNotSent{1, true})) ? 1 : 0;
         starts += startedOn(roomy.step(DispatchTick())) ? 1 : 0;
     }
     EXPECT_GE(starts, 4);
--- a/tests/unit/unit-errors.cpp
+++ b/tests/unit/unit-errors.cpp
@@ -40,7 +40,7 @@
     expectDocumented<Refusal>(page, 201, 213);
     expectDocumented<HttpError>(page, 301, 306);
     expectDocumented<ListenError>(page, 311, 312);
-    expectDocumented<TargetError>(page, 321, 326);
+    expectDocumented<TargetError>(page, 321, 327);
     expectDocumented<StoreError>(page, 401, 404);
     expectDocumented<PeerError>(page, 501, 504);
     expectDocumented<IntentError>(page, 601, 609);
--- a/tests/unit/unit-http-target.cpp
+++ b/tests/unit/unit-http-target.cpp
@@ -185,6 +185,21 @@
     EXPECT_TRUE(reply.error().isNotRun());
 }
 
+TEST(TargetConnection, WithholdsARequestThatMayNoLongerStartWhenTheConnectionStands)
+{
+    auto target = FakeTarget([](QTcpSocket &socket, int) { socket.write(Whole); });
+    auto connection = TargetConnection(target.endpoint(), shortBounds());
+    auto result = std::optional<TargetReply>();
+    connection.send(
+        order(), 1'000, [&result](TargetReply reply) { result = std::move(reply); },
+        [] { return false; });
+    ASSERT_TRUE(runUntil([&result] { return result.has_value(); }));
+    ASSERT_FALSE(result->has_value());
+    EXPECT_TRUE(result->error().isNotRun());
+    runFor(50);
+    EXPECT_EQ(target.requests(), 0);
+}
+
 TEST(TargetConnection, WaitsLongForAnAnswerThatHasNotBegun)
 {
     auto target = FakeTarget([](QTcpSocket &socket, int) {
