--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -24,12 +24,13 @@
     , m_status(m_context, m_configuration)
     , m_claims(m_context)
     , m_tasks(m_context)
-    , m_maintenance(m_context)
+    , m_maintenance(m_context, m_configuration)
 {
     attachConsumer(links.frontToControl, this, [this] { drainFront(); });
     attachConsumer(links.operatorsToControl, this, [this] { drainOperators(); });
     attachConsumer(links.storeToControl, this, [this] { drainStore(); });
     attachConsumer(links.peersToControl, this, [this] { drainPeers(); });
+    attachConsumer(links.platformToControl, this, [this] { drainPlatform(); });
 }
 
 template <typename Function>
@@ -101,14 +102,22 @@
     announceChanges();
 }
 
+auto ControlDuty::drainPlatform() -> void
+{
+    m_links.platformToControl.drain(
+        [this](PlatformResult result) { m_context.handle(std::move(result)); });
+}
+
 auto ControlDuty::drainPeers() -> void
 {
     const auto now = BootClock::now();
     m_links.peersToControl.drain([this, now](const PeerEnvelope &envelope) {
+        m_context.setCause(envelope);
         forEachModule([&envelope, now](auto &module) {
             if constexpr (requires { module.receive(envelope, now); })
                 module.receive(envelope, now);
         });
+        m_context.clearCause();
     });
     announceChanges();
 }
