--- /dev/null
+++ b/bench/placement_simulation.cpp
@@ -0,0 +1,317 @@
+#include "placement_simulation.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace shallotproxy::bench {
+
+namespace {
+
+constexpr double TickSeconds = 0.25;
+constexpr double LagSeconds = 2; // of reported usage
+constexpr double StoreSeconds = 0.01;
+
+auto bootTime(double seconds) -> BootTime
+{
+    constexpr double Begin = 3'600;
+    return BootTime(
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Begin + seconds)));
+}
+
+} // namespace
+
+auto drawArrivals(const Configuration &configuration, const PoolName &pool, double seconds,
+                  double load, std::uint32_t seed) -> std::vector<Arrival>
+{
+    constexpr auto Kinds = 4;
+    constexpr double UrgentPart = 0.15;
+    constexpr double LongSeconds = 240;
+    constexpr double UrgentSeconds = 20;
+    auto random = std::mt19937(seed);
+    auto factor = std::uniform_real_distribution<double>(0.5, 4);
+    auto draw = std::uniform_real_distribution<double>(0, 1);
+    auto cores = 0.0;
+    auto widest = std::uint32_t{0};
+    auto memory = std::uint64_t{0};
+    for (const auto &[name, host] : configuration.hosts) {
+        if (host.pool == pool && host.role == HostRole::Worker) {
+            cores += host.cores;
+            widest = std::max(widest, host.cores);
+            memory = std::max(memory, host.memoryBytes);
+        }
+    }
+    // How far a team's declarations are off depends on the kind of task.
+    auto factors = std::map<std::pair<TeamName, int>, std::pair<double, double>>();
+    auto teams = std::vector<TeamName>();
+    for (const auto &[name, team] : configuration.teams) {
+        teams.push_back(name);
+        for (auto kind = 0; kind < Kinds; ++kind)
+            factors[{name, kind}] = {factor(random), factor(random)};
+    }
+    auto arrivals = std::vector<Arrival>();
+    auto asked = 0.0; // core-seconds
+    for (auto number = 0; asked < load * cores * seconds; ++number) {
+        auto it = Arrival();
+        const auto &team = teams[random() % teams.size()];
+        const auto kind = static_cast<int>(random() % Kinds);
+        it.record.isUrgent = draw(random) < UrgentPart;
+        it.record.id =
+            TaskId(pool.value() + "." + std::to_string(seed) + "-" + std::to_string(number));
+        it.record.pool = pool;
+        it.record.team = team;
+        it.record.kind = "kind-" + std::to_string(kind);
+        const auto limit = std::max(1U, widest / 4);
+        it.record.declared.cores = 1 + static_cast<std::uint32_t>(random() % limit);
+        it.record.declared.memoryBytes =
+            static_cast<std::uint64_t>(static_cast<double>(memory) * (0.02 + 0.2 * draw(random)));
+        const auto &[coreFactor, memoryFactor] = factors[{team, kind}];
+        const auto noise = 0.9 + 0.2 * draw(random);
+        it.cores =
+            std::min(static_cast<double>(widest), it.record.declared.cores * coreFactor * noise);
+        it.memoryBytes =
+            std::min(static_cast<double>(memory) * 0.95,
+                     static_cast<double>(it.record.declared.memoryBytes) * memoryFactor * noise);
+        const auto declared = it.record.isUrgent ? UrgentSeconds : LongSeconds;
+        it.record.expectedSeconds = static_cast<std::uint32_t>(declared);
+        it.workSeconds = declared * factor(random) / 2;
+        asked += it.cores * it.workSeconds;
+        arrivals.push_back(std::move(it));
+    }
+    // They come in one flow over the whole time.
+    for (auto &it : arrivals)
+        it.second = draw(random) * seconds;
+    std::ranges::sort(arrivals, {}, &Arrival::second);
+    return arrivals;
+}
+
+PlacementSimulation::PlacementSimulation(const Configuration &configuration, const PoolName &pool,
+                                         std::vector<Arrival> arrivals, PlacementRule rule,
+                                         bool hasBlackHole)
+    : m_rule(rule)
+{
+    for (const auto &[name, host] : configuration.hosts) {
+        if (host.pool == pool && host.role == HostRole::Worker) {
+            m_workers.push_back(
+                {name, host.dataCentre, {host.cores, host.memoryBytes, host.accelerators}, true});
+        }
+    }
+    if (hasBlackHole)
+        m_blackHole = m_workers.front().host;
+    for (auto &it : arrivals) {
+        m_order.push_back(it.record.id);
+        auto id = it.record.id;
+        m_arrivals.emplace(std::move(id), std::move(it));
+    }
+    m_board = std::make_unique<TaskBoard>(bootTime(0));
+    m_board->step(WorkersChanged{m_workers}, bootTime(0));
+}
+
+auto PlacementSimulation::run(double seconds) -> PlacementOutcome
+{
+    auto capacity = 0.0;
+    for (const auto &it : m_workers)
+        capacity += it.host == m_blackHole ? 0 : it.capacity.cores;
+    while (m_now < seconds) {
+        m_now += TickSeconds;
+        arrive();
+        advanceRuns();
+        stopOveruse();
+        if (m_rule == PlacementRule::Board) {
+            auto read = TasksRead{{}, bootTime(m_now)};
+            for (const auto &[id, version] : m_records)
+                read.tasks.push_back(version);
+            stepBoard(read);
+            stepBoard(BoardTick());
+        } else {
+            placeFirstFit();
+        }
+    }
+    for (const auto &[id, progress] : m_progress) {
+        const auto &it = m_arrivals.at(id);
+        m_outcome.useReached += progress * it.cores * it.workSeconds;
+    }
+    m_outcome.useReached /= capacity * seconds;
+    if (m_firstFailure >= 0)
+        m_outcome.blackHoleSeconds = m_lastFailure - m_firstFailure;
+    return m_outcome;
+}
+
+auto PlacementSimulation::arrive() -> void
+{
+    while (m_next < m_order.size() && m_arrivals.at(m_order[m_next]).second <= m_now) {
+        const auto &id = m_order[m_next++];
+        m_records[id] = {m_arrivals.at(id).record, ++m_revision};
+    }
+}
+
+auto PlacementSimulation::advanceRuns() -> void
+{
+    auto used = std::map<HostName, double>();
+    for (const auto &[id, run] : m_runs) {
+        if (run.state == RunState::Running)
+            used[run.host] += run.arrival->cores * (run.isThrottled ? 0.5 : 1);
+    }
+    auto cores = std::map<HostName, double>();
+    for (const auto &it : m_workers)
+        cores[it.host] = it.capacity.cores;
+    for (auto &[id, run] : m_runs) {
+        if (run.state != RunState::Running)
+            continue;
+        // A worker whose cores are short slows all its runs down alike.
+        const auto speed =
+            std::min(1.0, cores[run.host] / used[run.host]) * (run.isThrottled ? 0.5 : 1);
+        run.progress += TickSeconds * speed / run.arrival->workSeconds;
+        if (run.progress < 1)
+            continue;
+        run.state = RunState::Done;
+        run.progress = 1;
+        m_progress[id] = 1;
+        ++m_outcome.done;
+    }
+}
+
+/// A worker that has no memory left ends its newest run, whose work since its checkpoint is lost.
+auto PlacementSimulation::stopOveruse() -> void
+{
+    for (const auto &worker : m_workers) {
+        auto memory = 0.0;
+        Run *newest = nullptr;
+        for (auto &[id, run] : m_runs) {
+            if (run.state != RunState::Running || run.host != worker.host)
+                continue;
+            memory += run.arrival->memoryBytes;
+            if (newest == nullptr || run.started > newest->started)
+                newest = &run;
+        }
+        if (memory <= static_cast<double>(worker.capacity.memoryBytes) || newest == nullptr)
+            continue;
+        // It takes the report's lag for anyone to act, and memory is not that patient.
+        if (m_now - newest->started < LagSeconds)
+            continue;
+        newest->state = RunState::Stopped;
+        ++m_outcome.stopped;
+    }
+}
+
+auto PlacementSimulation::report(const RunId &id) -> RunReport
+{
+    const auto it = m_runs.find(id.task);
+    if (it == m_runs.end() || it->second.epoch != id.epoch)
+        return {id, RunState::Unknown, 0, 0, 0};
+    const auto &run = it->second;
+    const auto isSeen = m_now - run.started >= LagSeconds;
+    return {id, run.state, run.progress, isSeen ? run.arrival->cores : 0,
+            isSeen ? run.arrival->memoryBytes : 0};
+}
+
+auto PlacementSimulation::start(const TaskRecord &record, const HostName &host, TaskEpoch epoch)
+    -> RunReport
+{
+    const auto known = m_runs.find(record.id);
+    if (known != m_runs.end() && known->second.epoch >= epoch)
+        return report({record.id, epoch});
+    const auto &arrival = m_arrivals.at(record.id);
+    const auto isFirst = known == m_runs.end();
+    auto run =
+        Run{&arrival, host, epoch, RunState::Running, m_now, m_progress[record.id], 1, false};
+    if (host == m_blackHole) {
+        run.state = RunState::Failed;
+        ++m_outcome.blackHoleRuns;
+        if (m_firstFailure < 0)
+            m_firstFailure = m_now;
+        m_lastFailure = m_now;
+    }
+    if (isFirst && record.isUrgent)
+        m_outcome.urgentWaits.push_back(m_now + StoreSeconds - arrival.second);
+    m_runs[record.id] = run;
+    return report({record.id, epoch});
+}
+
+auto PlacementSimulation::write(const WriteTasks &order) -> void
+{
+    ++m_revision;
+    auto answer = TasksWritten{{}, m_revision};
+    for (const auto &it : order.writes) {
+        answer.tasks.push_back(it.record.id);
+        if (isEnded(it.record.state)) {
+            m_records.erase(it.record.id);
+        } else {
+            m_records[it.record.id] = {it.record, m_revision};
+        }
+    }
+    stepBoard(answer);
+}
+
+auto PlacementSimulation::stepBoard(const BoardEvent &event) -> void
+{
+    for (const auto &it : m_board->step(event, bootTime(m_now)))
+        perform(it);
+}
+
+auto PlacementSimulation::perform(const BoardAction &action) -> void
+{
+    if (const auto *it = std::get_if<WriteTasks>(&action))
+        write(*it);
+    if (const auto *it = std::get_if<StartRun>(&action))
+        stepBoard(WorkerReported{it->host, {start(it->record, it->host, it->epoch)}});
+    if (const auto *it = std::get_if<RenewRuns>(&action)) {
+        auto reports = std::vector<RunReport>();
+        for (const auto &run : it->runs)
+            reports.push_back(report(run));
+        stepBoard(WorkerReported{it->host, std::move(reports)});
+    }
+    if (const auto *it = std::get_if<OrderRun>(&action)) {
+        const auto run = m_runs.find(it->run.task);
+        if (run == m_runs.end() || run->second.state != RunState::Running)
+            return;
+        if (it->order == RunOrder::Throttle) {
+            run->second.isThrottled = true;
+        } else {
+            run->second.state = RunState::Checkpointed;
+            m_progress[it->run.task] = run->second.progress;
+            ++m_outcome.checkpointed;
+        }
+        stepBoard(WorkerReported{it->host, {report(it->run)}});
+    }
+}
+
+/// The baseline: arrival order, first worker with room by declared sizes, no correction.
+auto PlacementSimulation::placeFirstFit() -> void
+{
+    for (auto &[id, run] : m_runs) {
+        if (run.state == RunState::Done) {
+            m_records.erase(id);
+        } else if (run.state != RunState::Running && m_records.contains(id)) {
+            m_records.at(id).record.state = TaskState::Waiting;
+        }
+    }
+    auto room = std::map<HostName, TaskDemand>();
+    for (const auto &it : m_workers)
+        room[it.host] = it.capacity;
+    for (const auto &[id, run] : m_runs) {
+        if (run.state != RunState::Running)
+            continue;
+        const auto &declared = run.arrival->record.declared;
+        room[run.host].cores -= std::min(room[run.host].cores, declared.cores);
+        room[run.host].memoryBytes -= std::min(room[run.host].memoryBytes, declared.memoryBytes);
+    }
+    for (std::size_t i = 0; i < m_next; ++i) {
+        const auto entry = m_records.find(m_order[i]);
+        if (entry == m_records.end() || entry->second.record.state != TaskState::Waiting)
+            continue;
+        auto &record = entry->second.record;
+        const auto worker = std::ranges::find_if(
+            m_workers, [&](const auto &it) { return fitsInto(record.declared, room[it.host]); });
+        if (worker == m_workers.end())
+            break; // the first one that doesn't fit holds up the rest
+        record.state = TaskState::Placed;
+        room[worker->host].cores -= record.declared.cores;
+        room[worker->host].memoryBytes -= record.declared.memoryBytes;
+        const auto state = start(record, worker->host, static_cast<TaskEpoch>(++m_revision)).state;
+        if (state == RunState::Failed)
+            record.state = TaskState::Waiting;
+    }
+}
+
+} // namespace shallotproxy::bench
--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -32,6 +32,8 @@
     MemberDirectory members; // registered members, this one included
     ConfigurationPointer configuration; // null until the first one is read
     BootTime freshUntil;
+    ConfigurationVersion servedVersion = 0; // by which this member starts requests
+    HostSet busyHosts; // with requests of this member
     HostSet failedHosts; // that the platform's lagging list doesn't call live
     std::vector<PoolTeamLoad> loads; // of this member
 
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -81,8 +81,11 @@
     m_links.frontToControl.drain([this](FrontReport report) {
         if (const auto *call = std::get_if<ControlCall>(&report))
             handleCall(*call);
-        if (auto *load = std::get_if<LoadReport>(&report))
+        if (auto *load = std::get_if<LoadReport>(&report)) {
             m_context.loads = std::move(load->loads);
+            m_context.servedVersion = load->version;
+            m_context.busyHosts = std::move(load->busyHosts);
+        }
         if (const auto *ask = std::get_if<ClaimAsk>(&report))
             m_claims.handle(*ask);
         if (const auto *end = std::get_if<ClaimEnded>(&report))
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -308,9 +308,15 @@
     dispatch(DispatchTick());
     probeSilentTargets(now);
     m_targets.closeIdle(now);
+    auto report = LoadReport{m_dispatcher.loads(), 0, {}};
+    if (m_configuration)
+        report.version = m_configuration->version;
+    for (const auto &[number, open] : m_open) {
+        if (!open.host.isEmpty())
+            report.busyHosts.insert(open.host);
+    }
     // A full ring loses nothing: the next report replaces this one.
-    [[maybe_unused]] const auto isSent =
-        m_links.frontToControl.push(LoadReport{m_dispatcher.loads()});
+    [[maybe_unused]] const auto isSent = m_links.frontToControl.push(std::move(report));
 }
 
 /// A request that runs goes on without its caller; one that doesn't is dropped.
--- a/packages/daemon/src/links.hpp
+++ b/packages/daemon/src/links.hpp
@@ -10,6 +10,7 @@
 #include "shallotproxy/request/claim/claim_table.hpp"
 #include "shallotproxy/request/dispatch/dispatcher.hpp"
 #include "shallotproxy/request/task/task_error.hpp"
+#include "shallotproxy/version/maintenance/budget.hpp"
 
 namespace shallotproxy {
 
@@ -35,6 +36,8 @@
 struct LoadReport
 {
     std::vector<PoolTeamLoad> loads;
+    ConfigurationVersion version = 0; // by which requests are started
+    HostSet busyHosts; // with requests of this member
 };
 
 using FrontReport = std::variant<std::monostate, ControlCall, LoadReport, ClaimAsk, ClaimEnded>;
--- a/packages/daemon/src/maintenance_module.cpp
+++ b/packages/daemon/src/maintenance_module.cpp
@@ -18,7 +18,6 @@
 
 constexpr auto MaintenanceLog = Log("maintenance");
 constexpr Duration ListInterval = 2s;
-constexpr Duration ForceTime = 5s; // until a version is in force on every member
 
 } // namespace
 
@@ -47,6 +46,7 @@
 
 auto MaintenanceModule::membersChanged() -> void
 {
+    followHosts();
     tellDriver();
 }
 
@@ -88,26 +88,58 @@
     tellDriver();
 }
 
+auto MaintenanceModule::memberNames() const -> std::vector<MemberName>
+{
+    auto names = std::vector<MemberName>();
+    for (const auto &[name, member] : m_context.members)
+        names.push_back(name);
+    return names;
+}
+
 auto MaintenanceModule::followHosts() -> void
 {
-    const auto now = BootClock::now();
-    auto outSince = std::map<HostName, BootTime>();
-    for (const auto &[name, host] : m_context.configuration->hosts) {
-        if (m_context.configuration->takesWork(host))
-            continue;
-        const auto it = m_outSince.find(name);
-        outSince[name] = it == m_outSince.end() ? now : it->second;
+    if (m_context.configuration)
+        m_drains.follow(*m_context.configuration, memberNames(), BootClock::now());
+}
+
+auto MaintenanceModule::receive(const PeerEnvelope &envelope, BootTime /*now*/) -> void
+{
+    if (const auto *query = std::get_if<DrainQuery>(&envelope.message))
+        answerQuery(envelope.from.member, *query);
+    if (const auto *answer = std::get_if<DrainAnswer>(&envelope.message)) {
+        m_drains.answered(envelope.from.member, answer->version,
+                          {answer->hosts.begin(), answer->hosts.end()},
+                          {answer->busy.begin(), answer->busy.end()});
+    }
+}
+
+auto MaintenanceModule::answerQuery(const MemberName &from, const DrainQuery &query) -> void
+{
+    auto answer = DrainAnswer{m_context.servedVersion, query.hosts, {}};
+    for (const auto &it : query.hosts) {
+        if (m_context.busyHosts.contains(it))
+            answer.busy.push_back(it);
+    }
+    m_context.send(from, std::move(answer));
+}
+
+auto MaintenanceModule::askMembers(const HostName &host) -> void
+{
+    const auto &self = m_context.process.self.member;
+    for (const auto &member : m_drains.waitingFor(host)) {
+        if (member == self) {
+            m_drains.answered(self, m_context.servedVersion, {host}, m_context.busyHosts);
+        } else if (m_context.members.contains(member)) {
+            m_context.send(member, DrainQuery{{host}});
+        }
     }
-    m_outSince = std::move(outSince);
 }
 
 auto MaintenanceModule::tellDriver() -> void
 {
     if (!m_context.configuration)
         return;
-    auto members = std::vector<MemberName>();
-    for (const auto &[name, member] : m_context.members)
-        members.push_back(name);
+    const auto members = memberNames();
     auto changed = MaintenanceChanged{m_context.configuration, m_context.failedHosts, {}};
     for (const auto &[id, job] : m_context.configuration->maintenance) {
         if (stewardOf("maintenance/" + id.value(), members) == m_context.process.self.member)
@@ -123,28 +155,26 @@
         std::visit([this](const auto &it) { perform(it); }, action);
 }
 
-auto MaintenanceModule::drainTime(const Host &host) const -> Duration
+auto MaintenanceModule::longestRequest(const Host &host) const -> Duration
 {
-    if (host.role == HostRole::Worker)
-        return ForceTime;
     auto deadline = std::uint32_t{0};
     for (const auto &[name, queue] : m_context.configuration->queues) {
-        if (queue.pool == host.pool)
+        if (host.role == HostRole::Target && queue.pool == host.pool)
             deadline = std::max(deadline, queue.deadlineMilliseconds);
     }
-    // Past its deadline a request is answered, so none is left on the target.
-    return ForceTime + std::chrono::milliseconds(deadline);
+    return std::chrono::milliseconds(deadline);
 }
 
 auto MaintenanceModule::perform(const WatchHost &action) -> void
 {
     const auto &hosts = m_context.configuration->hosts;
     const auto host = hosts.find(action.host);
-    const auto out = m_outSince.find(action.host);
-    if (host == hosts.end() || out == m_outSince.end()
-        || BootClock::now() < out->second + drainTime(host->second)) {
+    if (host == hosts.end())
+        return;
+    if (host->second.role == HostRole::Target)
+        askMembers(action.host);
+    if (!m_drains.isEmpty(action.host, longestRequest(host->second), BootClock::now()))
         return;
-    }
     if (host->second.role == HostRole::Worker) {
         readTasksOf(action, host->second.pool);
     } else {
--- a/packages/daemon/src/maintenance_module.hpp
+++ b/packages/daemon/src/maintenance_module.hpp
@@ -14,6 +14,7 @@
     MaintenanceModule(ControlContext &context, ConfigurationModule &configuration);
 
     auto tick(BootTime now) -> void;
+    auto receive(const PeerEnvelope &envelope, BootTime now) -> void;
     auto configurationChanged() -> void;
     auto membersChanged() -> void;
     auto drain() -> void;
@@ -22,18 +23,21 @@
     auto readHostList(BootTime now) -> void;
     auto applyHostList(const std::string &json) -> void;
     auto followHosts() -> void;
+    auto askMembers(const HostName &host) -> void;
+    auto answerQuery(const MemberName &from, const DrainQuery &query) -> void;
+    [[nodiscard]] auto memberNames() const -> std::vector<MemberName>;
     auto tellDriver() -> void;
     auto step(const MaintenanceEvent &event) -> void;
     auto perform(const WatchHost &action) -> void;
     auto perform(const RebootHost &action) -> void;
     auto perform(const GrantWave &action) -> void;
     auto readTasksOf(const WatchHost &action, const PoolName &pool) -> void;
-    [[nodiscard]] auto drainTime(const Host &host) const -> Duration;
+    [[nodiscard]] auto longestRequest(const Host &host) const -> Duration;
 
     ControlContext &m_context;
     ConfigurationModule &m_configuration;
     MaintenanceDriver m_driver;
-    std::map<HostName, BootTime> m_outSince; // hosts that take no work, as held here
+    DrainTracker m_drains;
     BootTime m_nextList;
     bool m_isReadingList = false;
     bool m_isDraining = false;
--- a/packages/process/include/shallotproxy/process/peer/messages.hpp
+++ b/packages/process/include/shallotproxy/process/peer/messages.hpp
@@ -7,6 +7,7 @@
 
 #include "../base/names.hpp"
 #include "messages/claim_messages.hpp"
+#include "messages/drain_messages.hpp"
 #include "messages/freshness_messages.hpp"
 #include "messages/limit_messages.hpp"
 #include "messages/share_messages.hpp"
@@ -14,9 +15,9 @@
 namespace shallotproxy {
 
 /// Every message between members. New types go to the end: the index is the wire tag.
-using PeerMessage =
-    std::variant<Heartbeat, Announce, AnnounceAnswer, VouchRequest, VouchAnswer, UnitRequest,
-                 UnitTransfer, UnitTransferAck, DemandReport, CreditGrant, ClaimQuery, ClaimAnswer>;
+using PeerMessage = std::variant<Heartbeat, Announce, AnnounceAnswer, VouchRequest, VouchAnswer,
+                                 UnitRequest, UnitTransfer, UnitTransferAck, DemandReport,
+                                 CreditGrant, ClaimQuery, ClaimAnswer, DrainQuery, DrainAnswer>;
 
 /// A message with its sender; `sequence` is the sender's time-line sequence.
 struct PeerEnvelope
--- a/packages/version/include/shallotproxy/version.hpp
+++ b/packages/version/include/shallotproxy/version.hpp
@@ -11,6 +11,7 @@
 #include "version/intent/intent_json.hpp"
 #include "version/intent/plan.hpp"
 #include "version/maintenance/budget.hpp"
+#include "version/maintenance/drain_tracker.hpp"
 #include "version/maintenance/job.hpp"
 #include "version/maintenance/maintenance_driver.hpp"
 #include "version/maintenance/waves.hpp"
--- /dev/null
+++ b/tests/unit/unit-drain.cpp
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "shallotproxy/version.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration LongestRequest = 30s;
+const auto host = HostName("target-1");
+
+auto fleet(ConfigurationVersion version, ServiceState state) -> Configuration
+{
+    auto configuration = Configuration();
+    configuration.version = version;
+    configuration.dataCentres.emplace("north",
+                                      DataCentre{DataCentreName("north"), ServiceState::In});
+    auto target = Host();
+    target.name = host;
+    target.dataCentre = DataCentreName("north");
+    target.state = state;
+    configuration.hosts.emplace(host, target);
+    return configuration;
+}
+
+auto members(int count) -> std::vector<MemberName>
+{
+    auto names = std::vector<MemberName>();
+    for (auto i = 0; i < count; ++i)
+        names.emplace_back("entry-" + std::to_string(i));
+    return names;
+}
+
+TEST(Drain, WaitsForAMemberThatHasNotAnsweredUntilTheLongestRequestIsOver)
+{
+    const auto now = BootTime(1h);
+    auto drains = DrainTracker();
+    drains.follow(fleet(4, ServiceState::Leaving), members(2), now);
+    drains.answered(MemberName("entry-0"), 4, {host}, {});
+    EXPECT_FALSE(drains.isEmpty(host, LongestRequest, now + 20s));
+    EXPECT_TRUE(drains.isEmpty(host, LongestRequest, now + VersionForceTime + LongestRequest));
+}
+
+TEST(Drain, EndsAsSoonAsEveryMemberRunsNothingThereAndTheVersionIsInForce)
+{
+    const auto now = BootTime(1h);
+    auto drains = DrainTracker();
+    drains.follow(fleet(4, ServiceState::Leaving), members(2), now);
+    drains.answered(MemberName("entry-0"), 4, {host}, {});
+    drains.answered(MemberName("entry-1"), 5, {host}, {});
+    EXPECT_FALSE(drains.isEmpty(host, LongestRequest, now + 1s));
+    EXPECT_TRUE(drains.isEmpty(host, LongestRequest, now + VersionForceTime));
+}
+
+TEST(Drain, TakesNoAnswerOfAMemberThatServesAnOlderVersion)
+{
+    const auto now = BootTime(1h);
+    auto drains = DrainTracker();
+    drains.follow(fleet(4, ServiceState::Leaving), members(1), now);
+    drains.answered(MemberName("entry-0"), 3, {host}, {});
+    EXPECT_FALSE(drains.isEmpty(host, LongestRequest, now + VersionForceTime));
+}
+
+TEST(Drain, StillWaitsForAMemberThatLeavesTheDirectory)
+{
+    const auto now = BootTime(1h);
+    auto drains = DrainTracker();
+    drains.follow(fleet(4, ServiceState::Leaving), members(2), now);
+    drains.answered(MemberName("entry-0"), 4, {host}, {});
+    drains.follow(fleet(4, ServiceState::Leaving), members(1), now + 1s);
+    EXPECT_FALSE(drains.isEmpty(host, LongestRequest, now + 20s));
+}
+
+TEST(Drain, BeginsAnewWhenTheHostWasBackInBetween)
+{
+    const auto now = BootTime(1h);
+    auto drains = DrainTracker();
+    drains.follow(fleet(4, ServiceState::Leaving), members(1), now);
+    drains.answered(MemberName("entry-0"), 4, {host}, {});
+    drains.follow(fleet(5, ServiceState::In), members(1), now + 10s);
+    drains.follow(fleet(6, ServiceState::Leaving), members(1), now + 20s);
+    EXPECT_FALSE(drains.isEmpty(host, LongestRequest, now + 26s));
+}
+
+RC_GTEST_PROP(Drain, NeverEndsWhileAMemberRunsSomethingThere, ())
+{
+    const auto now = BootTime(1h);
+    const auto count = *rc::gen::inRange(1, 6);
+    const auto busyMember = *rc::gen::inRange(0, count);
+    const auto answers = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, count), rc::gen::inRange(2, 7)));
+    auto drains = DrainTracker();
+    drains.follow(fleet(4, ServiceState::Leaving), members(count), now);
+    for (const auto &[member, version] : answers) {
+        const auto isBusy = member == busyMember;
+        drains.answered(MemberName("entry-" + std::to_string(member)),
+                        static_cast<ConfigurationVersion>(version), {host},
+                        isBusy ? HostSet{host} : HostSet());
+    }
+    RC_ASSERT(!drains.isEmpty(host, LongestRequest, now + VersionForceTime + 20s));
+}
+
+} // namespace
+
+} // namespace shallotproxy
