--- a/bench/placement_simulation.hpp
+++ b/bench/placement_simulation.hpp
@@ -37,7 +37,7 @@
     std::size_t checkpointed = 0; // runs that gave way and went on later
     std::size_t done = 0;
     std::vector<double> urgentWaits; // seconds to the start
-    double blackHoleSeconds = 0; // from its first failure until it got no more work
+    double blackHoleSeconds = 0; // from its first failure until it is first held
     std::size_t blackHoleRuns = 0;
 };
 
@@ -86,7 +86,8 @@
     std::map<TaskId, double> m_progress;
     double m_now = 0;
     double m_firstFailure = -1;
-    double m_lastFailure = -1;
+    double m_heldAt = -1;
+    std::map<TaskId, bool> m_hasStarted;
     PlacementOutcome m_outcome;
 };
 
--- a/packages/request/include/shallotproxy/request/task/size_estimator.hpp
+++ b/packages/request/include/shallotproxy/request/task/size_estimator.hpp
@@ -14,7 +14,7 @@
 public:
     /// Takes the highest usage that one run has reported.
     auto observe(const TaskRecord &record, double peakCores, double peakMemoryBytes) -> void;
-    /// Size to reserve for a task: the declared one until enough runs were seen, never more than
+    /// Size to reserve for a task: the declared one until a run was seen, never more than
     /// `largest`, so that a task that was let in always fits some worker.
     [[nodiscard]] auto estimate(const TaskRecord &record, const TaskDemand &largest) const
         -> TaskDemand;
@@ -28,6 +28,7 @@
         std::uint32_t samples = 0;
 
         auto add(double value) -> void;
+        [[nodiscard]] auto likelyDeviation() const -> double;
     };
 
     struct Ratios
--- a/packages/request/include/shallotproxy/request/task/task_board.hpp
+++ b/packages/request/include/shallotproxy/request/task/task_board.hpp
@@ -128,6 +128,7 @@
         double memoryBytes = 0;
         double peakCores = 0;
         double peakMemoryBytes = 0;
+        bool isObserved = false; // its size was learnt from
     };
 
     struct Worker
@@ -146,6 +147,8 @@
     auto handle(const TasksWritten &event) -> void;
     auto handle(const BoardTick &event) -> void;
 
+    auto learnSize(Task &task, const RunReport &report) -> void;
+    [[nodiscard]] auto demandOf(const Task &task, const TaskDemand &largest) const -> TaskDemand;
     auto applyReport(Task &task, const RunReport &report) -> void;
     auto runEnded(Task &task, const RunReport &report) -> void;
     auto runFailed(Task &task) -> void;
--- a/packages/request/src/task/placement.cpp
+++ b/packages/request/src/task/placement.cpp
@@ -108,13 +108,21 @@
             m_chosen.push_back(it);
             room->leaving = sum(room->leaving, it->demand);
         }
-        // What comes free there is spoken for by this task.
-        takeFrom(room->leaving, task.demand);
+        reserve(*room, task.demand);
     }
 
     auto take() -> PlacementDecision { return std::move(m_decision); }
 
 private:
+    /// Speaks for what is free now and what comes free, so that no younger task takes it.
+    static auto reserve(Room &room, const TaskDemand &demand) -> void
+    {
+        auto rest = demand;
+        takeFrom(rest, room.free);
+        takeFrom(room.free, demand);
+        takeFrom(room.leaving, rest);
+    }
+
     auto bestRoom(const WaitingTask &task, bool isAvoiding) -> Room *
     {
         Room *best = nullptr;
--- a/packages/request/src/task/size_estimator.cpp
+++ b/packages/request/src/task/size_estimator.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr double SampleWeight = 0.2;
-constexpr std::uint32_t EnoughSamples = 3;
+constexpr std::uint32_t EnoughSamples = 1;
+constexpr double LeastDeviation = 0.05; // of the mean: one run says little about the next
 constexpr double LowestRatio = 0.25;
 constexpr double HighestRatio = 8;
 constexpr double MemoryDeviations = 2; // memory can't be throttled, so it gets more room
@@ -29,6 +30,11 @@
     ++samples;
 }
 
+auto SizeEstimator::Ratio::likelyDeviation() const -> double
+{
+    return std::max(deviation, LeastDeviation * mean);
+}
+
 auto SizeEstimator::observe(const TaskRecord &record, double peakCores, double peakMemoryBytes)
     -> void
 {
@@ -47,11 +53,11 @@
     if (it != m_ratios.end()) {
         const auto &[cores, memory] = it->second;
         if (cores.samples >= EnoughSamples) {
-            const auto ratio = cores.mean + CoreDeviations * cores.deviation;
+            const auto ratio = cores.mean + CoreDeviations * cores.likelyDeviation();
             demand.cores = static_cast<std::uint32_t>(scaled(demand.cores, ratio));
         }
         if (memory.samples >= EnoughSamples) {
-            const auto ratio = memory.mean + MemoryDeviations * memory.deviation;
+            const auto ratio = memory.mean + MemoryDeviations * memory.likelyDeviation();
             const auto declared = static_cast<double>(demand.memoryBytes);
             demand.memoryBytes = static_cast<std::uint64_t>(scaled(declared, ratio));
         }
--- a/packages/request/src/task/task_board.cpp
+++ b/packages/request/src/task/task_board.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <set>
 
 #include "shallotproxy/request/task/overuse.hpp"
@@ -15,6 +16,7 @@
 constexpr Duration RenewInterval = 2s;
 constexpr Duration RepeatOrder = 2s; // until an order that got no answer is sent again
 constexpr std::uint32_t MostFailures = 3;
+constexpr double LargerUse = 1.1; // than was seen before, to be learnt from again
 constexpr std::size_t LargestBatch = 32; // writes in one transaction
 constexpr std::size_t MostConsidered = 512; // waiting tasks in one round
 
@@ -113,11 +115,8 @@
     const auto &record = task.version.record;
     if (record.state != TaskState::Placed && record.state != TaskState::Cancelling)
         return;
+    learnSize(task, report);
     if (report.state == RunState::Running) {
-        task.cores = report.cores;
-        task.memoryBytes = report.memoryBytes;
-        task.peakCores = std::max(task.peakCores, report.cores);
-        task.peakMemoryBytes = std::max(task.peakMemoryBytes, report.memoryBytes);
         if (record.state == TaskState::Cancelling && m_now - task.ordered >= RepeatOrder)
             orderRun(task, RunOrder::Stop);
         return;
@@ -136,12 +135,39 @@
     runEnded(task, report);
 }
 
+// Once per run, as soon as its use is seen: tasks of its kind that wait are placed by it. A run
+// that was throttled, or used more than at first, would teach a size that is too small.
+auto TaskBoard::learnSize(Task &task, const RunReport &report) -> void
+{
+    if (report.cores <= 0 && report.memoryBytes <= 0)
+        return;
+    task.cores = report.cores;
+    task.memoryBytes = report.memoryBytes;
+    const auto isLarger = report.cores > task.peakCores * LargerUse
+        || report.memoryBytes > task.peakMemoryBytes * LargerUse;
+    task.peakCores = std::max(task.peakCores, report.cores);
+    task.peakMemoryBytes = std::max(task.peakMemoryBytes, report.memoryBytes);
+    if (task.isObserved && !isLarger)
+        return;
+    task.isObserved = true;
+    m_sizes.observe(task.version.record, task.peakCores, task.peakMemoryBytes);
+}
+
+// A run whose use is seen needs that, whatever its kind needs.
+auto TaskBoard::demandOf(const Task &task, const TaskDemand &largest) const -> TaskDemand
+{
+    auto demand = m_sizes.estimate(task.version.record, largest);
+    if (task.version.record.state == TaskState::Placed && task.peakMemoryBytes > 0) {
+        demand.cores = static_cast<std::uint32_t>(std::ceil(task.cores));
+        demand.memoryBytes = static_cast<std::uint64_t>(task.peakMemoryBytes);
+    }
+    return demand;
+}
+
 auto TaskBoard::runEnded(Task &task, const RunReport &report) -> void
 {
     auto record = task.version.record;
     if (report.state == RunState::Done) {
-        if (task.peakCores > 0)
-            m_sizes.observe(record, task.peakCores, task.peakMemoryBytes);
         m_quarantine.runSucceeded(record.host, record.id);
         record.state = TaskState::Done;
         record.progress = 1;
@@ -159,9 +185,6 @@
     }
     if (report.state == RunState::Checkpointed) {
         task.version.record.progress = std::max(record.progress, report.progress);
-        // A memory peak is learnt also from a run that had to leave because of it.
-        if (task.peakCores > 0)
-            m_sizes.observe(record, task.peakCores, task.peakMemoryBytes);
         ++task.version.record.checkpoints;
     }
     backToWaiting(task);
@@ -224,8 +247,11 @@
         if (isEnded(task.version.record.state)) {
             m_tasks.erase(entry);
         } else if (task.version.record.state == TaskState::Placed) {
+            task.cores = 0;
+            task.memoryBytes = 0;
             task.peakCores = 0;
             task.peakMemoryBytes = 0;
+            task.isObserved = false;
             startRun(task);
         }
     }
@@ -390,8 +416,8 @@
             continue;
         const auto isLeaving = record.state == TaskState::Cancelling
             || (task.lastOrder == RunOrder::Checkpoint && m_now - task.ordered < 2 * RepeatOrder);
-        placed.push_back({id, record.team, record.host, m_sizes.estimate(record, largest),
-                          record.isUrgent, isLeaving, record.checkpoints});
+        placed.push_back({id, record.team, record.host, demandOf(task, largest), record.isUrgent,
+                          isLeaving, record.checkpoints});
     }
     // A write under way may place a task: its room is taken until the answer is known.
     for (const auto &it : m_inFlight) {
