Wire unit ledger, stewards' credits and usage into the daemon

LimitModule and ShareModule take the place of the static split by member index, which was unsafe while members' views of the directory differed. Load reports name the units in force, so a unit is given away only when the front surely doesn't use it. Usage per incarnation goes to the store every 10 s; GET /usage and shallotctl usage sum it.

--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -184,6 +184,28 @@
     return ExitCode::Done;
 }
 
+auto runUsage(const CommandContext &context, Parameters /*parameters*/) -> ExitCode
+{
+    const auto reply = context.client->get("/usage");
+    if (!reply)
+        return fail(reply.error());
+    if (context.output == OutputFormat::Json) {
+        printLine(reply->toStdString());
+        return ExitCode::Done;
+    }
+    printLine(
+        fmt::format("{:20} {:>14} {:>12} {:>10}", "team", "slot-seconds", "requests", "tasks"));
+    for (const auto &it : objectOf(*reply).value("teams"_L1).toArray()) {
+        const auto team = it.toObject();
+        const auto name = textOf(team, "team"_L1);
+        printLine(fmt::format("{:20} {:14.3f} {:12} {:10}", name.empty() ? "(no key)" : name,
+                              team.value("slotSeconds"_L1).toDouble(),
+                              team.value("requests"_L1).toInteger(),
+                              team.value("tasks"_L1).toInteger()));
+    }
+    return ExitCode::Done;
+}
+
 auto runIntentPlan(const CommandContext &context, Parameters parameters) -> ExitCode
 {
     const auto json = QJsonDocument::fromJson(QByteArray::fromStdString(parameters[0]));
@@ -311,6 +333,7 @@
     {"status", "", 0, "show the configuration's version on every member", runStatus},
     {"timeline", "", 0, "show the merged time line of all members", runTimeline},
     {"metrics", "", 0, "show one member's metrics", runMetrics},
+    {"usage", "", 0, "show what was done for each team", runUsage},
     {"config check", "DIR", 1, "check declarations without a member", runConfigCheck},
     {"config diff", "DIR", 1, "show what applying declarations would change", runConfigDiff},
     {"config apply", "DIR", 1, "plan to put declarations in force", runConfigApply},
--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -33,6 +33,8 @@
     ConfigurationPointer configuration; // null until the first one is read
     BootTime freshUntil;
     std::vector<PoolTeamLoad> loads; // of this member
+    std::uint64_t unitsMark = 0; // of the units in force when the loads were taken
+    TeamUsages usage; // of this incarnation so far
 
     /// Sends a call to the platform's service; `callback` runs on the control thread.
     auto store(StoreCall call, StoreCallback callback) -> void;
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -19,7 +19,9 @@
     : m_links(links)
     , m_context(process, links)
     , m_configuration(m_context)
-    , m_allocation(m_context)
+    , m_limits(m_context)
+    , m_shares(m_context, m_limits)
+    , m_usage(m_context)
     , m_intents(m_context, m_configuration)
     , m_status(m_context, m_configuration)
     , m_claims(m_context)
@@ -36,7 +38,9 @@
 auto ControlDuty::forEachModule(Function &&function) -> void
 {
     function(m_configuration);
-    function(m_allocation);
+    function(m_limits);
+    function(m_shares);
+    function(m_usage);
     function(m_intents);
     function(m_status);
     function(m_claims);
@@ -75,13 +79,21 @@
     announceChanges();
 }
 
+// After a pause of the process, units that may no more be used are withdrawn from the front before
+// anything that waited meanwhile can tell it that its configuration is fresh.
+auto ControlDuty::guardUnits() -> void
+{
+    m_limits.tick(BootClock::now());
+}
+
 auto ControlDuty::drainFront() -> void
 {
+    guardUnits();
     m_links.frontToControl.drain([this](FrontReport report) {
         if (const auto *call = std::get_if<ControlCall>(&report))
             handleCall(*call);
         if (auto *load = std::get_if<LoadReport>(&report))
-            m_context.loads = std::move(load->loads);
+            handleLoads(std::move(*load));
     });
 }
 
@@ -90,8 +102,17 @@
     m_links.operatorsToControl.drain([this](const ControlCall &call) { handleCall(call); });
 }
 
+auto ControlDuty::handleLoads(LoadReport report) -> void
+{
+    m_context.loads = std::move(report.loads);
+    m_context.unitsMark = report.unitsMark;
+    m_context.usage = std::move(report.usage);
+    m_limits.loadsChanged(BootClock::now());
+}
+
 auto ControlDuty::drainStore() -> void
 {
+    guardUnits();
     m_links.storeToControl.drain(
         [this](StoreResult result) { m_context.handle(std::move(result)); });
     announceChanges();
@@ -99,6 +120,7 @@
 
 auto ControlDuty::drainPeers() -> void
 {
+    guardUnits();
     const auto now = BootClock::now();
     m_links.peersToControl.drain([this, now](const PeerEnvelope &envelope) {
         forEachModule([&envelope, now](auto &module) {
--- a/packages/daemon/src/control_duty.hpp
+++ b/packages/daemon/src/control_duty.hpp
@@ -6,16 +6,18 @@
 #include <QObject>
 #include <QTimer>
 
-#include "allocation_module.hpp"
 #include "claim_module.hpp"
 #include "configuration_module.hpp"
 #include "control_context.hpp"
 #include "intent_module.hpp"
+#include "limit_module.hpp"
 #include "links.hpp"
 #include "maintenance_module.hpp"
 #include "process_context.hpp"
+#include "share_module.hpp"
 #include "status_module.hpp"
 #include "task_module.hpp"
+#include "usage_module.hpp"
 
 namespace shallotproxy {
 
@@ -38,6 +40,8 @@
     auto drainOperators() -> void;
     auto drainStore() -> void;
     auto drainPeers() -> void;
+    auto guardUnits() -> void;
+    auto handleLoads(LoadReport report) -> void;
     auto handleCall(const ControlCall &call) -> void;
     auto announceChanges() -> void;
     template <typename Function>
@@ -46,7 +50,9 @@
     Links &m_links;
     ControlContext m_context;
     ConfigurationModule m_configuration;
-    AllocationModule m_allocation;
+    LimitModule m_limits;
+    ShareModule m_shares;
+    UsageModule m_usage;
     IntentModule m_intents;
     StatusModule m_status;
     ClaimModule m_claims;
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -189,6 +189,10 @@
         m_configuration = change->configuration;
         m_process.timeline.record("configuration.serve", "front", m_configuration->version);
     }
+    if (const auto *change = std::get_if<UnitsUpdate>(&update)) {
+        m_unitsMark = change->mark;
+        dispatch(change->units);
+    }
     if (const auto *change = std::get_if<FreshnessChanged>(&update))
         m_freshUntil = change->freshUntil;
     std::visit(
@@ -205,7 +209,7 @@
     dispatch(DispatchTick());
     // A full ring loses nothing: the next report replaces this one.
     [[maybe_unused]] const auto isSent =
-        m_links.frontToControl.push(LoadReport{m_dispatcher.loads()});
+        m_links.frontToControl.push(LoadReport{m_dispatcher.loads(), m_unitsMark, m_usage});
 }
 
 auto FrontDuty::dropVanishedCallers() -> void
@@ -233,6 +237,7 @@
 {
     auto &open = m_open.at(action.number);
     open.host = action.host;
+    open.started = BootClock::now();
     const auto &host = m_configuration->hosts.at(action.host);
     m_process.timeline.record("request.start", open.id, m_configuration->version,
                               {{"host", host.name.value()},
@@ -271,6 +276,7 @@
         dispatch(RequestNotSent{number});
         return;
     }
+    m_usage[open.team].add(BootClock::now() - open.started);
     m_process.metrics.sample(
         "shallotproxy_request_seconds", fmt::format("pool=\"{}\"", open.pool.value()),
         std::chrono::duration<double>(BootClock::now() - open.arrived).count());
--- a/packages/daemon/src/front_duty.hpp
+++ b/packages/daemon/src/front_duty.hpp
@@ -38,6 +38,7 @@
         HostName host;
         std::string id;
         BootTime arrived;
+        BootTime started;
         BootTime deadline;
     };
 
@@ -64,6 +65,8 @@
     ConfigurationPointer m_configuration;
     BootTime m_freshUntil;
     bool m_isDraining = false;
+    std::uint64_t m_unitsMark = 0;
+    TeamUsages m_usage;
     RequestNumber m_lastNumber = 0;
     std::unordered_map<RequestNumber, OpenRequest> m_open;
     std::unordered_map<std::uint64_t, HttpResponder> m_controlCalls;
--- /dev/null
+++ b/packages/daemon/src/limit_module.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "control_context.hpp"
+
+namespace shallotproxy {
+
+/// Holds this member's units of the teams' upper limits and tells the front how many it may use.
+class LimitModule
+{
+public:
+    explicit LimitModule(ControlContext &context);
+
+    auto tick(BootTime now) -> void;
+    auto receive(const PeerEnvelope &envelope, BootTime now) -> void;
+    auto loadsChanged(BootTime now) -> void;
+    auto configurationChanged() -> void;
+    auto membersChanged() -> void;
+    auto drain() -> void;
+
+    /// Units of a team that the front may use.
+    [[nodiscard]] auto units(const TeamName &team) const -> std::uint32_t;
+
+private:
+    auto step(const LimitEvent &event, BootTime now) -> void;
+    auto perform(const ReadLedger &action) -> void;
+    auto perform(const WriteLedger &action) -> void;
+    auto perform(const SetUnits &action) -> void;
+    auto perform(const SendUnitMessage &action) -> void;
+
+    ControlContext &m_context;
+    LimitSlices m_slices;
+    std::map<TeamName, std::uint32_t> m_units;
+};
+
+} // namespace shallotproxy
--- a/packages/daemon/src/links.hpp
+++ b/packages/daemon/src/links.hpp
@@ -30,15 +30,25 @@
     HttpResponse response;
 };
 
+/// What the front has queued, running and done. `unitsMark` is of the newest UnitsUpdate in force.
 struct LoadReport
 {
     std::vector<PoolTeamLoad> loads;
+    std::uint64_t unitsMark = 0;
+    TeamUsages usage;
+};
+
+/// Units that the front may use; load reports name the mark once they are in force.
+struct UnitsUpdate
+{
+    std::uint64_t mark = 0;
+    UnitsChanged units;
 };
 
 using FrontReport = std::variant<std::monostate, ControlCall, LoadReport>;
 
 using FrontUpdate = std::variant<std::monostate, ConfigurationChanged, FreshnessChanged,
-                                 CreditsChanged, UnitsChanged, DrainStarted, ControlReply>;
+                                 CreditsChanged, UnitsUpdate, DrainStarted, ControlReply>;
 
 struct StoreOrder
 {
--- a/packages/process/include/shallotproxy/process.hpp
+++ b/packages/process/include/shallotproxy/process.hpp
@@ -17,5 +17,6 @@
 #include "process/share/fair_allocation.hpp"
 #include "process/share/pool_shares.hpp"
 #include "process/share/share_ledger.hpp"
+#include "process/share/usage.hpp"
 #include "process/store/etcd_store.hpp"
 #include "process/store/store_types.hpp"
