--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -36,6 +36,8 @@
     HostSet busyHosts; // with requests of this member
     HostSet failedHosts; // that the platform's lagging list doesn't call live
     std::vector<PoolTeamLoad> loads; // of this member
+    std::uint64_t unitsMark = 0; // of the units in force when the loads were taken
+    TeamUsages usage; // of this incarnation so far
 
     /// Sends a call to the platform's service; `callback` runs on the control thread.
     auto store(StoreCall call, StoreCallback callback) -> void;
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -290,6 +290,10 @@
         m_keys = KeyIndex(*m_configuration);
         m_process.timeline.record("configuration.serve", "front", version());
     }
+    if (const auto *change = std::get_if<UnitsUpdate>(&update)) {
+        m_unitsMark = change->mark;
+        dispatch(change->units);
+    }
     if (const auto *change = std::get_if<FreshnessChanged>(&update))
         m_freshUntil = change->freshUntil;
     std::visit(
@@ -316,7 +320,10 @@
     dispatch(DispatchTick());
     probeSilentTargets(now);
     m_targets.closeIdle(now);
-    auto report = LoadReport{m_dispatcher.loads(), 0, {}};
+    auto report = LoadReport();
+    report.loads = m_dispatcher.loads();
+    report.unitsMark = m_unitsMark;
+    report.usage = m_usage;
     if (m_configuration)
         report.version = m_configuration->version;
     for (const auto &[number, open] : m_open) {
@@ -443,8 +450,11 @@
 
 auto FrontDuty::finish(RequestNumber number, const TargetReply &reply) -> void
 {
-    if (!m_open.contains(number))
+    const auto it = m_open.find(number);
+    if (it == m_open.end())
         return;
+    if (reply || !reply.error().isNotRun())
+        m_usage[it->second.team].add(BootClock::now() - it->second.triedAt);
     if (reply) {
         takeAnswer(number, *reply);
     } else {
--- a/packages/daemon/src/front_duty.hpp
+++ b/packages/daemon/src/front_duty.hpp
@@ -94,6 +94,8 @@
     Ending m_ending = Ending::Serving;
     std::size_t m_openBytes = 0; // of bodies held for dispatch
     std::deque<std::pair<BootTime, RequestNumber>> m_tries; // running, in the order of their start
+    std::uint64_t m_unitsMark = 0;
+    TeamUsages m_usage;
     RequestNumber m_lastNumber = 0;
     std::unordered_map<RequestNumber, OpenRequest> m_open;
     std::unordered_map<std::uint64_t, HttpResponder> m_controlCalls;
--- a/packages/daemon/src/links.hpp
+++ b/packages/daemon/src/links.hpp
@@ -33,18 +33,28 @@
     HttpResponse response;
 };
 
+/// What the front has queued, running and done. `unitsMark` is of the newest UnitsUpdate in force.
 struct LoadReport
 {
     std::vector<PoolTeamLoad> loads;
     ConfigurationVersion version = 0; // by which requests are started
     HostSet busyHosts; // with requests of this member
+    std::uint64_t unitsMark = 0;
+    TeamUsages usage;
+};
+
+/// Units that the front may use; load reports name the mark once they are in force.
+struct UnitsUpdate
+{
+    std::uint64_t mark = 0;
+    UnitsChanged units;
 };
 
 using FrontReport = std::variant<std::monostate, ControlCall, LoadReport, ClaimAsk, ClaimEnded>;
 
 using FrontUpdate =
     std::variant<std::monostate, ConfigurationChanged, FreshnessChanged, CreditsChanged,
-                 UnitsChanged, DrainStarted, ControlReply, ClaimVerdict>;
+                 UnitsUpdate, DrainStarted, ControlReply, ClaimVerdict>;
 
 struct StoreOrder
 {
