Choose test ports at random

Cause: blocks of ports were chosen by process id and taken in step, so that shards side by side clashed: a fleet talked to another's members.

--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -3,7 +3,6 @@
 #include <csignal>
 #include <functional>
 
-#include <QCoreApplication>
 #include <QDir>
 #include <QElapsedTimer>
 #include <QEventLoop>
@@ -11,6 +10,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QRandomGenerator>
 #include <QTcpServer>
 #include <QTimer>
 
@@ -34,17 +34,15 @@
     return QStringLiteral(SHALLOTPROXY_BIN "/") + QString::fromLatin1(name);
 }
 
-/// First of `count` ports in a row that nobody listens on. The range depends on the process, so
-/// that tests side by side don't choose the same ones.
+/// First of `count` ports in a row that nobody listens on. The block is random, so that tests side
+/// by side seldom look at the same one.
 auto freePorts(int count) -> quint16
 {
     constexpr auto First = 10'000;
     constexpr auto Blocks = 200;
     constexpr auto BlockSize = 100;
-    static auto next = static_cast<int>(QCoreApplication::applicationPid() % Blocks) * BlockSize;
     for (auto tries = 0; tries < Blocks; ++tries) {
-        const auto first = First + next;
-        next = (next + BlockSize) % (Blocks * BlockSize);
+        const auto first = First + BlockSize * QRandomGenerator::system()->bounded(Blocks);
         auto isFree = true;
         for (auto i = 0; i < count && isFree; ++i)
             isFree = QTcpServer().listen(QHostAddress::LocalHost, static_cast<quint16>(first + i));
