--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -139,7 +139,7 @@
 class ClosedLoop : public QObject
 {
 public:
-    ClosedLoop(std::string endpoint, HttpRequest request, int connections)
+    ClosedLoop(const std::string &endpoint, HttpRequest request, int connections)
         : m_request(std::move(request))
     {
         for (auto i = 0; i < connections; ++i) {
--- a/standins/fleet_report.cpp
+++ b/standins/fleet_report.cpp
@@ -18,7 +18,7 @@
 constexpr double LeastEntitlement = 1; // slot-seconds in a window that is judged
 constexpr double AfterReturnSeconds = 5;
 constexpr double FullUse = 0.9;
-const std::string OpenTeam = "open to all";
+const std::string openTeam = "open to all";
 
 struct Event
 {
@@ -95,12 +95,12 @@
     }
 
 private:
-    auto isAbsent(const std::string &dataCentre) const -> bool
+    [[nodiscard]] auto isAbsent(const std::string &dataCentre) const -> bool
     {
         return m_out.contains(dataCentre);
     }
 
-    auto slotsOf(const PoolState &pool) const -> double
+    [[nodiscard]] auto slotsOf(const PoolState &pool) const -> double
     {
         auto slots = 0.0;
         for (const auto &[dataCentre, n] : pool.slots)
@@ -108,7 +108,7 @@
         return slots;
     }
 
-    auto demandsOf(const PoolState &pool) const -> std::map<std::string, double>
+    [[nodiscard]] auto demandsOf(const PoolState &pool) const -> std::map<std::string, double>
     {
         auto demands = pool.open;
         for (auto &[team, n] : demands) {
@@ -159,7 +159,7 @@
         }
     }
 
-    auto isInAbsence() const -> bool
+    [[nodiscard]] auto isInAbsence() const -> bool
     {
         return !m_report.absences.empty()
             && (!m_out.empty() || m_now < m_returnedAt + AfterReturnSeconds);
@@ -215,7 +215,7 @@
         request.pool = queue->second.pool.value();
         request.team = event.attribute("team"_L1);
         if (request.team.empty())
-            request.team = OpenTeam;
+            request.team = openTeam;
         m_pools[request.pool].open[request.team] += 1;
         m_requests[event.subject] = request;
     }
--- a/tests/process/timeline_checker.cpp
+++ b/tests/process/timeline_checker.cpp
@@ -25,7 +25,7 @@
 {
     std::string member;
     std::string incarnation;
-    auto operator<=>(const ProcessName &other) const = default;
+    auto operator<=>(const ProcessName &other) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct Event
@@ -311,9 +311,9 @@
                 add(Promise::OnePool, host,
                     fmt::format("in {} and {} at version {}", it->second, pool, event.version));
             }
-            if (isOut(m_outDataCentres, event.attribute("dataCentre"), event.at))
-                add(Promise::DataCentreOut, event.subject,
-                    "start in " + event.attribute("dataCentre"));
+            const auto dataCentre = event.attribute("dataCentre");
+            if (isOut(m_outDataCentres, dataCentre, event.at))
+                add(Promise::DataCentreOut, event.subject, "start in " + dataCentre);
             if (isOut(m_outHosts, host, event.at) || isOut(m_outPools, pool, event.at))
                 add(Promise::LeavingTarget, event.subject, "start on " + host);
             const auto team = event.attribute("team");
@@ -341,7 +341,7 @@
     {
         Nanoseconds at;
         int amount;
-        auto operator<=>(const Change &other) const = default; // at one instant, ends go first
+        auto operator<=>(const Change &other) const = default; // NOLINT(modernize-use-nullptr)
     };
 
     auto checkLimits() -> void
