--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -328,7 +328,11 @@
     if (it == m_open.end() || it->second.phase == Phase::Running)
         return;
     const auto &open = it->second;
-    m_process.timeline.record("request.drop", open.id, version());
+    if (open.error) {
+        m_process.timeline.record("request.end", open.id, version(), {{"outcome", "unknown"}});
+    } else {
+        m_process.timeline.record("request.drop", open.id, version());
+    }
     if (open.isClaimed)
         endClaim(number, open.error ? ClaimEnd::Unknown : ClaimEnd::NotRun);
     const auto isQueued = open.phase == Phase::Waiting;
@@ -389,11 +393,13 @@
     if (open.error)
         m_process.metrics.count("shallotproxy_retries_total");
     const auto &host = m_configuration->hosts.at(action.host);
-    m_process.timeline.record("request.start", open.id, version(),
-                              {{"host", host.name.value()},
-                               {"dataCentre", host.dataCentre.value()},
-                               {"pool", open.pool.value()},
-                               {"team", open.team.value()}});
+    auto attributes = std::vector<TimelineAttribute>{{"host", host.name.value()},
+                                                     {"dataCentre", host.dataCentre.value()},
+                                                     {"pool", open.pool.value()},
+                                                     {"team", open.team.value()}};
+    if (open.error)
+        attributes.push_back({"retry", "true"});
+    m_process.timeline.record("request.start", open.id, version(), std::move(attributes));
     m_process.metrics.sample("shallotproxy_queue_seconds",
                              fmt::format("pool=\"{}\"", open.pool.value()),
                              secondsSince(open.arrived));
--- a/tests/process/process-requests.cpp
+++ b/tests/process/process-requests.cpp
@@ -41,10 +41,10 @@
 };
 
 /// Callers that keep sending, each to the next member whose health check passed last.
-class Load
+class RollingLoad
 {
 public:
-    Load(Fleet &fleet, int members, std::string key)
+    RollingLoad(Fleet &fleet, int members, std::string key)
         : m_fleet(fleet)
         , m_key(std::move(key))
         , m_isHealthy(static_cast<std::size_t>(members), true)
@@ -135,7 +135,7 @@
     constexpr auto Members = 3;
     auto fleet = Fleet({.members = Members, .targets = 4, .declarations = {}});
     const auto key = fleet.createKey("red");
-    auto load = Load(fleet, Members, key);
+    auto load = RollingLoad(fleet, Members, key);
     load.start(10);
     for (auto i = 0; i < Members; ++i) {
         EXPECT_EQ(fleet.terminateMember(i), 0) << "member " << i;
@@ -199,7 +199,7 @@
 
 TEST(ProcessRequests, ARepeatWhileTheFirstRunsGetsItsAnswerAndNoneFromAPausedMember)
 {
-    auto fleet = Fleet({2, 2, {}});
+    auto fleet = Fleet({.members = 2, .targets = 2, .declarations = {}});
     const auto key = fleet.createKey("red");
     const auto sendLater = [&fleet](const HttpRequest &request) {
         auto reply = std::make_shared<std::optional<TargetReply>>();
@@ -366,6 +366,33 @@
     EXPECT_LT(grown, 16 * 1024);
 }
 
+TEST(ProcessRequests, ACallerThatVanishesWhileItWaitsRunsNothing)
+{
+    auto fleet = Fleet({.members = 1, .targets = 1, .declarations = {}});
+    const auto key = fleet.createKey("red");
+    constexpr auto Slots = 8;
+    constexpr auto WorkMilliseconds = 1'500;
+    auto callers = std::vector<std::unique_ptr<TargetConnection>>();
+    auto answered = 0;
+    const auto send = [&] {
+        callers.push_back(
+            std::make_unique<TargetConnection>(fleet.callersEndpoint(0), HttpBounds()));
+        callers.back()->send(Fleet::queueRequest("orders", key, WorkMilliseconds, "pane"), 10'000,
+                             [&answered](const TargetReply &reply) {
+                                 answered += outcomeOf(reply) == "answered" ? 1 : 0;
+                             });
+    };
+    for (auto i = 0; i < Slots; ++i)
+        send();
+    EXPECT_TRUE(waitUntil([&] { return fleet.targetCount("runs") == Slots; }, 3'000));
+    send(); // waits: every slot is busy
+    waitUntil([] { return false; }, 200);
+    callers.pop_back();
+    EXPECT_TRUE(waitUntil([&] { return answered == Slots; }, 8'000));
+    waitUntil([] { return false; }, 500);
+    EXPECT_EQ(fleet.targetCount("runs"), Slots);
+}
+
 TEST(ProcessRequests, AnotherTeamsPathsAreNotFoundAndStrangersLearnNothing)
 {
     auto fleet = Fleet({.members = 1, .targets = 2, .declarations = {}});
--- a/tests/unit/unit-claims.cpp
+++ b/tests/unit/unit-claims.cpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <tuple>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -23,9 +24,8 @@
 using Call = std::variant<WriteClaims, ReadClaims, DeleteClaims>;
 
 /// The platform's service, as far as claims need it.
-class Store
+struct Store
 {
-public:
     auto apply(const WriteClaims &call) -> ClaimsAnswered
     {
         auto names = std::vector<ClaimName>();
@@ -42,7 +42,7 @@
         return {true, revision, {}};
     }
 
-    auto apply(const ReadClaims &call) const -> ClaimsAnswered
+    [[nodiscard]] auto apply(const ReadClaims &call) const -> ClaimsAnswered
     {
         auto answer = ClaimsAnswered();
         for (const auto &name : call.names) {
@@ -83,9 +83,8 @@
 
 /// Several members on one store, under lost, late and repeated calls, lost peer messages and
 /// deaths. Judges: no two requests of one claim may run, unless the first is known not to have.
-class Fleet
+struct Fleet
 {
-public:
     Fleet()
     {
         for (std::size_t i = 0; i < Members; ++i)
@@ -154,7 +153,6 @@
     int granted = 0;
     int replayed = 0;
 
-private:
     struct Member
     {
         Incarnation self;
@@ -216,7 +214,7 @@
         const auto call = *std::exchange(member.call, std::nullopt);
         // The store's client may send a call twice; the second answer is the one it gets.
         if (choice % 4 == 0)
-            std::visit([this](const auto &it) { store.apply(it); }, call);
+            std::visit([this](const auto &it) { std::ignore = store.apply(it); }, call);
         std::visit([this, index](const auto &it) { step(index, store.apply(it)); }, call);
     }
 
@@ -227,7 +225,7 @@
             return;
         const auto call = *std::exchange(member.call, std::nullopt);
         if (choice % 3 == 0)
-            std::visit([this](const auto &it) { store.apply(it); }, call);
+            std::visit([this](const auto &it) { std::ignore = store.apply(it); }, call);
         if (choice % 3 == 1)
             late.push_back(call);
         if (std::holds_alternative<DeleteClaims>(call)) {
@@ -242,7 +240,7 @@
         if (late.empty())
             return;
         const auto it = late.begin() + static_cast<std::ptrdiff_t>(choice % late.size());
-        std::visit([this](const auto &call) { store.apply(call); }, *it);
+        std::visit([this](const auto &call) { std::ignore = store.apply(call); }, *it);
         late.erase(it);
     }
 
@@ -371,9 +369,8 @@
 }
 
 /// One member on a store that answers at once.
-class Single
+struct Single
 {
-public:
     auto ask(RequestNumber number, const char *team, const char *key,
              const char *fingerprint = "same") -> std::optional<ClaimVerdict::Kind>
     {
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -77,9 +77,8 @@
 }
 
 /// Drives a Dispatcher through a schedule and judges every action, apart from its code.
-class Judge
+struct Judge
 {
-public:
     Judge()
     {
         configuration = makeConfiguration();
@@ -156,7 +155,6 @@
         RC_ASSERT(waiting.empty());
     }
 
-private:
     struct Known
     {
         QueueName queue;
@@ -347,11 +345,12 @@
 /// The host on which the last of these actions starts a request.
 auto startedOn(const std::vector<DispatchAction> &actions) -> std::optional<HostName>
 {
-    for (auto it = actions.rbegin(); it != actions.rend(); ++it) {
-        if (const auto *start = std::get_if<StartRequest>(&*it))
-            return start->host;
+    auto host = std::optional<HostName>();
+    for (const auto &action : actions) {
+        if (const auto *start = std::get_if<StartRequest>(&action))
+            host = start->host;
     }
-    return std::nullopt;
+    return host;
 }
 
 TEST(Dispatcher, GivesATargetThatFailsEverythingFastLessWorkNotMore)
--- a/tests/unit/unit-http-server.cpp
+++ b/tests/unit/unit-http-server.cpp
@@ -16,7 +16,7 @@
 {
 public:
     explicit HeldServer(HttpBounds bounds = {}, bool isEcho = false)
-        : server(bounds, [this, isEcho](HttpRequest request, HttpResponder responder) {
+        : server(bounds, [this, isEcho](const HttpRequest &request, HttpResponder responder) {
             requests.push_back(request);
             if (isEcho) {
                 responder.answer({200, {}, request.path});
