--- a/packages/daemon/src/control_context.hpp
+++ b/packages/daemon/src/control_context.hpp
@@ -32,6 +32,8 @@
     MemberDirectory members; // registered members, this one included
     ConfigurationPointer configuration; // null until the first one is read
     BootTime freshUntil;
+    ConfigurationVersion servedVersion = 0; // by which this member starts requests
+    HostSet busyHosts; // with requests of this member
     HostSet failedHosts; // that the platform's lagging list doesn't call live
     std::vector<PoolTeamLoad> loads; // of this member
 
@@ -50,6 +52,9 @@
     auto reply(const ControlCall &call, HttpResponse response) -> void;
     auto record(std::string_view kind, std::string_view subject,
                 std::vector<TimelineAttribute> attributes = {}) -> std::uint64_t;
+    /// Until it is cleared, events are recorded as effects of this message.
+    auto setCause(const PeerEnvelope &envelope) -> void;
+    auto clearCause() -> void;
     [[nodiscard]] auto version() const -> ConfigurationVersion;
     [[nodiscard]] auto isFresh() const -> bool;
     auto handle(StoreResult result) -> void;
@@ -57,6 +62,8 @@
 
 private:
     Links &m_links;
+    Incarnation m_causeSource;
+    std::uint64_t m_causeSequence = 0;
     std::uint64_t m_lastOrder = 0;
     std::map<std::uint64_t, StoreCallback> m_orders;
     std::map<std::uint64_t, PlatformCallback> m_platformOrders;
--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -81,8 +81,11 @@
     m_links.frontToControl.drain([this](FrontReport report) {
         if (const auto *call = std::get_if<ControlCall>(&report))
             handleCall(*call);
-        if (auto *load = std::get_if<LoadReport>(&report))
+        if (auto *load = std::get_if<LoadReport>(&report)) {
             m_context.loads = std::move(load->loads);
+            m_context.servedVersion = load->version;
+            m_context.busyHosts = std::move(load->busyHosts);
+        }
         if (const auto *ask = std::get_if<ClaimAsk>(&report))
             m_claims.handle(*ask);
         if (const auto *end = std::get_if<ClaimEnded>(&report))
@@ -112,10 +115,12 @@
 {
     const auto now = BootClock::now();
     m_links.peersToControl.drain([this, now](const PeerEnvelope &envelope) {
+        m_context.setCause(envelope);
         forEachModule([&envelope, now](auto &module) {
             if constexpr (requires { module.receive(envelope, now); })
                 module.receive(envelope, now);
         });
+        m_context.clearCause();
     });
     announceChanges();
 }
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned Unavailable = 503;
 constexpr unsigned FirstServerError = 500;
 constexpr Duration SilentTime = 2s; // without an answer, then the target is probed
+constexpr auto ProbeInterval = 1s; // of a target that didn't answer the last probe
 constexpr std::size_t MaxOpenBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t MaxReplayBytes = std::size_t{64} * 1024; // longest answer kept for repeats
 
@@ -194,11 +195,16 @@
     open.id = fmt::format("{:x}-{}", m_process.self.number, number);
     open.arrived = now;
     open.deadline = now + std::chrono::milliseconds(queue.deadlineMilliseconds);
+    // A request must not outlive its claim.
+    if (!admitted.idempotencyKey.empty())
+        open.deadline = std::min(open.deadline, now + ShortestClaimTime);
     open.forwarded.headers.push_back({"Shallotproxy-Request", open.id});
     open.arrival = RequestArrived{number, queue.name, open.team, open.deadline, admitted.owner.key};
     open.responder.onClientGone([this, number] { callerGone(number); });
     m_process.timeline.record("request.arrive", open.id, version(),
-                              {{"queue", queue.name.value()}, {"team", open.team.value()}});
+                              {{"queue", queue.name.value()},
+                               {"team", open.team.value()},
+                               {"idempotent", queue.isIdempotent ? "true" : "false"}});
     m_openBytes += open.forwarded.body.size();
     const auto arrival = open.arrival;
     m_open.emplace(number, std::move(open));
@@ -234,6 +240,8 @@
         return;
     }
     auto &open = it->second;
+    m_process.timeline.record("request.claim", open.id, version(),
+                              {{"verdict", std::string(verdict.name())}});
     switch (verdict.kind) {
     case ClaimVerdict::Kind::Granted: {
         open.phase = Phase::Waiting;
@@ -308,9 +316,15 @@
     dispatch(DispatchTick());
     probeSilentTargets(now);
     m_targets.closeIdle(now);
+    auto report = LoadReport{m_dispatcher.loads(), 0, {}};
+    if (m_configuration)
+        report.version = m_configuration->version;
+    for (const auto &[number, open] : m_open) {
+        if (!open.host.isEmpty())
+            report.busyHosts.insert(open.host);
+    }
     // A full ring loses nothing: the next report replaces this one.
-    [[maybe_unused]] const auto isSent =
-        m_links.frontToControl.push(LoadReport{m_dispatcher.loads()});
+    [[maybe_unused]] const auto isSent = m_links.frontToControl.push(std::move(report));
 }
 
 /// A request that runs goes on without its caller; one that doesn't is dropped.
@@ -357,6 +371,7 @@
         if (!isAlive) {
             FrontLog.warning("target {} answers no new connection", name.value());
             m_process.timeline.record("target.silent", name.value(), version());
+            QTimer::singleShot(ProbeInterval, this, [this, name] { probe(name); });
         }
         dispatch(TargetProbed{name, isAlive});
     });
@@ -377,6 +392,8 @@
     open.host = action.host;
     open.triedAt = now;
     m_tries.emplace_back(now, action.number);
+    if (open.error)
+        m_process.metrics.count("shallotproxy_retries_total");
     const auto &host = m_configuration->hosts.at(action.host);
     m_process.timeline.record("request.start", open.id, version(),
                               {{"host", host.name.value()},
@@ -392,7 +409,17 @@
     const auto timeout = millisecondsOf(tryTimeout(open.deadline - now, open.isIdempotent));
     m_targets.send(
         host, open.forwarded, use, timeout,
-        [this, number = action.number](const TargetReply &reply) { finish(number, reply); });
+        [this, number = action.number](const TargetReply &reply) { finish(number, reply); },
+        [this, name = action.host] { return mayWrite(name); });
+}
+
+/// Asked when the connection stands: the process may have been paused since the start was decided,
+/// and the configuration may have changed.
+auto FrontDuty::mayWrite(const HostName &name) const -> bool
+{
+    const auto it = m_configuration->hosts.find(name);
+    return BootClock::now() < m_freshUntil && it != m_configuration->hosts.end()
+        && m_configuration->takesWork(it->second);
 }
 
 auto FrontDuty::perform(const RefuseRequest &action) -> void
@@ -433,7 +460,10 @@
                               version(),
                               {{"host", open.host.value()}, {"error", std::string(ec.name())}});
     if (ec.isNotRun()) {
-        dispatch(RequestNotSent{number});
+        const auto isWithheld = ec.kind == TargetError::Kind::Withheld;
+        if (!isWithheld)
+            probe(open.host);
+        dispatch(RequestNotSent{number, !isWithheld});
         return;
     }
     open.error = ec;
@@ -486,6 +516,7 @@
     m_process.timeline.record("request.end", open.id, version(),
                               {{"outcome", std::string(outcome)},
                                {"team", open.team.value()},
+                               {"replayed", std::string(response.header("Shallotproxy-Replayed"))},
                                {"status", fmt::format("{}", response.status)}});
     m_process.metrics.count("shallotproxy_requests_total",
                             fmt::format(R"(team="{}",outcome="{}")", open.team.value(), outcome));
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <QJsonObject>
 #include <QProcess>
 #include <QTemporaryDir>
 
@@ -21,7 +23,9 @@
     int workers = 0;
     /// Declarations; empty for one pool `main` on two data centres `north` and `south` with queues
     /// `orders`, `quotes` (idempotent) and `open`, and the teams `red` and `blue`.
-    std::string declarations;
+    std::string declarations = {};
+    /// Whether members write their events to files.
+    bool hasJournal = true;
     int relayedMember = -1; // reaches the store through a relay that can be silenced
 };
 
@@ -48,6 +52,8 @@
     auto killMember(int index) -> void;
     /// SIGTERM; waits for the end and returns the exit code.
     auto terminateMember(int index) -> int;
+    /// SIGTERM to every running member; whether all ended with code 0.
+    auto terminateAll() -> bool;
     /// SIGSTOP and SIGCONT.
     auto pauseMember(int index) -> void;
     auto resumeMember(int index) -> void;
@@ -71,6 +77,8 @@
     /// A count of the targets, as `runs`, `repeats` or `mostRunning`.
     auto targetCount(const std::string &name) -> std::int64_t;
 
+    /// Most requests of a team that ran at once, by the callers' header `Team`.
+    auto targetMostRunning(const std::string &team) -> std::int64_t;
     /// Sets a fault of the workers or the host list; see standins/worker_platform.cpp.
     auto workerFault(const std::string &json) -> void;
     /// A count of the workers, as `starts`, `doubleStarts` or `reboots`.
@@ -87,7 +95,13 @@
     [[nodiscard]] auto callersEndpoint(int member) const -> std::string;
     [[nodiscard]] auto operatorsEndpoint(int member) const -> std::string;
     [[nodiscard]] auto peersEndpoint(int member) const -> std::string;
+    [[nodiscard]] auto memberProcess(int member) const -> qint64;
+    /// Port of the first target; the others follow it.
+    [[nodiscard]] auto firstTargetPort() const -> int { return m_firstTargetPort; }
     [[nodiscard]] auto storeEndpoint() const -> std::string;
+    [[nodiscard]] auto targetPort(int target) const -> int { return m_firstTargetPort + target; }
+    [[nodiscard]] auto isRunning(int member) const -> bool;
+    [[nodiscard]] auto processId(int member) const -> qint64;
     /// Time-line events that all members, dead ones too, have written, one line of JSON each.
     [[nodiscard]] auto journal() const -> std::vector<std::string>;
 
@@ -101,6 +115,7 @@
         std::unique_ptr<QProcess> process;
     };
 
+    auto targetReport() -> QJsonObject;
     auto start(const QString &program, const QStringList &arguments) -> std::unique_ptr<QProcess>;
     auto writeFile(const std::string &name, const std::string &text) -> std::string;
     auto writeSettings(int index) -> void;
@@ -111,9 +126,9 @@
     quint16 m_storePort = 0;
     quint16 m_controlPort = 0;
     quint16 m_firstTargetPort = 0;
-    std::unique_ptr<Relay> m_relay;
     quint16 m_platformPort = 0;
     quint16 m_firstWorkerPort = 0;
+    std::unique_ptr<Relay> m_relay;
     std::unique_ptr<QProcess> m_store;
     std::unique_ptr<QProcess> m_targets;
     std::unique_ptr<QProcess> m_workers;
