--- /dev/null
+++ b/tests/process/process-peers.cpp
@@ -0,0 +1,60 @@
+#include <random>
+
+#include <QElapsedTimer>
+#include <QHostAddress>
+#include <QTcpSocket>
+
+#include <gtest/gtest.h>
+
+#include "fleet.hpp"
+
+namespace shallotproxy::test {
+
+namespace {
+
+constexpr auto CloseMilliseconds = 5'000;
+
+auto connectToPeers(QTcpSocket &socket, const Fleet &fleet) -> bool
+{
+    const auto endpoint = fleet.peersEndpoint(0);
+    const auto port = std::stoi(endpoint.substr(endpoint.rfind(':') + 1));
+    socket.connectToHost(QHostAddress::LocalHost, static_cast<quint16>(port));
+    return socket.waitForConnected();
+}
+
+auto isClosed(const QTcpSocket &socket) -> bool
+{
+    return waitUntil([&socket] { return socket.state() == QAbstractSocket::UnconnectedState; },
+                     CloseMilliseconds);
+}
+
+TEST(ProcessPeers, CloseStrangersThatSayNothingOrAnythingAndServeOn)
+{
+    auto fleet = Fleet({});
+    const auto key = fleet.createKey("red");
+    auto silent = QTcpSocket();
+    ASSERT_TRUE(connectToPeers(silent, fleet));
+    const auto seed = std::random_device()();
+    SCOPED_TRACE(seed);
+    auto random = std::mt19937(seed);
+    constexpr auto Strangers = 20;
+    constexpr auto MaxBytes = 5'000;
+    for (auto i = 0; i < Strangers; ++i) {
+        auto stranger = QTcpSocket();
+        ASSERT_TRUE(connectToPeers(stranger, fleet));
+        auto bytes = QByteArray(std::uniform_int_distribution<int>(1, MaxBytes)(random), '\0');
+        for (auto &it : bytes)
+            it = static_cast<char>(std::uniform_int_distribution<int>(0, 255)(random));
+        stranger.write(bytes);
+        EXPECT_TRUE(isClosed(stranger));
+    }
+    EXPECT_TRUE(isClosed(silent));
+    const auto reply = fleet.request(0, Fleet::queueRequest("orders", key, 1, "pane"));
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->header("Shallotproxy-Outcome"), "answered");
+    EXPECT_TRUE(fleet.waitForVersion(2));
+}
+
+} // namespace
+
+} // namespace shallotproxy::test
--- a/tests/unit/unit-freshness.cpp
+++ b/tests/unit/unit-freshness.cpp
@@ -728,6 +728,25 @@
     RC_ASSERT(!world.hasPledge());
 }
 
+// While the store is silent nobody can tell whether the announced swap took effect, so no member is
+// vouched for; the share of such cases is printed.
+RC_GTEST_PROP(Freshness, ComesBackAfterAnOutageThatBeganWithinAChange, (std::uint32_t seed))
+{
+    auto world = World({seed, {}, {}});
+    world.run(10s);
+    const auto id = world.startVersion(1);
+    RC_PRE(!id.empty());
+    world.run(std::chrono::microseconds(*uniform(0, 20'000)));
+    constexpr auto Milliseconds = static_cast<int>(ShortOutageTime / 1ms);
+    world.addFault({FaultKind::StoreDown, world.elapsedMilliseconds(), Milliseconds, 0, 0});
+    world.run(ShortOutageTime);
+    RC_CLASSIFY(world.freshCount() == 0, "no member fresh at the outage's end");
+    RC_CLASSIFY(world.freshCount() == World::MemberCount, "all members fresh at the outage's end");
+    world.run(InForceBound);
+    RC_ASSERT(world.freshCount() == World::MemberCount);
+    RC_ASSERT(world.violations().empty());
+}
+
 TEST(Freshness, IsLostByAMemberThatHeardNothing)
 {
     const auto self = Incarnation{MemberName("entry-0"), 1};
