--- a/packages/process/include/shallotproxy/process.hpp
+++ b/packages/process/include/shallotproxy/process.hpp
@@ -17,6 +17,7 @@
 #include "process/observe/timeline_merge.hpp"
 #include "process/peer/frame.hpp"
 #include "process/peer/messages.hpp"
+#include "process/peer/peer_session.hpp"
 #include "process/ring/ring.hpp"
 #include "process/share/fair_allocation.hpp"
 #include "process/share/pool_shares.hpp"
