--- a/examples/run-demo.sh
+++ b/examples/run-demo.sh
@@ -57,7 +57,8 @@
 ctl=$bin/shallotctl
 
 for _ in $(seq 50); do
-    [ "$("$ctl" --output json status 2>/dev/null | grep -o '"name"' | wc -l)" = 8 ] && break
+    status=$("$ctl" --output json status 2>/dev/null || true)
+    [ "$(grep -o '"name"' <<<"$status" | wc -l)" = 8 ] && grep -q '"fresh":true' <<<"$status" && break
     sleep 0.2
 done
 "$ctl" config check "$folder/declarations"
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -195,6 +195,9 @@
     open.id = fmt::format("{:x}-{}", m_process.self.number, number);
     open.arrived = now;
     open.deadline = now + std::chrono::milliseconds(queue.deadlineMilliseconds);
+    // A request must not outlive its claim.
+    if (!admitted.idempotencyKey.empty())
+        open.deadline = std::min(open.deadline, now + ShortestClaimTime);
     open.forwarded.headers.push_back({"Shallotproxy-Request", open.id});
     open.arrival = RequestArrived{number, queue.name, open.team, open.deadline, admitted.owner.key};
     open.responder.onClientGone([this, number] { callerGone(number); });
@@ -287,10 +290,6 @@
         m_keys = KeyIndex(*m_configuration);
         m_process.timeline.record("configuration.serve", "front", version());
     }
-    if (const auto *change = std::get_if<UnitsUpdate>(&update)) {
-        m_unitsMark = change->mark;
-        dispatch(change->units);
-    }
     if (const auto *change = std::get_if<FreshnessChanged>(&update))
         m_freshUntil = change->freshUntil;
     std::visit(
@@ -304,6 +303,12 @@
         update);
 }
 
+auto FrontDuty::apply(const UnitsUpdate &change) -> void
+{
+    m_unitsMark = change.mark;
+    dispatch(change.units);
+}
+
 auto FrontDuty::apply(const ControlReply &reply) -> void
 {
     auto node = m_controlCalls.extract(reply.number);
@@ -317,9 +322,18 @@
     dispatch(DispatchTick());
     probeSilentTargets(now);
     m_targets.closeIdle(now);
+    auto report = LoadReport();
+    report.loads = m_dispatcher.loads();
+    if (m_configuration)
+        report.version = m_configuration->version;
+    for (const auto &[number, open] : m_open) {
+        if (!open.host.isEmpty())
+            report.busyHosts.insert(open.host);
+    }
     // A full ring loses nothing: the next report replaces this one.
-    [[maybe_unused]] const auto isSent =
-        m_links.frontToControl.push(LoadReport{m_dispatcher.loads(), m_unitsMark, m_usage});
+    report.unitsMark = m_unitsMark;
+    report.usage = m_usage;
+    [[maybe_unused]] const auto isSent = m_links.frontToControl.push(std::move(report));
 }
 
 /// A request that runs goes on without its caller; one that doesn't is dropped.
@@ -404,7 +418,17 @@
     const auto timeout = millisecondsOf(tryTimeout(open.deadline - now, open.isIdempotent));
     m_targets.send(
         host, open.forwarded, use, timeout,
-        [this, number = action.number](const TargetReply &reply) { finish(number, reply); });
+        [this, number = action.number](const TargetReply &reply) { finish(number, reply); },
+        [this, name = action.host] { return mayWrite(name); });
+}
+
+/// Asked when the connection stands: the process may have been paused since the start was decided,
+/// and the configuration may have changed.
+auto FrontDuty::mayWrite(const HostName &name) const -> bool
+{
+    const auto it = m_configuration->hosts.find(name);
+    return BootClock::now() < m_freshUntil && it != m_configuration->hosts.end()
+        && m_configuration->takesWork(it->second);
 }
 
 auto FrontDuty::perform(const RefuseRequest &action) -> void
@@ -445,8 +469,10 @@
                               version(),
                               {{"host", open.host.value()}, {"error", std::string(ec.name())}});
     if (ec.isNotRun()) {
-        probe(open.host);
-        dispatch(RequestNotSent{number});
+        const auto isWithheld = ec.kind == TargetError::Kind::Withheld;
+        if (!isWithheld)
+            probe(open.host);
+        dispatch(RequestNotSent{number, !isWithheld});
         return;
     }
     m_usage[open.team].add(BootClock::now() - open.triedAt);
@@ -501,6 +527,7 @@
     m_process.timeline.record("request.end", open.id, version(),
                               {{"outcome", std::string(outcome)},
                                {"team", open.team.value()},
+                               {"replayed", std::string(response.header("Shallotproxy-Replayed"))},
                                {"status", fmt::format("{}", response.status)}});
     m_process.metrics.count("shallotproxy_requests_total",
                             fmt::format(R"(team="{}",outcome="{}")", open.team.value(), outcome));
--- a/tests/process/process-requests.cpp
+++ b/tests/process/process-requests.cpp
@@ -133,7 +133,7 @@
 TEST(ProcessRequests, RollingReplacementOfAllMembersCutsNoneAndRunsNoneTwice)
 {
     constexpr auto Members = 3;
-    auto fleet = Fleet({Members, 4, {}});
+    auto fleet = Fleet({.members = Members, .targets = 4, .declarations = {}});
     const auto key = fleet.createKey("red");
     auto load = Load(fleet, Members, key);
     load.start(10);
@@ -197,6 +197,38 @@
     EXPECT_EQ(fleet.targetCount("runs"), 2);
 }
 
+TEST(ProcessRequests, ARepeatWhileTheFirstRunsGetsItsAnswerAndNoneFromAPausedMember)
+{
+    auto fleet = Fleet({2, 2, {}});
+    const auto key = fleet.createKey("red");
+    const auto sendLater = [&fleet](const HttpRequest &request) {
+        auto reply = std::make_shared<std::optional<TargetReply>>();
+        auto connection =
+            std::make_shared<TargetConnection>(fleet.callersEndpoint(0), HttpBounds());
+        connection->send(request, 10'000, [reply, connection](TargetReply it) {
+            *reply = std::move(it);
+            QTimer::singleShot(0, [connection] {});
+        });
+        return reply;
+    };
+    const auto running = sendLater(keyedRequest("orders", key, "slow", 1'500));
+    EXPECT_TRUE(waitUntil([&] { return fleet.targetCount("runs") == 1; }, 3'000));
+    const auto repeat = fleet.request(1, keyedRequest("orders", key, "slow", 1'500));
+    EXPECT_EQ(outcomeOf(repeat), "answered");
+    EXPECT_EQ(repeat->header("Shallotproxy-Replayed"), "true");
+    EXPECT_TRUE(waitUntil([&] { return running->has_value(); }, 3'000));
+
+    const auto paused = sendLater(keyedRequest("orders", key, "paused", 1'500));
+    EXPECT_TRUE(waitUntil([&] { return fleet.targetCount("runs") == 2; }, 3'000));
+    fleet.pauseMember(0);
+    EXPECT_EQ(outcomeOf(fleet.request(1, keyedRequest("orders", key, "paused", 1'500))),
+              "already-started");
+    fleet.resumeMember(0);
+    EXPECT_TRUE(waitUntil([&] { return paused->has_value(); }, 8'000));
+    EXPECT_EQ(outcomeOf(**paused), "answered");
+    EXPECT_EQ(fleet.targetCount("runs"), 2);
+}
+
 TEST(ProcessRequests, AClaimIsKeptTrueByASilentStoreAndByALostAnswer)
 {
     auto fleet = Fleet({});
@@ -225,7 +257,7 @@
 
 TEST(ProcessRequests, ATargetThatGoesSilentGetsNoNewWorkAndAnIdempotentRequestAnotherTarget)
 {
-    auto fleet = Fleet({1, 2, {}});
+    auto fleet = Fleet({.members = 1, .targets = 2, .declarations = {}});
     const auto key = fleet.createKey("red");
     fleet.targetFault(fmt::format(R"({{"port":{},"mode":"silent"}})", fleet.firstTargetPort()));
     // Each is answered: those that fall on the silent target are tried on the other one.
@@ -245,7 +277,7 @@
     constexpr auto Members = 3;
     constexpr auto Callers = 24;
     constexpr auto Milliseconds = 4'000;
-    auto fleet = Fleet({Members, 4, {}});
+    auto fleet = Fleet({.members = Members, .targets = 4, .declarations = {}});
     const auto key = fleet.createKey("red");
     const auto calls = [&fleet] {
         const auto reply = sendOnce(fleet.storeEndpoint(), {"GET", "/calls", {}, ""}, 2'000);
@@ -299,7 +331,7 @@
 
 TEST(ProcessRequests, StrangersBytesLeaveEveryPortServingAndMemoryBounded)
 {
-    auto fleet = Fleet({1, 2, {}});
+    auto fleet = Fleet({.members = 1, .targets = 2, .declarations = {}});
     const auto key = fleet.createKey("red");
     const auto before = residentKiB(fleet.memberProcess(0));
     auto sockets = std::vector<std::unique_ptr<QTcpSocket>>();
@@ -336,7 +368,7 @@
 
 TEST(ProcessRequests, AnotherTeamsPathsAreNotFoundAndStrangersLearnNothing)
 {
-    auto fleet = Fleet({1, 2, {}});
+    auto fleet = Fleet({.members = 1, .targets = 2, .declarations = {}});
     const auto red = fleet.createKey("red");
     const auto send = [&](const char *method, const char *path, const std::string &key) {
         const auto headers = std::vector<HttpHeader>{{"Authorization", "Bearer " + key}};
