--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -113,6 +113,8 @@
     m_context.servedVersion = report.version;
     m_context.busyHosts = std::move(report.busyHosts);
     m_context.unitsMark = report.unitsMark;
+    m_context.servedVersion = report.version;
+    m_context.busyHosts = std::move(report.busyHosts);
     m_context.usage = std::move(report.usage);
     m_limits.loadsChanged(BootClock::now());
 }
--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -290,10 +290,6 @@
         m_keys = KeyIndex(*m_configuration);
         m_process.timeline.record("configuration.serve", "front", version());
     }
-    if (const auto *change = std::get_if<UnitsUpdate>(&update)) {
-        m_unitsMark = change->mark;
-        dispatch(change->units);
-    }
     if (const auto *change = std::get_if<FreshnessChanged>(&update))
         m_freshUntil = change->freshUntil;
     std::visit(
@@ -307,6 +303,12 @@
         update);
 }
 
+auto FrontDuty::apply(const UnitsUpdate &change) -> void
+{
+    m_unitsMark = change.mark;
+    dispatch(change.units);
+}
+
 auto FrontDuty::apply(const ControlReply &reply) -> void
 {
     auto node = m_controlCalls.extract(reply.number);
@@ -331,6 +333,8 @@
             report.busyHosts.insert(open.host);
     }
     // A full ring loses nothing: the next report replaces this one.
+    report.unitsMark = m_unitsMark;
+    report.usage = m_usage;
     [[maybe_unused]] const auto isSent = m_links.frontToControl.push(std::move(report));
 }
 
@@ -482,6 +486,7 @@
         dispatch(RequestNotSent{number, !isWithheld});
         return;
     }
+    m_usage[open.team].add(BootClock::now() - open.triedAt);
     open.error = ec;
     const auto isSilent = ec.kind == TargetError::Kind::TimedOut;
     if (isSilent)
@@ -492,6 +497,7 @@
 auto FrontDuty::takeAnswer(RequestNumber number, HttpResponse response) -> void
 {
     auto &open = m_open.at(number);
+    m_usage[open.team].add(BootClock::now() - open.triedAt);
     m_process.metrics.sample("shallotproxy_request_seconds",
                              fmt::format("pool=\"{}\"", open.pool.value()),
                              secondsSince(open.arrived));
--- a/packages/process/include/shallotproxy/process/share/pool_shares.hpp
+++ b/packages/process/include/shallotproxy/process/share/pool_shares.hpp
@@ -56,6 +56,7 @@
     auto forgetSilent(const std::set<MemberName> &members, BootTime now) -> void;
     auto updateDeficits(std::span<const double> fair, const std::vector<TeamName> &teams,
                         BootTime now) -> void;
+    [[nodiscard]] auto runningOf(const std::vector<TeamName> &teams) const -> std::vector<double>;
     auto split(const TeamName &team, std::uint32_t slots, std::map<MemberName, TeamSlots> &credits)
         -> void;
     auto addStanding(double unused, std::map<MemberName, TeamSlots> &credits) const -> void;
