--- a/packages/daemon/src/front_duty.cpp
+++ b/packages/daemon/src/front_duty.cpp
@@ -333,8 +333,6 @@
             report.busyHosts.insert(open.host);
     }
     // A full ring loses nothing: the next report replaces this one.
-    report.unitsMark = m_unitsMark;
-    report.usage = m_usage;
     [[maybe_unused]] const auto isSent = m_links.frontToControl.push(std::move(report));
 }
 
@@ -460,11 +458,8 @@
 
 auto FrontDuty::finish(RequestNumber number, const TargetReply &reply) -> void
 {
-    const auto it = m_open.find(number);
-    if (it == m_open.end())
+    if (!m_open.contains(number))
         return;
-    if (reply || !reply.error().isNotRun())
-        m_usage[it->second.team].add(BootClock::now() - it->second.triedAt);
     if (reply) {
         takeAnswer(number, *reply);
     } else {
