Keep what others wrote to the unit ledger while an answer was lost

Cause: when a read showed that a write with a lost answer had taken effect, the member took its own written ledger for the newest one but kept the revision of the read, so its next write undid what others had written in between: units leaked, and a claim could have been undone. Ruled out: transfers (each pair's sent and received agreed). A restart also took the answer of an earlier write for the next one's.

--- a/bench/shares.cpp
+++ b/bench/shares.cpp
@@ -287,11 +287,11 @@
         }
     }
 
-    auto send(std::size_t from, const MemberName &name, ShareEvent event) -> void
+    auto send(std::size_t from, const MemberName &name, const ShareEvent &event) -> void
     {
         for (std::size_t i = 0; i < MemberCount; ++i) {
             if (incarnation(i).member == name && isJoined(from, i))
-                m_deliveries.push_back({m_now + Step, i, std::move(event)});
+                m_deliveries.push_back({m_now + Step, i, event});
         }
     }
 
--- a/packages/process/include/shallotproxy/process/limit/limit_slices.hpp
+++ b/packages/process/include/shallotproxy/process/limit/limit_slices.hpp
@@ -177,7 +177,7 @@
     [[nodiscard]] auto quietTime(const Incarnation &ended) const -> Duration;
 
     auto giveGifts() -> void;
-    auto giftFor(const TeamName &team, const Gift &gift) const -> std::int64_t;
+    [[nodiscard]] auto giftFor(const TeamName &team, const Gift &gift) const -> std::int64_t;
     auto giveAll() -> void;
     auto transfer(const MemberName &to, const TeamUnits &units) -> void;
     auto repeatTransfers() -> void;
--- a/packages/process/src/limit/limit_slices.cpp
+++ b/packages/process/src/limit/limit_slices.cpp
@@ -118,7 +118,11 @@
     m_nextRead = m_now + (event.isSucceeded ? Duration(0) : phaseOf(m_account));
     if (!m_pending || !event.isSucceeded)
         return;
-    m_revision = m_pending->write.expected + 1;
+    // A read that came first may have shown a later record already.
+    if (m_revision <= m_pending->write.expected) {
+        m_revision = m_pending->write.expected + 1;
+        m_ledger = m_pending->write.ledger;
+    }
     completePending();
 }
 
@@ -150,7 +154,6 @@
         m_held[team] += units;
     for (const auto &it : pending.settled)
         m_partners.erase(it);
-    m_ledger = pending.write.ledger;
 }
 
 auto LimitSlices::abandonPending() -> void
@@ -172,8 +175,8 @@
     m_gifts.clear();
     m_reserved.clear();
     m_attestations.clear();
+    // A write that is under way still gets its answer, which must not be taken for the next one's.
     m_pending.reset();
-    m_isWriting = false;
 }
 
 auto LimitSlices::planWrite() -> void
--- a/tests/process/process-requests.cpp
+++ b/tests/process/process-requests.cpp
@@ -368,9 +368,9 @@
 
 TEST(ProcessRequests, ACallerThatVanishesWhileItWaitsRunsNothing)
 {
-    auto fleet = Fleet({.members = 1, .targets = 1, .declarations = {}});
+    auto fleet = Fleet({.members = 1, .targets = 2});
     const auto key = fleet.createKey("red");
-    constexpr auto Slots = 8;
+    constexpr auto Slots = 16;
     constexpr auto WorkMilliseconds = 1'500;
     auto callers = std::vector<std::unique_ptr<TargetConnection>>();
     auto answered = 0;
