--- a/tests/unit/unit-limits.cpp
+++ b/tests/unit/unit-limits.cpp
@@ -414,10 +414,9 @@
     bool m_isBusy = true;
 };
 
-RC_GTEST_PROP(Limits, AreNeverExceededAndAllUnitsComeBackAfterTheFaults, (std::uint32_t seed))
+/// Brings the faults about, takes them back and lowers the limit to 12.
+auto runThrough(Fleet &fleet, const std::vector<Fault> &schedule) -> void
 {
-    const auto schedule = *faults();
-    auto fleet = Fleet(seed);
     fleet.run(4s);
     for (const auto &it : schedule) {
         fleet.run(std::chrono::milliseconds(it.afterMilliseconds));
@@ -436,10 +435,29 @@
     fleet.apply({FaultKind::Limit, 0, 0, 0, 12});
     fleet.setDemand(1, 100);
     fleet.run(8s);
+}
+
+RC_GTEST_PROP(Limits, AreNeverExceededAndAllUnitsComeBackAfterTheFaults, (std::uint32_t seed))
+{
+    const auto schedule = *faults();
+    auto fleet = Fleet(seed);
+    runThrough(fleet, schedule);
     RC_ASSERT(fleet.running() >= 11U);
     RC_ASSERT(fleet.ledger().charged(Red) == 12);
 }
 
+TEST(Limits, KeepWhatOthersWroteWhileAnAnswerWasLost)
+{
+    auto fleet = Fleet(964'473);
+    runThrough(fleet,
+               {{FaultKind::Kill, 0, 0, 100, 0},
+                {FaultKind::Kill, 0, 0, 100, 0},
+                {FaultKind::LoseAnswers, 0, 0, 201, 0},
+                {FaultKind::Limit, 0, 0, 100, 8}});
+    EXPECT_GE(fleet.running(), 11U);
+    EXPECT_EQ(fleet.ledger().charged(Red), 12);
+}
+
 TEST(Limits, MoveToTheMemberThatIsAskedWithinASecond)
 {
     auto fleet = Fleet(7);
