Count a try that may still run against its team until its deadline

Cause: a target that cuts a connection may go on with the request, but the unit was given back with the outcome 'unknown', so the team could start one more. Seen: 9 running at the targets, limit 8, in every run of Process/Faults.BreakNoPromise/TargetCuttingConnectionsWhileWorkRunsOn. Cost: a target that closes without answers holds its team's units until the queue's deadline.

--- a/packages/daemon/src/platform_duty.cpp
+++ b/packages/daemon/src/platform_duty.cpp
@@ -53,7 +53,7 @@
 
 // QNetworkAccessManager may send a request twice. Every order here names a run's epoch or an
 // operation's id, by which the receiver recognises the repeat.
-auto PlatformDuty::send(PlatformOrder order) -> void
+auto PlatformDuty::send(const PlatformOrder &order) -> void
 {
     const auto url = QStringLiteral("http://%1%2")
                          .arg(toQString(order.call.endpoint), toQString(order.call.path));
--- a/packages/daemon/src/platform_duty.hpp
+++ b/packages/daemon/src/platform_duty.hpp
@@ -21,7 +21,7 @@
 
 private:
     auto drainOrders() -> void;
-    auto send(PlatformOrder order) -> void;
+    auto send(const PlatformOrder &order) -> void;
     auto finish(std::uint64_t number, PlatformReply reply) -> void;
 
     ProcessContext &m_process;
--- a/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
+++ b/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
@@ -177,6 +177,12 @@
         [[nodiscard]] auto queued() const -> std::size_t { return urgent.size() + normal.size(); }
     };
 
+    struct PoolTeam
+    {
+        PoolName pool;
+        TeamName team;
+    };
+
     struct PoolState
     {
         std::map<TeamName, TeamQueue> teams;
@@ -223,6 +229,9 @@
     [[nodiscard]] auto slotsOf(const Host &host) const -> std::uint32_t;
     [[nodiscard]] auto isEjected(const HostName &host) const -> bool;
     auto release(Request &request) -> void;
+    auto releaseTarget(Request &request) -> void;
+    auto releaseTeam(const PoolName &pool, const TeamName &team) -> void;
+    auto releaseUncertain() -> void;
 
     BootTime m_now;
     ConfigurationPointer m_configuration;
@@ -231,6 +240,7 @@
     std::unordered_map<RequestNumber, Request> m_requests;
     using TimedRequest = std::pair<BootTime, RequestNumber>;
     std::set<TimedRequest> m_deadlines; // of every request that isn't running
+    std::multimap<BootTime, PoolTeam> m_uncertain; // tries that may still run, until this time
     std::set<TimedRequest> m_delayed; // by when they are tried again
     RetryBudget m_retries;
     std::uint64_t m_rotation = 0;
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -118,7 +118,9 @@
     auto &request = it->second;
     if (event.isTargetFault)
         noteFault(m_targets[request.host]);
-    release(request);
+    // The target may go on with it, so it counts for the team until it must have ended.
+    releaseTarget(request);
+    m_uncertain.emplace(request.deadline, PoolTeam{request.pool, request.team});
     request.mayHaveRun = true;
     const auto mayTryAgain = request.isIdempotent && !m_isDraining && m_now < request.deadline;
     if (mayTryAgain && m_retries.withdraw()) {
@@ -202,6 +204,7 @@
 auto Dispatcher::handle(const DispatchTick & /*event*/) -> void
 {
     expire();
+    releaseUncertain();
     resumeDelayed();
 }
 
@@ -431,11 +434,30 @@
 }
 
 auto Dispatcher::release(Request &request) -> void
+{
+    releaseTarget(request);
+    releaseTeam(request.pool, request.team);
+}
+
+auto Dispatcher::releaseTarget(Request &request) -> void
 {
     request.isRunning = false;
-    --m_pools.at(request.pool).teams.at(request.team).running;
-    --m_running.at(request.team);
     --m_targets.at(request.host).running;
 }
 
+auto Dispatcher::releaseTeam(const PoolName &pool, const TeamName &team) -> void
+{
+    --m_pools.at(pool).teams.at(team).running;
+    --m_running.at(team);
+}
+
+auto Dispatcher::releaseUncertain() -> void
+{
+    while (!m_uncertain.empty() && m_now >= m_uncertain.begin()->first) {
+        const auto [pool, team] = m_uncertain.begin()->second;
+        m_uncertain.erase(m_uncertain.begin());
+        releaseTeam(pool, team);
+    }
+}
+
 } // namespace shallotproxy
