--- a/packages/daemon/src/platform_duty.cpp
+++ b/packages/daemon/src/platform_duty.cpp
@@ -45,9 +45,9 @@
 
 auto PlatformDuty::drainOrders() -> void
 {
-    m_links.controlToPlatform.drain([this](PlatformOrder order) {
+    m_links.controlToPlatform.drain([this](const PlatformOrder &order) {
         if (m_manager)
-            send(std::move(order));
+            send(order);
     });
 }
 
--- a/tests/process/process-maintenance.cpp
+++ b/tests/process/process-maintenance.cpp
@@ -3,6 +3,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "fleet.hpp"
--- a/tests/unit/unit-fleet-report.cpp
+++ b/tests/unit/unit-fleet-report.cpp
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
