Use the one record codec in the configuration and intent modules

Both had copies of the functions in record_codec.hpp; behaviour is the same. Built without warnings, formatted; three process tests of the two modules passed.

--- a/packages/daemon/src/configuration_module.cpp
+++ b/packages/daemon/src/configuration_module.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "record_codec.hpp"
+
 namespace shallotproxy {
 
 namespace {
@@ -30,26 +32,6 @@
 constexpr std::string_view DepartedPrefix = "departed/";
 constexpr std::string_view HistoryPrefix = "history/";
 
-template <typename T>
-auto pack(const T &value) -> std::string
-{
-    auto buf = msgpack::sbuffer();
-    msgpack::pack(buf, value);
-    return {buf.data(), buf.size()};
-}
-
-template <typename T>
-auto unpack(const std::string &bytes) -> std::optional<T>
-{
-    try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<T>();
-    } catch (const msgpack::type_error &) {
-        return std::nullopt;
-    } catch (const msgpack::unpack_error &) {
-        return std::nullopt;
-    }
-}
-
 auto partsPrefix(const HeadRecord &head) -> std::string
 {
     return fmt::format("config/{}.{}/", head.version, head.writer);
@@ -64,7 +46,7 @@
 {
     if (records.empty())
         return ConfigurationHead();
-    auto record = unpack<HeadRecord>(records.front().value);
+    auto record = unpackRecord<HeadRecord>(records.front().value);
     if (!record)
         return std::nullopt;
     return ConfigurationHead{records.front().revision, std::move(*record)};
@@ -166,7 +148,7 @@
     const auto &self = m_context.process.self;
     auto transaction = StoreTransaction();
     const auto key = m_context.key(std::string(DepartedPrefix) + self.member.value());
-    transaction.onSuccess.emplace_back(StorePut{key, pack(self), 0});
+    transaction.onSuccess.emplace_back(StorePut{key, packRecord(self), 0});
     m_context.store(std::move(transaction), [](const StoreReply &) {});
     if (m_lease != 0)
         m_context.store(StoreLeaseRevoke{m_lease}, [](const StoreReply &) {});
@@ -199,7 +181,7 @@
                                      settings.peersEndpoint, settings.operatorsEndpoint};
     const auto key = m_context.key(std::string(MembersPrefix) + settings.name.value());
     auto transaction = StoreTransaction();
-    transaction.onSuccess.emplace_back(StorePut{key, pack(record), m_lease});
+    transaction.onSuccess.emplace_back(StorePut{key, packRecord(record), m_lease});
     m_isRegistering = true;
     m_context.store(std::move(transaction), [this](const StoreReply &reply) {
         m_isRegistering = false;
@@ -248,7 +230,7 @@
     m_lastAnswer = started;
     m_departed.clear();
     for (const auto &it : answer.reads[2]) {
-        if (const auto incarnation = unpack<Incarnation>(it.value))
+        if (const auto incarnation = unpackRecord<Incarnation>(it.value))
             m_departed[incarnation->member] = *incarnation;
     }
     updateDirectory(answer.reads[1], now);
@@ -265,7 +247,7 @@
 {
     auto members = MemberDirectory();
     for (const auto &it : records) {
-        auto record = unpack<MemberRecord>(it.value);
+        auto record = unpackRecord<MemberRecord>(it.value);
         if (record)
             members.emplace(record->incarnation.member, std::move(*record));
     }
@@ -370,7 +352,7 @@
     const auto key = m_context.key(HeadKey);
     auto transaction = StoreTransaction();
     transaction.compares.push_back({key, action.head.revision});
-    transaction.onSuccess.emplace_back(StorePut{key, pack(action.head.record), 0});
+    transaction.onSuccess.emplace_back(StorePut{key, packRecord(action.head.record), 0});
     m_context.record("configuration.fence", "head");
     m_context.store(std::move(transaction),
                     [this](const StoreReply &) { m_nextPoll = BootTime(); });
@@ -573,7 +555,7 @@
     const auto record =
         HistoryRecord{next.version, publication.id, wallMilliseconds(),
                       boundedLines(describeChanges(*m_context.configuration, next))};
-    return {m_context.key(historyKey(next.version)), pack(record), 0};
+    return {m_context.key(historyKey(next.version)), packRecord(record), 0};
 }
 
 auto ConfigurationModule::perform(const SwapHead & /*action*/) -> void
@@ -581,7 +563,7 @@
     const auto key = m_context.key(HeadKey);
     auto transaction = StoreTransaction();
     transaction.compares.push_back({key, m_change->base().revision});
-    transaction.onSuccess.emplace_back(StorePut{key, pack(m_change->next()), 0});
+    transaction.onSuccess.emplace_back(StorePut{key, packRecord(m_change->next()), 0});
     if (isPublishing()) {
         const auto &publication = m_publications.front();
         transaction.onSuccess.emplace_back(historyPut(publication));
@@ -616,7 +598,7 @@
     const auto key = m_context.key(HeadKey);
     auto transaction = StoreTransaction();
     transaction.compares.push_back({key, m_change->base().revision});
-    transaction.onSuccess.emplace_back(StorePut{key, pack(m_change->base().record), 0});
+    transaction.onSuccess.emplace_back(StorePut{key, packRecord(m_change->base().record), 0});
     transaction.onFailure = readOperations();
     m_context.store(std::move(transaction), [this, id = m_change->id()](const StoreReply &reply) {
         if (m_change && m_change->id() == id)
@@ -647,7 +629,7 @@
         return {head->revision, head->record == m_change->next()};
     const auto history = answer.reads[1].empty()
         ? std::nullopt
-        : unpack<HistoryRecord>(answer.reads[1].front().value);
+        : unpackRecord<HistoryRecord>(answer.reads[1].front().value);
     return {head->revision, history && history->change == m_publications.front().id};
 }
 
@@ -701,7 +683,7 @@
         auto history = std::vector<HistoryRecord>();
         if (reply && reply->reads.size() == 1) {
             for (const auto &it : reply->reads[0]) {
-                if (auto record = unpack<HistoryRecord>(it.value))
+                if (auto record = unpackRecord<HistoryRecord>(it.value))
                     history.push_back(std::move(*record));
             }
         }
--- a/packages/daemon/src/intent_module.cpp
+++ b/packages/daemon/src/intent_module.cpp
@@ -4,6 +4,8 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include "record_codec.hpp"
+
 namespace shallotproxy {
 
 namespace {
@@ -117,14 +119,6 @@
     return attributes;
 }
 
-template <typename T>
-auto pack(const T &value) -> std::string
-{
-    auto buf = msgpack::sbuffer();
-    msgpack::pack(buf, value);
-    return {buf.data(), buf.size()};
-}
-
 } // namespace
 
 IntentModule::IntentModule(ControlContext &context, ConfigurationModule &configuration)
@@ -195,7 +189,7 @@
     // is new, so a record that is there is this one.
     auto transaction = StoreTransaction();
     transaction.compares.push_back({key, 0});
-    transaction.onSuccess.emplace_back(StorePut{key, pack(record), 0});
+    transaction.onSuccess.emplace_back(StorePut{key, packRecord(record), 0});
     const auto body = planJson(*plan);
     const auto id = plan->id;
     m_context.store(std::move(transaction), [this, call, body, id](const StoreReply &reply) {
@@ -287,7 +281,7 @@
     auto applied = record;
     applied.state = Applied;
     applied.appliedVersion = version;
-    const auto put = StorePut{m_context.key(intentKey(id)), pack(applied), 0};
+    const auto put = StorePut{m_context.key(intentKey(id)), packRecord(applied), 0};
     m_configuration.publish(plan->result, {put},
                             [this, call, id, version, attributes](PublishOutcome outcome) {
                                 if (outcome == PublishOutcome::Applied) {
