--- a/packages/connection/include/shallotproxy/connection.hpp
+++ b/packages/connection/include/shallotproxy/connection.hpp
@@ -4,4 +4,5 @@
 
 #include "connection/http/http_message.hpp"
 #include "connection/http/http_server.hpp"
+#include "connection/target/http_client.hpp"
 #include "connection/target/target_connection.hpp"
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -17,6 +17,7 @@
 #include "operator_duty.hpp"
 #include "peer_duty.hpp"
 #include "platform_duty.hpp"
+#include "shallotproxy/platform.hpp"
 #include "store_duty.hpp"
 
 namespace {
@@ -36,12 +37,16 @@
     std::string settingsFile;
     std::string logLevel;
     bool isCheckOnly = false;
+    bool isOnPlatform = false;
 };
 
 constexpr auto Usage = R"(shallotproxyd - member of a fleet capacity and maintenance manager
 
 Usage: shallotproxyd --settings FILE [--log-level LEVEL]
        shallotproxyd --check-settings FILE
+       shallotproxyd --on-platform [--check-settings FILE]
+
+With --on-platform the settings come from the file that the platform names.
 
 SIGTERM and SIGINT shut down gracefully: the health check fails, queued requests are refused as
 "not run", running ones finish. SIGHUP is ignored: settings are read once, at the start.
@@ -196,6 +201,19 @@
     return ExitOk;
 }
 
+/// Checks `checkedFile` if there is one; else runs with the platform's own file.
+auto runOnPlatform(const std::string &checkedFile, int signals) -> int
+{
+    if (checkedFile.empty())
+        return platform::runMember(platform::settingsFile(), signals);
+    const auto checked = platform::checkSettings(checkedFile);
+    if (!checked) {
+        std::cerr << checked.error().message() << '\n';
+        return ExitSettings;
+    }
+    return ExitOk;
+}
+
 } // namespace
 
 auto main(int argc, char **argv) -> int
@@ -208,6 +226,8 @@
         "settings", options::value(&arguments.settingsFile),
         "settings file (YAML)")("check-settings", options::value(&arguments.settingsFile),
                                 "check a settings file and exit")(
+        "on-platform", options::bool_switch(&arguments.isOnPlatform),
+        "run on the users' platform, with its settings file")(
         "log-level", options::value(&arguments.logLevel)->default_value("info"),
         "debug, info, warning or error");
     auto values = options::variables_map();
@@ -226,6 +246,8 @@
         std::cout << "shallotproxyd " << SHALLOTPROXY_VERSION << '\n';
         return ExitOk;
     }
+    if (arguments.isOnPlatform)
+        return runOnPlatform(arguments.settingsFile, signals);
     if (arguments.settingsFile.empty() || !setLevel(arguments.logLevel)) {
         std::cerr << Usage << '\n' << description;
         return ExitUsage;
--- /dev/null
+++ b/packages/job/include/shallotproxy/job.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+// Public header of the job library: what lives as long as a job, over requests and members.
+
+#include "job/job_progress.hpp"
+#include "job/job_spec.hpp"
+#include "job/latency_guard.hpp"
+#include "job/pool_sizer.hpp"
+#include "job/progress_writer.hpp"
+#include "job/steward.hpp"
+#include "job/stewardship.hpp"
+#include "job/upkeep_planner.hpp"
+#include "job/waiting_order.hpp"
--- /dev/null
+++ b/packages/job/include/shallotproxy/job/host_view.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <set>
+
+#include "steward.hpp"
+
+namespace shallotproxy {
+
+enum class HostState { Up, Moving, InUpkeep, Down };
+
+/// A host as the platform lists it.
+struct HostReport
+{
+    HostName host;
+    PoolName pool;
+    HostState state = HostState::Down;
+    Room capacity;
+    WorkerName worker; // its present life; empty if there is none
+};
+
+/// A host together with what its worker runs.
+struct HostView
+{
+    HostReport report;
+    std::size_t lastingRuns = 0;
+    std::size_t otherRuns = 0;
+    bool isKnown = false; // the worker has answered the steward
+    bool isVacated = false;
+
+    [[nodiscard]] auto isIdle() const -> bool
+    {
+        return isKnown && lastingRuns == 0 && otherRuns == 0;
+    }
+};
+
+} // namespace shallotproxy
--- a/packages/request/include/shallotproxy/request/task/quarantine.hpp
+++ b/packages/job/include/shallotproxy/job/quarantine.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
 
 #include "shallotproxy/process/base/boot_clock.hpp"
-#include "worker_run.hpp"
+#include "shallotproxy/process/base/names.hpp"
 
 namespace shallotproxy {
 
@@ -14,6 +16,13 @@
 class Quarantine
 {
 public:
+    /// How long a worker is held the first time; each further time it is twice as long.
+    static constexpr Duration DefaultFirstHold = std::chrono::minutes(5);
+
+    explicit Quarantine(Duration firstHold = DefaultFirstHold)
+        : m_firstHold(firstHold)
+    { }
+
     auto workersChanged(const std::set<HostName> &workers) -> void;
     auto runSucceeded(const HostName &host, const TaskId &task) -> void;
     /// A task that fails on several workers is held against none of them.
@@ -42,6 +51,7 @@
     [[nodiscard]] auto peerFailureRate(const HostName &host) const -> double;
     [[nodiscard]] auto capacity() const -> std::size_t;
 
+    Duration m_firstHold;
     std::map<HostName, Worker> m_workers;
 };
 
--- a/packages/request/src/task/quarantine.cpp
+++ b/packages/job/src/quarantine.cpp
@@ -1,21 +1,17 @@
-#include "shallotproxy/request/task/quarantine.hpp"
+#include "shallotproxy/job/quarantine.hpp"
 
 #include <algorithm>
-#include <chrono>
 
 namespace shallotproxy {
 
 namespace {
 
-using namespace std::chrono_literals;
-
 constexpr std::size_t WindowRuns = 8;
 constexpr std::size_t EnoughFailures = 3;
 constexpr double BadRate = 0.6;
 constexpr double PeerFactor = 2;
 constexpr std::size_t HostsPerHeld = 5; // at most one in five is held
 constexpr std::size_t SmallestPool = 3;
-constexpr Duration FirstHold = 5min;
 constexpr std::uint32_t MostDoublings = 4;
 
 } // namespace
@@ -74,7 +70,7 @@
     if ((!isBad && !isOnProbation) || heldCount(now) >= capacity())
         return;
     const auto doublings = std::min(worker.times, MostDoublings);
-    worker.heldUntil = now + FirstHold * (1U << doublings);
+    worker.heldUntil = now + m_firstHold * (1U << doublings);
     worker.outcomes.clear();
     ++worker.times;
 }
--- /dev/null
+++ b/packages/job/src/steward_jobs.cpp
@@ -0,0 +1,301 @@
+#include <algorithm>
+
+#include "steward_state.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t OldestAgeMilliseconds = 3'600'000; // a clock that is off can't age a job more
+
+} // namespace
+
+auto Steward::Task::id() const -> JobTaskId
+{
+    return {job->spec.id, occurrence, step, index};
+}
+
+auto Steward::Task::spec() const -> const StepSpec &
+{
+    return job->spec.steps[step];
+}
+
+auto Steward::openOccurrence(Job &job, std::uint32_t number) -> Occurrence &
+{
+    const auto [it, isNew] = job.occurrences.try_emplace(number);
+    auto &occurrence = it->second;
+    if (!isNew)
+        return occurrence;
+    occurrence.stepsLeft = static_cast<std::uint32_t>(job.spec.steps.size());
+    occurrence.steps.resize(job.spec.steps.size());
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        const auto count = job.spec.steps[step].taskCount;
+        occurrence.tasksLeft.push_back(count);
+        occurrence.steps[step].resize(count);
+        for (std::uint32_t n = 0; n < count; ++n) {
+            auto &task = occurrence.steps[step][n];
+            task.job = &job;
+            task.occurrence = number;
+            task.step = step;
+            task.index = n;
+            task.since = m_now;
+            task.mayRunUnseen = job.mayRunAlready;
+        }
+        job.waitingTasks += count;
+    }
+    return occurrence;
+}
+
+auto Steward::openDueOccurrences(Job &job) -> void
+{
+    while (job.nextOccurrence < job.spec.occurrences) {
+        if (job.spec.isScheduled()) {
+            const auto due = job.spec.firstDueMilliseconds
+                + std::int64_t{job.nextOccurrence} * job.spec.intervalMilliseconds;
+            if (m_wallMilliseconds < due)
+                return;
+        }
+        openOccurrence(job, job.nextOccurrence++);
+        markDirty(poolOf(job));
+    }
+}
+
+auto Steward::handle(const steward_event::JobAccepted &event) -> void
+{
+    if (m_jobs.contains(event.spec.id))
+        return;
+    auto owned = std::make_unique<Job>();
+    auto &job = *owned;
+    job.spec = event.spec;
+    job.mayRunAlready = event.mayRunAlready && m_isRecovering;
+    job.workLeft = milliseconds(job.spec.chainMilliseconds());
+    const auto age =
+        std::clamp(m_wallMilliseconds - job.spec.submittedMilliseconds, std::int64_t{0},
+                   m_wallMilliseconds == 0 ? 0 : OldestAgeMilliseconds);
+    job.submittedAt = m_now - milliseconds(age);
+    m_jobs.emplace(job.spec.id, std::move(owned));
+    const auto *rules = rulesOf(job);
+    const auto stretch = rules == nullptr ? 1.0 : rules->stretch;
+    const auto grace = rules == nullptr ? 0 : rules->graceMilliseconds;
+    job.onTimeUntil = job.submittedAt + milliseconds(grace)
+        + std::chrono::duration_cast<Duration>(job.workLeft * stretch);
+    job.outcome = event.progress.state();
+    job.keptOutcome = job.outcome;
+    job.endedMilliseconds = event.progress.endedMilliseconds;
+    if (job.outcome != JobOutcome::Open)
+        return;
+    m_openJobs[poolOf(job)].push_back(&job);
+    restore(job, event.progress);
+    openDueOccurrences(job);
+    markDirty(poolOf(job));
+}
+
+/// Takes in what earlier stewards have kept of the job.
+auto Steward::restore(Job &job, const JobProgress &progress) -> void
+{
+    for (const auto &it : progress.tasks) {
+        if (it.step >= job.spec.steps.size() || it.occurrence >= job.spec.occurrences
+            || it.index >= job.spec.steps[it.step].taskCount) {
+            continue;
+        }
+        auto &occurrence = openOccurrence(job, it.occurrence);
+        job.nextOccurrence = std::max(job.nextOccurrence, it.occurrence + 1);
+        auto &task = occurrence.steps[it.step][it.index];
+        task.failures = it.failures;
+        task.lastFailedRun = it.lastFailedRun;
+        task.checkpoint = it.checkpoint;
+        job.hasStarted = true;
+        if (it.isDone)
+            finishTask(task);
+        if (job.outcome != JobOutcome::Open)
+            return;
+    }
+}
+
+auto Steward::handle(const steward_event::JobCancelled &event) -> void
+{
+    const auto it = m_jobs.find(event.job);
+    if (it == m_jobs.end() || it->second->outcome != JobOutcome::Open)
+        return;
+    endJob(*it->second, JobOutcome::Cancelled);
+}
+
+auto Steward::finishTask(Task &task) -> void
+{
+    if (task.phase == TaskPhase::Done)
+        return;
+    auto &job = *task.job;
+    if (task.phase == TaskPhase::Waiting)
+        --job.waitingTasks;
+    detach(task);
+    task.phase = TaskPhase::Done;
+    task.since = m_now;
+    markChanged(job, false);
+    auto &occurrence = job.occurrences.at(task.occurrence);
+    if (--occurrence.tasksLeft[task.step] > 0)
+        return;
+    // The chain that is left is the longest one over steps that aren't done.
+    auto left = job.spec;
+    for (std::size_t n = 0; n < left.steps.size(); ++n) {
+        if (occurrence.tasksLeft[n] == 0)
+            left.steps[n].estimatedMilliseconds = 0;
+    }
+    job.workLeft = milliseconds(left.chainMilliseconds());
+    markDirty(poolOf(job));
+    if (--occurrence.stepsLeft > 0)
+        return;
+    if (++job.occurrencesDone == job.spec.occurrences)
+        endJob(job, JobOutcome::Completed);
+}
+
+auto Steward::failTask(Task &task, std::uint64_t run) -> void
+{
+    auto &job = *task.job;
+    if (run <= task.lastFailedRun)
+        return;
+    task.lastFailedRun = run;
+    if (task.spec().isLasting)
+        return;
+    ++task.failures;
+    markChanged(job, false);
+    const auto *rules = rulesOf(job);
+    if (rules != nullptr && task.failures >= rules->attempts)
+        endJob(job, JobOutcome::Failed);
+}
+
+auto Steward::endJob(Job &job, JobOutcome outcome) -> void
+{
+    job.outcome = outcome;
+    job.endedMilliseconds = m_wallMilliseconds;
+    auto &open = m_openJobs[poolOf(job)];
+    std::erase(open, &job);
+    markChanged(job, true);
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (auto &step : occurrence.steps) {
+            for (auto &task : step) {
+                if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running)
+                    stopTask(task);
+            }
+        }
+    }
+}
+
+auto Steward::markChanged(Job &job, bool isUrgent) -> void
+{
+    job.change = ++m_changes;
+    m_actions.emplace_back(steward_action::KeepProgress{job.spec.id, isUrgent});
+}
+
+auto Steward::handle(const steward_event::ProgressKept &event) -> void
+{
+    const auto it = m_jobs.find(event.job);
+    if (it == m_jobs.end())
+        return;
+    auto &job = *it->second;
+    job.keptChange = std::max(job.keptChange, event.change);
+    if (job.keptChange == job.change)
+        job.keptOutcome = job.outcome;
+}
+
+auto Steward::record(const std::string &job) const -> std::optional<JobRecord>
+{
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end())
+        return std::nullopt;
+    const auto &entry = *it->second;
+    auto result = JobRecord{};
+    result.change = entry.change;
+    result.progress.outcome = static_cast<std::uint8_t>(entry.outcome);
+    result.progress.queue = entry.spec.queue;
+    result.progress.team = entry.spec.team;
+    result.progress.endedMilliseconds = entry.endedMilliseconds;
+    if (entry.outcome != JobOutcome::Open)
+        return result;
+    for (const auto &[number, occurrence] : entry.occurrences) {
+        for (const auto &step : occurrence.steps) {
+            for (const auto &task : step) {
+                const auto isDone = task.phase == TaskPhase::Done;
+                if (!isDone && task.failures == 0 && task.checkpoint.empty())
+                    continue;
+                result.progress.tasks.push_back({task.occurrence, task.step, task.index, isDone,
+                                                 task.failures, task.lastFailedRun,
+                                                 isDone ? std::string() : task.checkpoint});
+            }
+        }
+    }
+    return result;
+}
+
+auto Steward::view(const std::string &job) const -> JobView
+{
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end())
+        return {};
+    const auto &entry = *it->second;
+    // An outcome is told only once a successor would tell the same.
+    switch (entry.keptOutcome) {
+    case JobOutcome::Completed:
+        return {JobState::Completed, entry.spec.team};
+    case JobOutcome::Failed:
+        return {JobState::Failed, entry.spec.team};
+    case JobOutcome::Cancelled:
+        return {JobState::Cancelled, entry.spec.team};
+    case JobOutcome::Open:
+        break;
+    }
+    return {entry.hasStarted ? JobState::Running : JobState::Queued, entry.spec.team};
+}
+
+auto Steward::pendingJobs(const QueueName &queue) const -> std::size_t
+{
+    auto count = std::size_t{0};
+    for (const auto &[pool, jobs] : m_openJobs) {
+        count += static_cast<std::size_t>(std::ranges::count_if(jobs, [&queue](const Job *job) {
+            return job->spec.queue == queue && !job->hasStarted && !job->spec.isScheduled();
+        }));
+    }
+    return count;
+}
+
+auto Steward::findTask(const JobTaskId &id) -> Task *
+{
+    const auto it = m_jobs.find(id.job);
+    if (it == m_jobs.end())
+        return nullptr;
+    auto &job = *it->second;
+    if (id.occurrence >= job.spec.occurrences || id.step >= job.spec.steps.size()
+        || id.index >= job.spec.steps[id.step].taskCount) {
+        return nullptr;
+    }
+    const auto occurrence = job.occurrences.find(id.occurrence);
+    if (occurrence == job.occurrences.end())
+        return nullptr;
+    return &occurrence->second.steps[id.step][id.index];
+}
+
+auto Steward::rulesOf(const Job &job) const -> const QueueRules *
+{
+    if (!m_rules)
+        return nullptr;
+    const auto it = m_rules->queues.find(job.spec.queue);
+    return it == m_rules->queues.end() ? nullptr : &it->second;
+}
+
+// A queue that is no longer declared keeps the pool that it had when the job was handed in.
+auto Steward::poolOf(const Job &job) const -> const PoolName &
+{
+    const auto *rules = rulesOf(job);
+    return rules == nullptr ? job.spec.pool : rules->pool;
+}
+
+auto Steward::isReady(const Job &job, const Occurrence &occurrence, std::uint32_t step) const
+    -> bool
+{
+    return std::ranges::all_of(job.spec.steps[step].after, [&occurrence](auto earlier) {
+        return occurrence.tasksLeft[earlier] == 0;
+    });
+}
+
+} // namespace shallotproxy
--- /dev/null
+++ b/packages/job/src/steward_workers.cpp
@@ -0,0 +1,577 @@
+#include <algorithm>
+#include <cmath>
+
+#include "steward_state.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A worker's clock may be 2 % slow; a lease counted on it is taken to last this much longer.
+constexpr double ClockError = 0.03;
+constexpr milliseconds LeaseSlack{100}; // on top, for the time to read and to be scheduled
+constexpr int MostFailedLooks = 2; // then the worker is taken to be silent
+constexpr std::uint64_t RunsPerToken = 1'000; // run numbers of one steward for one task
+constexpr std::size_t FullListOfEnds = 500; // a longer one is told in parts
+constexpr int FullSpeed = 100;
+
+auto toMilliseconds(Duration duration) -> std::int64_t
+{
+    return std::chrono::floor<milliseconds>(duration).count();
+}
+
+} // namespace
+
+auto Steward::findWorker(const WorkerName &name) -> Worker *
+{
+    const auto it = m_workers.find(name);
+    return it == m_workers.end() ? nullptr : it->second.get();
+}
+
+auto Steward::handle(const steward_event::WorkerReported &event) -> void
+{
+    auto &entry = m_workers[event.report.name];
+    const auto isNew = !entry;
+    if (isNew)
+        entry = std::make_unique<Worker>();
+    auto &worker = *entry;
+    if (!isNew && worker.report.pool != event.report.pool)
+        std::erase(m_poolWorkers[worker.report.pool], &worker);
+    const auto isMoved = isNew || worker.report.pool != event.report.pool;
+    worker.report = event.report;
+    worker.isListed = true;
+    if (isMoved)
+        m_poolWorkers[worker.report.pool].push_back(&worker);
+    auto &largest = m_largest[worker.report.pool];
+    largest.milliCores = std::max(largest.milliCores, worker.report.capacity.milliCores);
+    largest.memoryMegabytes =
+        std::max(largest.memoryMegabytes, worker.report.capacity.memoryMegabytes);
+    largest.accelerators = std::max(largest.accelerators, worker.report.capacity.accelerators);
+    markDirty(worker.report.pool);
+    auto names = std::set<HostName>();
+    for (const auto &[name, it] : m_workers)
+        names.emplace(name.value());
+    if (isNew)
+        m_quarantine.workersChanged(names);
+    lookIfDue(worker);
+}
+
+auto Steward::handle(const steward_event::WorkerForgotten &event) -> void
+{
+    if (auto *worker = findWorker(event.worker))
+        worker->isListed = false;
+}
+
+auto Steward::handle(const steward_event::WorkerEnded &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    if (worker == nullptr)
+        return;
+    m_expected.erase(event.worker);
+    releaseAll(*worker);
+    std::erase(m_poolWorkers[worker->report.pool], worker);
+    m_workers.erase(event.worker);
+    endRecoveryIfDone();
+}
+
+auto Steward::handle(const steward_event::WorkerVacated &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    if (worker == nullptr || worker->isVacated == event.isVacated)
+        return;
+    worker->isVacated = event.isVacated;
+    worker->vacatedAt = m_now;
+    markDirty(worker->report.pool);
+    vacate(*worker);
+}
+
+auto Steward::attach(Task &task, Worker &worker) -> void
+{
+    if (worker.runs.empty())
+        worker.busySince = m_now;
+    task.worker = &worker;
+    worker.runs.push_back(&task);
+    worker.used += task.spec().reservedRoom();
+    m_running[task.job->spec.team] += task.spec().room;
+}
+
+auto Steward::detach(Task &task) -> void
+{
+    if (task.worker == nullptr)
+        return;
+    auto &worker = *task.worker;
+    std::erase(worker.runs, &task);
+    worker.used -= task.spec().reservedRoom();
+    m_running[task.job->spec.team] -= task.spec().room;
+    task.worker = nullptr;
+    task.isOrderOpen = false;
+    markDirty(worker.report.pool);
+}
+
+/// The run is over without an end that counts: the task waits for its next one.
+auto Steward::release(Task &task) -> void
+{
+    detach(task);
+    if (task.phase == TaskPhase::Done)
+        return;
+    if (task.phase != TaskPhase::Waiting)
+        ++task.job->waitingTasks;
+    task.phase = TaskPhase::Waiting;
+    task.since = m_now;
+    task.speedPercent = 0;
+    markDirty(poolOf(*task.job));
+}
+
+auto Steward::releaseAll(Worker &worker) -> void
+{
+    const auto runs = worker.runs;
+    for (auto *task : runs)
+        release(*task);
+    worker.leaseEnds = m_now;
+}
+
+/// The worker has a new life under its old name. An order of before may still reach it, and its new
+/// clock may take the old lease for valid: such runs are stopped there before they go elsewhere.
+auto Steward::beginAgain(Worker &worker) -> void
+{
+    const auto runs = worker.runs;
+    for (auto *task : runs) {
+        if (task->phase == TaskPhase::Running) {
+            release(*task);
+            continue;
+        }
+        task->phase = TaskPhase::Stopping;
+        task->isStopConfirmed = false;
+        orderStop(*task);
+    }
+    worker.seenEnd = 0;
+    worker.keptEnd = 0;
+    worker.acknowledged = 0;
+    worker.unkept.clear();
+    worker.isHeld = false;
+    worker.hasClock = false;
+}
+
+auto Steward::handle(const steward_event::WorkerLooked &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    if (worker == nullptr)
+        return;
+    worker->isLooking = false;
+    worker->failedLooks = 0;
+    worker->lastAnswer = m_now;
+    if (worker->bornMilliseconds != 0 && event.bornMilliseconds != 0
+        && worker->bornMilliseconds != event.bornMilliseconds) {
+        beginAgain(*worker);
+    }
+    if (event.bornMilliseconds != 0)
+        worker->bornMilliseconds = event.bornMilliseconds;
+    worker->clockMilliseconds = event.clockMilliseconds;
+    worker->clockAt = m_now;
+    worker->hasClock = true;
+    if (!worker->isHeld) {
+        worker->isHeld = true;
+        markDirty(worker->report.pool);
+    }
+    for (const auto &end : event.ended)
+        applyEnd(*worker, end);
+    applyActive(*worker, event);
+    if (!event.hasMoreEnds && event.ended.size() < FullListOfEnds)
+        applyMissing(*worker, event);
+    worker->nextLook = m_now + m_settings.busyLookGap;
+    endRecoveryIfDone();
+    if (worker->isVacated)
+        vacate(*worker);
+    lookIfDue(*worker);
+}
+
+auto Steward::applyActive(Worker &worker, const steward_event::WorkerLooked &look) -> void
+{
+    for (const auto &run : look.active) {
+        auto *task = findTask(run.task);
+        const auto isOurs = task != nullptr && task->worker == &worker && task->run == run.run;
+        if (!isOurs) {
+            adopt(worker, run);
+            continue;
+        }
+        if (!run.checkpoint.empty())
+            task->checkpoint = run.checkpoint;
+        const auto wasAtWork = task->speedPercent >= FullSpeed;
+        task->speedPercent = run.speedPercent;
+        task->figure = run.figure;
+        if (!wasAtWork && run.speedPercent >= FullSpeed)
+            task->atWorkSince = m_now;
+        // The list shows a run whose order has had no answer yet.
+        if (task->phase == TaskPhase::Starting && task->orderedAt < look.sentAt) {
+            task->phase = TaskPhase::Running;
+            task->since = m_now;
+            task->answeredAt = m_now;
+        }
+    }
+}
+
+/// A run that an earlier steward began, or one that nobody needs any more.
+auto Steward::adopt(Worker &worker, const ActiveRun &run) -> void
+{
+    auto *task = findTask(run.task);
+    const auto isWanted = task != nullptr && task->job->outcome == JobOutcome::Open
+        && task->phase == TaskPhase::Waiting && run.run >= task->run && task->worker == nullptr;
+    if (!isWanted) {
+        m_actions.emplace_back(steward_action::StopRun{worker.report.name, run.task, run.run});
+        return;
+    }
+    --task->job->waitingTasks;
+    task->job->hasStarted = true;
+    task->run = run.run;
+    task->phase = TaskPhase::Running;
+    task->since = m_now;
+    task->answeredAt = m_now;
+    task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
+    task->speedPercent = run.speedPercent;
+    task->atWorkSince = m_now;
+    attach(*task, worker);
+}
+
+auto Steward::applyEnd(Worker &worker, const EndedRun &end) -> void
+{
+    if (end.sequence <= worker.seenEnd)
+        return;
+    worker.seenEnd = end.sequence;
+    auto *task = findTask(end.task);
+    const auto changesBefore = m_changes;
+    const auto isHere = task != nullptr && task->worker == &worker && task->run == end.run;
+    const auto isUnseen = task != nullptr && task->phase == TaskPhase::Waiting
+        && end.run >= task->run && task->job->outcome == JobOutcome::Open;
+    if (isHere || isUnseen) {
+        task->run = std::max(task->run, end.run);
+        task->job->hasStarted = true;
+        if (!end.checkpoint.empty() && end.end != RunEnd::Done) {
+            task->checkpoint = end.checkpoint;
+            markChanged(*task->job, false);
+        }
+        const auto host = HostName(worker.report.name.value());
+        const auto runName = TaskId(end.task.job + '.' + std::to_string(end.task.step) + '.'
+                                    + std::to_string(end.task.index));
+        if (end.end == RunEnd::Done && !task->spec().isLasting) {
+            m_quarantine.runSucceeded(host, runName);
+            finishTask(*task);
+        } else {
+            if (isHere)
+                release(*task);
+            task->mayRunUnseen = false;
+            if (end.end == RunEnd::Failed) {
+                task->failedOn = worker.report.name;
+                m_quarantine.runFailed(host, runName, m_now);
+                failTask(*task, end.run);
+            }
+        }
+    }
+    const auto isChanged = m_changes != changesBefore && task != nullptr;
+    worker.unkept.push_back({end.sequence, isChanged ? task->job->spec.id : std::string(),
+                             isChanged ? task->job->change : 0});
+}
+
+/// A run that was confirmed before this look was sent, and is in neither list, is over.
+auto Steward::applyMissing(Worker &worker, const steward_event::WorkerLooked &look) -> void
+{
+    const auto runs = worker.runs;
+    for (auto *task : runs) {
+        const auto isConfirmed = task->phase == TaskPhase::Running
+            || (task->phase == TaskPhase::Stopping && task->isStopConfirmed);
+        if (!isConfirmed || task->answeredAt >= look.sentAt)
+            continue;
+        const auto isActive = std::ranges::any_of(look.active, [task](const ActiveRun &it) {
+            return it.run == task->run && it.task == task->id();
+        });
+        if (!isActive)
+            release(*task);
+    }
+}
+
+auto Steward::handle(const steward_event::LookFailed &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    if (worker == nullptr)
+        return;
+    worker->isLooking = false;
+    if (event.outcome == OrderOutcome::Superseded) {
+        m_actions.emplace_back(steward_action::StepDown{event.worker});
+        return;
+    }
+    if (event.outcome == OrderOutcome::OtherLife)
+        beginAgain(*worker);
+    ++worker->failedLooks;
+    const auto gap = std::min(m_settings.resendInterval * worker->failedLooks, m_settings.lookWait);
+    worker->nextLook = m_now + gap;
+}
+
+auto Steward::handle(const steward_event::StartAnswered &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    auto *task = findTask(event.task);
+    if (worker == nullptr || task == nullptr || task->worker != worker || task->run != event.run)
+        return;
+    task->isOrderOpen = false;
+    if (event.clockMilliseconds != 0) {
+        worker->clockMilliseconds = event.clockMilliseconds;
+        worker->clockAt = m_now;
+        worker->hasClock = true;
+        worker->lastAnswer = m_now;
+    }
+    const auto wasStarting = task->phase == TaskPhase::Starting;
+    switch (event.outcome) {
+    case OrderOutcome::Accepted:
+        task->answeredAt = m_now;
+        if (wasStarting) {
+            task->phase = TaskPhase::Running;
+            task->since = m_now;
+        }
+        lookIfDue(*worker);
+        return;
+    case OrderOutcome::Superseded:
+        m_actions.emplace_back(steward_action::StepDown{event.worker});
+        return;
+    case OrderOutcome::Unanswered:
+        return; // sent again, or stopped, by tickWorker()
+    case OrderOutcome::Unhealthy:
+    case OrderOutcome::NotSent:
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::TooLate:
+    case OrderOutcome::RunTooOld:
+    case OrderOutcome::Invalid:
+    case OrderOutcome::OtherLife:
+        break;
+    }
+    // Nothing was started by this order, but one sent before it may still be on its way.
+    worker->restsUntil = m_now + m_settings.unhealthyRest;
+    worker->nextLook = m_now;
+    if (event.outcome == OrderOutcome::RunTooOld)
+        task->run += 1;
+    const auto wasSentOnce = task->since == task->orderedAt;
+    if (wasStarting && wasSentOnce)
+        release(*task);
+    else if (wasStarting)
+        stopTask(*task);
+    lookIfDue(*worker);
+}
+
+auto Steward::handle(const steward_event::StopAnswered &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    auto *task = findTask(event.task);
+    if (event.outcome == OrderOutcome::Superseded) {
+        m_actions.emplace_back(steward_action::StepDown{event.worker});
+        return;
+    }
+    if (worker == nullptr || task == nullptr || task->worker != worker || task->run != event.run)
+        return;
+    task->isOrderOpen = false;
+    if (task->phase != TaskPhase::Stopping || event.outcome != OrderOutcome::Accepted)
+        return;
+    // Its end, or its absence, shows in the next look.
+    task->isStopConfirmed = true;
+    task->answeredAt = m_now;
+    worker->nextLook = m_now;
+    lookIfDue(*worker);
+}
+
+auto Steward::stopTask(Task &task) -> void
+{
+    if (task.worker == nullptr || task.phase == TaskPhase::Stopping)
+        return;
+    task.phase = TaskPhase::Stopping;
+    task.since = m_now;
+    task.isStopConfirmed = false;
+    orderStop(task);
+}
+
+auto Steward::orderStop(Task &task) -> void
+{
+    task.orderedAt = m_now;
+    task.isOrderOpen = true;
+    m_actions.emplace_back(
+        steward_action::StopRun{task.worker->report.name, task.id(), task.run});
+}
+
+auto Steward::orderStart(Task &task) -> void
+{
+    task.orderedAt = m_now;
+    task.isOrderOpen = true;
+    m_actions.emplace_back(steward_action::StartRun{task.worker->report.name, task.id(), task.run,
+                                                    task.job->spec.payload, task.checkpoint,
+                                                    renewLease(*task.worker)});
+}
+
+auto Steward::startTask(Task &task, Worker &worker) -> void
+{
+    --task.job->waitingTasks;
+    task.job->hasStarted = true;
+    task.run = std::max(task.run + 1, m_token * RunsPerToken + 1);
+    task.phase = TaskPhase::Starting;
+    task.since = m_now;
+    task.speedPercent = 0;
+    task.ownSpeedPercent = FullSpeed;
+    task.mayRunUnseen = false;
+    attach(task, worker);
+    orderStart(task);
+}
+
+/// The end of a new lease on the worker's clock. Keeps the latest moment at which it can end.
+auto Steward::renewLease(Worker &worker) -> std::int64_t
+{
+    const auto elapsed = m_now - worker.clockAt;
+    const auto lease = std::min(m_settings.runLease, m_settings.longestLease);
+    const auto error = std::chrono::duration_cast<Duration>((elapsed + lease) * ClockError);
+    worker.leaseEnds = std::max(worker.leaseEnds, m_now + lease + error + LeaseSlack);
+    return worker.clockMilliseconds + toMilliseconds(elapsed) + lease.count();
+}
+
+auto Steward::acknowledgeable(Worker &worker) -> std::uint64_t
+{
+    while (!worker.unkept.empty()) {
+        const auto &first = worker.unkept.front();
+        const auto job = m_jobs.find(first.job);
+        if (job != m_jobs.end() && job->second->keptChange < first.change)
+            break;
+        worker.keptEnd = first.sequence;
+        worker.unkept.pop_front();
+    }
+    return worker.keptEnd;
+}
+
+/// A worker with runs is looked at all the time; an idle one only until its last ends are
+/// acknowledged.
+auto Steward::lookIfDue(Worker &worker) -> void
+{
+    if (worker.isLooking || m_now < worker.nextLook)
+        return;
+    const auto acknowledged = acknowledgeable(worker);
+    const auto isNeeded = !worker.isHeld || !worker.runs.empty()
+        || acknowledged > worker.acknowledged || worker.failedLooks > 0;
+    if (!isNeeded || (!worker.isListed && worker.runs.empty()))
+        return;
+    worker.isLooking = true;
+    const auto mayWait = worker.isHeld && !worker.runs.empty() && worker.failedLooks == 0
+        && worker.unkept.empty();
+    const auto needsLease = worker.hasClock && !worker.runs.empty();
+    worker.acknowledged = acknowledged;
+    m_actions.emplace_back(steward_action::LookAtWorker{
+        worker.report.name, needsLease ? renewLease(worker) : 0, acknowledged,
+        mayWait ? static_cast<int>(m_settings.lookWait.count()) : 0});
+}
+
+auto Steward::tickWorker(Worker &worker) -> void
+{
+    if (!worker.runs.empty() && m_now >= worker.leaseEnds)
+        releaseAll(worker);
+    const auto runs = worker.runs;
+    for (auto *task : runs) {
+        if (task->isOrderOpen || m_now < task->orderedAt + m_settings.resendInterval)
+            continue;
+        if (task->phase == TaskPhase::Stopping && !task->isStopConfirmed)
+            orderStop(*task);
+        if (task->phase != TaskPhase::Starting)
+            continue;
+        // The same order again: a run that is there already stays the only one.
+        if (isUsable(worker) && !worker.isVacated && task->job->outcome == JobOutcome::Open)
+            orderStart(*task);
+        else
+            stopTask(*task);
+    }
+    if (worker.isVacated)
+        vacate(worker);
+    lookIfDue(worker);
+}
+
+auto Steward::isAtWork(const Task &task) const -> bool
+{
+    return task.phase == TaskPhase::Running && task.speedPercent >= FullSpeed;
+}
+
+/// Whether the job bears that this lasting task is away for a while.
+auto Steward::mayEndLasting(const Task &task) const -> bool
+{
+    if (!isAtWork(task))
+        return task.phase == TaskPhase::Running;
+    const auto &siblings =
+        task.job->occurrences.at(task.occurrence).steps[task.step];
+    const auto away = std::ranges::count_if(
+        siblings, [this, &task](const Task &it) { return &it != &task && !isAtWork(it); });
+    return away < std::max<std::int64_t>(task.spec().mayMiss, 1);
+}
+
+auto Steward::vacate(Worker &worker) -> void
+{
+    if (!worker.isVacated)
+        return;
+    const auto runs = worker.runs;
+    for (auto *task : runs) {
+        if (task->phase != TaskPhase::Running)
+            continue;
+        const auto patience =
+            task->spec().savesProgress ? m_settings.vacatePatience : m_settings.vacateLimit;
+        const auto mayEnd = task->spec().isLasting ? mayEndLasting(*task)
+                                                   : m_now >= worker.vacatedAt + patience;
+        if (mayEnd)
+            stopTask(*task);
+    }
+}
+
+auto Steward::isUsable(const Worker &worker) const -> bool
+{
+    return worker.isListed && worker.isHeld && worker.hasClock && !worker.report.isLeaving
+        && worker.failedLooks < MostFailedLooks && m_now >= worker.restsUntil
+        && !m_closed.contains(worker.report.dataCentre)
+        && (worker.runs.empty()
+            || m_now < std::max(worker.lastAnswer, worker.busySince) + m_settings.silence);
+}
+
+auto Steward::expectWorkers(std::set<WorkerName> workers) -> void
+{
+    m_expected = std::move(workers);
+    m_hasHostList = true;
+    endRecoveryIfDone();
+}
+
+/// Until every worker that may run something has been asked, tasks of an earlier steward that
+/// weren't seen may be running somewhere.
+auto Steward::endRecoveryIfDone() -> void
+{
+    if (!m_isRecovering)
+        return;
+    const auto isAsked = [this](const WorkerName &name) {
+        const auto it = m_workers.find(name);
+        return it != m_workers.end() && it->second->isHeld;
+    };
+    const auto isAllAsked = m_hasHostList && std::ranges::all_of(m_expected, isAsked)
+        && std::ranges::all_of(m_workers, [](const auto &it) { return it.second->isHeld; });
+    if (!isAllAsked && m_now < m_recoversUntil)
+        return;
+    m_isRecovering = false;
+    for (const auto &[pool, jobs] : m_openJobs)
+        markDirty(pool);
+}
+
+auto Steward::workerLoads() const -> std::vector<WorkerLoad>
+{
+    auto loads = std::vector<WorkerLoad>();
+    for (const auto &[name, worker] : m_workers) {
+        auto load = WorkerLoad{name, worker->report.pool, worker->report.capacity, worker->used};
+        load.isVacated = worker->isVacated;
+        load.isUsable = isUsable(*worker);
+        for (const auto *task : worker->runs)
+            ++(task->spec().isLasting ? load.lastingRuns : load.otherRuns);
+        loads.push_back(load);
+    }
+    return loads;
+}
+
+auto Steward::largestWorker(const PoolName &pool) const -> std::optional<Room>
+{
+    const auto it = m_largest.find(pool);
+    return it == m_largest.end() ? std::nullopt : std::optional(it->second);
+}
+
+} // namespace shallotproxy
--- /dev/null
+++ b/packages/job/src/upkeep_planner.cpp
@@ -0,0 +1,122 @@
+#include <algorithm>
+
+#include "shallotproxy/job/upkeep_planner.hpp"
+
+namespace shallotproxy {
+
+auto UpkeepPlanner::waveDeclared(UpkeepWave wave, const std::set<HostName> &begun) -> void
+{
+    auto &entry = m_waves[wave.number];
+    entry.order = std::move(wave);
+    entry.begun.insert(begun.begin(), begun.end());
+}
+
+auto UpkeepPlanner::waveWithdrawn(std::uint64_t number) -> void
+{
+    m_waves.erase(number);
+}
+
+auto UpkeepPlanner::startSent(const UpkeepStart &start) -> void
+{
+    if (const auto it = m_waves.find(start.wave); it != m_waves.end())
+        it->second.sent.insert(start.host);
+}
+
+auto UpkeepPlanner::startAccepted(const UpkeepStart &start, BootTime now) -> void
+{
+    const auto it = m_waves.find(start.wave);
+    if (it == m_waves.end())
+        return;
+    it->second.sent.erase(start.host);
+    it->second.begun.insert(start.host);
+    it->second.down[start.host] = now;
+    m_vacated.erase(start.host);
+}
+
+auto UpkeepPlanner::startRefused(const UpkeepStart &start) -> void
+{
+    if (const auto it = m_waves.find(start.wave); it != m_waves.end())
+        it->second.sent.erase(start.host);
+}
+
+auto UpkeepPlanner::begun(std::uint64_t wave) const -> std::set<HostName>
+{
+    const auto it = m_waves.find(wave);
+    return it == m_waves.end() ? std::set<HostName>() : it->second.begun;
+}
+
+auto UpkeepPlanner::hasWork() const -> bool
+{
+    return std::ranges::any_of(m_waves, [](const auto &it) { return !it.second.isCompleted; });
+}
+
+auto UpkeepPlanner::isDue(const HostName &host) const -> bool
+{
+    return std::ranges::any_of(m_waves, [&host](const auto &it) {
+        return it.second.order.hosts.contains(host) && !it.second.begun.contains(host);
+    });
+}
+
+auto UpkeepPlanner::step(std::span<const HostView> hosts, BootTime listedAt, BootTime now)
+    -> UpkeepOrders
+{
+    auto orders = UpkeepOrders();
+    for (auto &[number, wave] : m_waves) {
+        if (!wave.isCompleted)
+            stepWave(wave, hosts, listedAt, now, orders);
+    }
+    return orders;
+}
+
+auto UpkeepPlanner::stepWave(Wave &wave, std::span<const HostView> hosts, BootTime listedAt,
+                             BootTime now, UpkeepOrders &orders) -> void
+{
+    auto pending = std::vector<const HostView *>();
+    auto down = std::set<HostName>(wave.sent.begin(), wave.sent.end());
+    auto isAllBegun = true;
+    for (const auto &it : hosts) {
+        const auto &host = it.report.host;
+        if (!wave.order.hosts.contains(host))
+            continue;
+        const auto since = wave.down.find(host);
+        const auto isBack = it.report.state == HostState::Up && since != wave.down.end()
+            && since->second < listedAt;
+        if (isBack)
+            wave.down.erase(since);
+        if (wave.down.contains(host) || it.report.state == HostState::InUpkeep)
+            down.insert(host);
+        if (wave.begun.contains(host))
+            continue;
+        isAllBegun = false;
+        if (!wave.sent.contains(host) && it.report.state == HostState::Up)
+            pending.push_back(&it);
+    }
+    if (isAllBegun && wave.sent.empty() && now > listedAt) {
+        wave.isCompleted = true;
+        orders.completed.push_back(wave.order.number);
+        return;
+    }
+    // Idle hosts first, then those on their way, then those with the least to move.
+    std::ranges::sort(pending, {}, [this](const HostView *it) {
+        return std::tuple(!it->isIdle(), !m_vacated.contains(it->report.host), it->lastingRuns,
+                          it->otherRuns, it->report.host);
+    });
+    auto room = wave.order.mostAtOnce - std::min<std::size_t>(down.size(), wave.order.mostAtOnce);
+    auto vacated = std::size_t{0};
+    for (const auto *it : pending) {
+        const auto &host = it->report.host;
+        if (room > 0 && it->isIdle()) {
+            --room;
+            m_vacated.insert(host);
+            orders.vacate.push_back(host);
+            orders.start.push_back({host, wave.order.number});
+            continue;
+        }
+        if (vacated++ >= wave.order.mostAtOnce * VacatedPerDown)
+            break;
+        if (m_vacated.insert(host).second)
+            orders.vacate.push_back(host);
+    }
+}
+
+} // namespace shallotproxy
--- /dev/null
+++ b/packages/job/src/waiting_order.cpp
@@ -0,0 +1,37 @@
+#include <algorithm>
+#include <tuple>
+
+#include "shallotproxy/job/waiting_order.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+struct Rank
+{
+    bool isOfTasksThatEnd;
+    std::uint32_t priority;
+    bool isLate;
+    Duration::rep order;
+    std::size_t index;
+
+    auto operator<=>(const Rank &) const = default;
+};
+
+auto rankOf(const WaitingStep &step, BootTime now) -> Rank
+{
+    const auto isLate = now + step.workLeft > step.onTimeUntil;
+    const auto order = isLate ? step.submittedAt.time_since_epoch() : step.workLeft;
+    return {!step.isLasting, step.priority, isLate, order.count(), step.index};
+}
+
+} // namespace
+
+auto sortWaiting(std::span<WaitingStep> steps, BootTime now) -> void
+{
+    std::ranges::sort(steps, [now](const auto &left, const auto &right) {
+        return rankOf(left, now) < rankOf(right, now);
+    });
+}
+
+} // namespace shallotproxy
--- /dev/null
+++ b/packages/member/src/caller_duty.cpp
@@ -0,0 +1,453 @@
+#include <QPointer>
+
+#include "shallotproxy/member/caller_duty.hpp"
+#include "store_keys.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+constexpr int StewardTimeoutMilliseconds = 350; // then the store is asked: a caller waits up to 3 s
+constexpr std::size_t MostOpenCalls = 1'500; // of the member's descriptors, some 4,000
+constexpr std::size_t MostOpenSubmissions = 300; // each may hold a body of 256 KB
+constexpr int RetryAfterSeconds = 1; // an outage or a change of members usually lasts this long
+
+auto innerBounds() -> HttpBounds
+{
+    auto bounds = HttpBounds();
+    bounds.connectMilliseconds = StewardTimeoutMilliseconds;
+    return bounds;
+}
+
+/// Answer of one member to another, about a job or a queue of its steward.
+struct InnerAnswer
+{
+    bool isSteward = false;
+    std::uint8_t state = 0; // JobState
+    TeamName team;
+    std::uint64_t pending = 0;
+
+    MSGPACK_DEFINE(isSteward, state, team, pending)
+};
+
+constexpr std::string_view InnerJobPath = "/jobs/";
+constexpr std::string_view InnerQueuePath = "/queues/";
+
+auto encodeInner(const InnerAnswer &answer) -> HttpResponse
+{
+    auto buf = msgpack::sbuffer();
+    msgpack::pack(buf, answer);
+    return {200, {}, {buf.data(), buf.size()}};
+}
+
+auto decodeInner(const TargetReply &reply) -> InnerAnswer
+{
+    if (!reply || reply->status != 200)
+        return {};
+    try {
+        return msgpack::unpack(reply->body.data(), reply->body.size()).get().as<InnerAnswer>();
+    } catch (const std::exception &) {
+        return {}; // taken for a member that isn't the steward: the store is asked instead
+    }
+}
+
+} // namespace
+
+struct CallerDuty::Call
+{
+    HttpResponder responder;
+    CallerCall asked;
+    TeamName team;
+    QueueName queue;
+    PoolName pool;
+    std::string body;
+    BootTime receivedAt;
+    ConfigurationVersion version = 0;
+    Duration configurationAge{};
+    std::string_view kind;
+};
+
+CallerDuty::CallerDuty(RuntimeContext &context, StewardDuty &steward, QObject *parent)
+    : QObject(parent)
+    , m_context(context)
+    , m_steward(steward)
+    , m_peers(innerBounds())
+{
+    auto bounds = HttpBounds();
+    bounds.connections = MostOpenCalls;
+    m_callers = std::make_unique<HttpServer>(
+        bounds, [this](HttpRequest request, HttpResponder responder) {
+            receive(std::move(request), std::move(responder));
+        });
+    m_readiness = std::make_unique<HttpServer>(
+        HttpBounds(), [this](const HttpRequest &, HttpResponder responder) {
+            responder.answer(isReady() ? HttpResponse{200, {}, {}} : HttpResponse{503, {}, {}});
+        });
+    m_inner = std::make_unique<HttpServer>(
+        HttpBounds(), [this](const HttpRequest &request, HttpResponder responder) {
+            receiveInner(request, std::move(responder));
+        });
+    m_metrics = std::make_unique<HttpServer>(
+        HttpBounds(), [this](const HttpRequest &, HttpResponder responder) {
+            auto response = HttpResponse{200, {}, m_context.metrics.exposition()};
+            response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+            responder.answer(response);
+        });
+}
+
+CallerDuty::~CallerDuty() = default;
+
+auto CallerDuty::listen() -> Expected<void, ListenError>
+{
+    const auto &settings = m_context.settings;
+    auto result = m_inner->listen(settings.innerEndpoint);
+    if (result)
+        result = m_readiness->listen(settings.readinessEndpoint);
+    if (result && !settings.metricsEndpoint.empty())
+        result = m_metrics->listen(settings.metricsEndpoint);
+    if (result)
+        result = m_callers->listen(settings.callersEndpoint);
+    return result;
+}
+
+auto CallerDuty::drain() -> void
+{
+    m_isDraining = true;
+    m_callers->closeAfterAnswers();
+}
+
+auto CallerDuty::isReady() const -> bool
+{
+    return !m_isDraining && m_context.fleet.board.isFresh(BootClock::now());
+}
+
+auto CallerDuty::receive(HttpRequest request, HttpResponder responder) -> void
+{
+    const auto now = BootClock::now();
+    auto call = std::make_shared<Call>();
+    call->responder = std::move(responder);
+    call->receivedAt = now;
+    call->kind = "call";
+    ++m_openCalls;
+    const auto path = std::string_view(request.path).substr(0, request.path.find('?'));
+    const auto admitted = m_context.fleet.board.admit(
+        m_context.codec.hostNameOf(request), path, m_context.codec.keyOf(request), now);
+    const auto &declaration = m_context.fleet.board.current();
+    call->version = declaration ? declaration->version : 0;
+    call->configurationAge = m_context.fleet.board.age(now);
+    if (!admitted) {
+        refuse(call, admitted.error().status(), admitted.error().name());
+        return;
+    }
+    call->team = admitted->team;
+    call->queue = admitted->queue->name;
+    call->pool = admitted->queue->rules.pool;
+    const auto asked = m_context.codec.decodeCall(request, admitted->rest);
+    if (!asked) {
+        refuse(call, 404, "no-such-call");
+        return;
+    }
+    call->asked = *asked;
+    switch (asked->kind) {
+    case CallerCall::Kind::Submit:
+        call->kind = "submit";
+        call->body = std::move(request.body);
+        submit(call);
+        return;
+    case CallerCall::Kind::ReadJob:
+        call->kind = "read";
+        readJob(call);
+        return;
+    case CallerCall::Kind::CancelJob:
+        call->kind = "cancel";
+        cancelJob(call);
+        return;
+    case CallerCall::Kind::CountPending:
+        call->kind = "pending";
+        countPending(call);
+        return;
+    }
+}
+
+auto CallerDuty::submit(const CallPointer &call) -> void
+{
+    if (m_openSubmissions >= MostOpenSubmissions) {
+        refuse(call, 503, "too-many-submissions");
+        return;
+    }
+    auto spec = m_context.codec.decodeJob(call->body);
+    call->body.clear();
+    if (!spec) {
+        refuse(call, 400, spec.error().name());
+        return;
+    }
+    spec->id = call->asked.job;
+    spec->queue = call->queue;
+    spec->pool = call->pool;
+    spec->team = call->team;
+    spec->submittedMilliseconds = wallMilliseconds();
+    auto commit = StoreCommit();
+    commit.compares.push_back({store_keys::job(spec->id), 0});
+    commit.compares.push_back({store_keys::progress(spec->id), 0});
+    commit.puts.push_back({store_keys::job(spec->id), encodeJob(*spec), 0});
+    ++m_openSubmissions;
+    m_context.store.commit(commit, [self = QPointer(this), call](auto reply) {
+        if (!self)
+            return;
+        --self->m_openSubmissions;
+        if (reply) {
+            self->answer(call, {200, {}, "{}"}, "accepted");
+            return;
+        }
+        switch (reply.error().kind) {
+        case StoreFailure::Kind::Conflict:
+            self->answer(call, {200, {}, "{}"}, "accepted-before");
+            return;
+        case StoreFailure::Kind::NotDone:
+        case StoreFailure::Kind::LeaseGone:
+        case StoreFailure::Kind::HistoryGone:
+            self->refuse(call, 503, reply.error().name());
+            return;
+        case StoreFailure::Kind::Unknown:
+            self->checkSubmission(call);
+            return;
+        }
+    });
+}
+
+/// The write may have been done: if the record is there it was. If not, it may still come, so
+/// "not accepted" would be a guess.
+auto CallerDuty::checkSubmission(const CallPointer &call) -> void
+{
+    const auto key = store_keys::job(call->asked.job);
+    m_context.store.read(key, [self = QPointer(this), call](auto reply) {
+        if (!self)
+            return;
+        if (reply && !reply->records.empty())
+            self->answer(call, {200, {}, "{}"}, "accepted-unanswered");
+        else
+            self->answer(call, {504, {}, "{}"}, "submission-unknown");
+    });
+}
+
+auto CallerDuty::answerView(const CallPointer &call, const JobView &view) -> void
+{
+    const auto isOthers = !view.team.isEmpty() && view.team != call->team;
+    if (isOthers || view.state == JobState::Unknown) {
+        answer(call, m_context.codec.encodeState(JobState::Unknown), "no-such-job");
+        return;
+    }
+    answer(call, m_context.codec.encodeState(view.state), "told");
+}
+
+auto CallerDuty::readJob(const CallPointer &call) -> void
+{
+    if (auto *steward = m_steward.steward()) {
+        const auto view = steward->view(call->asked.job);
+        if (view.state != JobState::Unknown) {
+            answerView(call, view);
+            return;
+        }
+        // Its record may not have reached the steward yet.
+        readStoredJob(call);
+        return;
+    }
+    askSteward(call, [this, call] { readStoredJob(call); });
+}
+
+auto CallerDuty::askSteward(const CallPointer &call, std::function<void()> otherwise) -> void
+{
+    const auto &holder = m_steward.holderAddress();
+    if (holder.empty() || holder == m_context.settings.innerEndpoint) {
+        otherwise();
+        return;
+    }
+    const auto isCount = call->asked.kind == CallerCall::Kind::CountPending;
+    auto request = HttpRequest();
+    request.method = "GET";
+    request.path = isCount ? std::string(InnerQueuePath) + call->queue.value()
+                           : std::string(InnerJobPath) + call->asked.job;
+    m_peers.send(holder, request, StewardTimeoutMilliseconds,
+                 [self = QPointer(this), call, isCount,
+                  otherwise = std::move(otherwise)](const TargetReply &reply) {
+                     if (!self)
+                         return;
+                     const auto told = decodeInner(reply);
+                     const auto state = static_cast<JobState>(told.state);
+                     if (!told.isSteward || (!isCount && state == JobState::Unknown)) {
+                         otherwise();
+                         return;
+                     }
+                     if (isCount)
+                         self->answer(call, self->m_context.codec.encodePending(told.pending),
+                                      "counted");
+                     else
+                         self->answerView(call, {state, told.team});
+                 });
+}
+
+auto CallerDuty::receiveInner(const HttpRequest &request, HttpResponder responder) -> void
+{
+    auto told = InnerAnswer();
+    const auto path = std::string_view(request.path);
+    if (const auto *steward = m_steward.steward()) {
+        told.isSteward = true;
+        if (path.starts_with(InnerJobPath)) {
+            const auto view = steward->view(std::string(path.substr(InnerJobPath.size())));
+            told.state = static_cast<std::uint8_t>(view.state);
+            told.team = view.team;
+        } else if (path.starts_with(InnerQueuePath)) {
+            const auto queue = QueueName(std::string(path.substr(InnerQueuePath.size())));
+            told.pending = steward->pendingJobs(queue);
+        }
+    }
+    responder.answer(encodeInner(told));
+}
+
+/// Without a steward the records tell: the job as handed in goes when its outcome is written.
+auto CallerDuty::readStoredJob(const CallPointer &call) -> void
+{
+    const auto id = call->asked.job;
+    m_context.store.read(store_keys::job(id), [self = QPointer(this), call, id](auto job) {
+        if (!self)
+            return;
+        if (!job) {
+            self->refuse(call, 503, job.error().name());
+            return;
+        }
+        if (!job->records.empty()) {
+            const auto spec = decodeJob(job->records.front().value);
+            self->answerView(call, {JobState::Running, spec ? spec->team : TeamName()});
+            return;
+        }
+        self->m_context.store.read(store_keys::progress(id), [self, call](auto progress) {
+            if (!self)
+                return;
+            if (!progress) {
+                self->refuse(call, 503, progress.error().name());
+                return;
+            }
+            if (progress->records.empty()) {
+                self->answerView(call, {});
+                return;
+            }
+            const auto record = decodeProgress(progress->records.front().value);
+            if (!record) {
+                self->refuse(call, 503, record.error().name());
+                return;
+            }
+            auto view = JobView{JobState::Running, record->team};
+            if (record->state() == JobOutcome::Completed)
+                view.state = JobState::Completed;
+            else if (record->state() == JobOutcome::Failed)
+                view.state = JobState::Failed;
+            else if (record->state() == JobOutcome::Cancelled)
+                view.state = JobState::Cancelled;
+            self->answerView(call, view);
+        });
+    });
+}
+
+auto CallerDuty::cancelJob(const CallPointer &call) -> void
+{
+    const auto key = store_keys::job(call->asked.job);
+    m_context.store.read(key, [self = QPointer(this), call](auto job) {
+        if (!self)
+            return;
+        if (!job)
+            self->refuse(call, 503, job.error().name());
+        else if (job->records.empty())
+            self->cancelEndedJob(call);
+        else
+            self->writeCancellation(call, job->records.front());
+    });
+}
+
+auto CallerDuty::writeCancellation(const CallPointer &call, const VersionedRecord &job) -> void
+{
+    const auto spec = decodeJob(job.value);
+    if (spec && !spec->team.isEmpty() && spec->team != call->team) {
+        answer(call, m_context.codec.encodeState(JobState::Unknown), "no-such-job");
+        return;
+    }
+    auto commit = StoreCommit();
+    const auto key = store_keys::cancel(call->asked.job);
+    // On the record's own revision: a job that has just ended gets no cancellation.
+    commit.compares.push_back({job.key, static_cast<StoreRevision>(job.revision)});
+    commit.compares.push_back({key, 0});
+    commit.puts.push_back({key, {}, 0});
+    m_context.store.commit(commit, [self = QPointer(this), call](auto reply) {
+        if (!self)
+            return;
+        const auto isOver = reply || reply.error().kind == StoreFailure::Kind::Conflict;
+        if (isOver)
+            self->answer(call, {200, {}, "{}"}, reply ? "cancelled" : "cancelled-before");
+        else if (reply.error().kind == StoreFailure::Kind::NotDone)
+            self->refuse(call, 503, reply.error().name());
+        else
+            self->answer(call, {504, {}, "{}"}, "cancellation-unknown");
+    });
+}
+
+auto CallerDuty::cancelEndedJob(const CallPointer &call) -> void
+{
+    const auto key = store_keys::progress(call->asked.job);
+    m_context.store.read(key, [self = QPointer(this), call](auto progress) {
+        if (!self)
+            return;
+        if (!progress) {
+            self->refuse(call, 503, progress.error().name());
+            return;
+        }
+        const auto isKnown = !progress->records.empty();
+        self->answer(call,
+                     isKnown ? HttpResponse{200, {}, "{}"}
+                             : self->m_context.codec.encodeState(JobState::Unknown),
+                     isKnown ? "ended-before" : "no-such-job");
+    });
+}
+
+auto CallerDuty::countPending(const CallPointer &call) -> void
+{
+    if (const auto *steward = m_steward.steward()) {
+        answer(call, m_context.codec.encodePending(steward->pendingJobs(call->queue)), "counted");
+        return;
+    }
+    askSteward(call, [this, call] { refuse(call, 503, "no-steward"); });
+}
+
+auto CallerDuty::refuse(const CallPointer &call, unsigned status, std::string_view reason) -> void
+{
+    auto response = HttpResponse{status, {}, errorBody(static_cast<int>(status), reason, "not-run")};
+    response.headers.push_back({"Content-Type", "application/json"});
+    if (status == 503)
+        response.headers.push_back({"Retry-After", std::to_string(RetryAfterSeconds)});
+    answer(call, std::move(response), reason);
+}
+
+auto CallerDuty::answer(const CallPointer &call, HttpResponse response, std::string_view reason)
+    -> void
+{
+    --m_openCalls;
+    const auto elapsed = BootClock::now() - call->receivedAt;
+    const auto label = fmt::format("kind=\"{}\",status=\"{}\"", call->kind, response.status);
+    m_context.metrics.count("shallotproxy_calls_total", label);
+    m_context.metrics.sample("shallotproxy_call_seconds", fmt::format("kind=\"{}\"", call->kind),
+                             std::chrono::duration<double>(elapsed).count());
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    // Plain answers to readers are counted only: there are many, and they change nothing.
+    const auto isPlain = call->asked.kind != CallerCall::Kind::Submit && response.status == 200
+        && call->asked.kind != CallerCall::Kind::CancelJob;
+    if (!isPlain) {
+        m_context.log.info(
+            "event=call-answered kind={} job={} queue={} team={} status={} reason={} ms={} "
+            "configuration={} configuration-age-ms={}",
+            call->kind, call->asked.job, call->queue.value(), call->team.value(), response.status,
+            reason, duration_cast<milliseconds>(elapsed).count(), call->version,
+            duration_cast<milliseconds>(call->configurationAge).count());
+    }
+    call->responder.answer(response);
+}
+
+} // namespace shallotproxy
--- /dev/null
+++ b/packages/member/src/host_duty.cpp
@@ -0,0 +1,338 @@
+#include <QPointer>
+
+#include "host_duty.hpp"
+#include "shallotproxy/member/steward_duty.hpp"
+#include "store_keys.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds StepInterval{150}; // a tenth of a host's move
+constexpr milliseconds BusyListInterval{300}; // while hosts move, or a steward looks for its runs
+constexpr milliseconds QuietListInterval{1'500}; // finds lost hosts well before their leases end
+// An order without an answer may be carried out this late; nobody else gets the host meanwhile.
+constexpr milliseconds LateOrderTime{12'000};
+
+} // namespace
+
+HostDuty::HostDuty(RuntimeContext &context, StewardDuty &steward)
+    : m_context(context)
+    , m_steward(steward)
+    , m_begunAt(BootClock::now())
+{
+    m_timer.setInterval(StepInterval);
+    connect(&m_timer, &QTimer::timeout, this, [this] { step(); });
+}
+
+auto HostDuty::start() -> void
+{
+    declarationsChanged();
+    m_timer.start();
+    readList();
+}
+
+auto HostDuty::declarationsChanged() -> void
+{
+    auto declared = std::set<std::uint64_t>();
+    for (const auto &[key, wave] : m_context.fleet.wavesByKey) {
+        declared.insert(wave.number);
+        if (m_waves.insert(wave.number).second)
+            loadWave(wave);
+    }
+    std::erase_if(m_waves, [this, &declared](auto number) {
+        if (declared.contains(number))
+            return false;
+        m_upkeep.waveWithdrawn(number);
+        return true;
+    });
+}
+
+/// Earlier stewards have written which hosts of the wave they began.
+auto HostDuty::loadWave(const UpkeepWave &wave) -> void
+{
+    m_context.store.read(store_keys::upkeep(wave.number), [self = QPointer(this), wave](auto reply) {
+        if (!self)
+            return;
+        if (!reply) {
+            QTimer::singleShot(BusyListInterval, self, [self, wave] { self->loadWave(wave); });
+            return;
+        }
+        auto begun = std::set<HostName>();
+        if (!reply->records.empty()) {
+            const auto &value = reply->records.front().value;
+            try {
+                const auto unpacked = msgpack::unpack(value.data(), value.size());
+                unpacked.get().convert(begun);
+            } catch (const std::exception &ec) {
+                // Hosts that are begun again answer that they are done.
+                self->m_context.log.warning("event=record-unreadable key={} error=\"{}\"",
+                                            reply->records.front().key, ec.what());
+            }
+        }
+        self->m_context.log.info("event=wave-declared wave={} hosts={} begun={} at-once={}",
+                                 wave.number, wave.hosts.size(), begun.size(), wave.mostAtOnce);
+        self->m_upkeep.waveDeclared(wave, begun);
+        self->writeStatus(wave.number, false);
+    });
+}
+
+auto HostDuty::step() -> void
+{
+    const auto now = BootClock::now();
+    std::erase_if(m_unclear, [now](const auto &it) { return now >= it.second; });
+    if (!m_isListing && now >= m_nextList)
+        readList();
+    if (m_listedAt != BootTime())
+        plan();
+}
+
+auto HostDuty::readList() -> void
+{
+    m_isListing = true;
+    const auto sentAt = BootClock::now();
+    m_context.hosts.list([self = QPointer(this), sentAt](auto hosts) {
+        if (!self)
+            return;
+        self->m_isListing = false;
+        if (hosts)
+            self->listed(std::move(*hosts), sentAt);
+        const auto *steward = self->m_steward.steward();
+        const auto isMoving = std::ranges::any_of(self->m_hosts, [](const auto &it) {
+            return it.state == HostState::Moving || it.state == HostState::InUpkeep;
+        });
+        const auto isBusy = isMoving || self->m_upkeep.hasWork()
+            || (steward != nullptr && steward->isRecovering());
+        self->m_nextList = BootClock::now() + (isBusy ? BusyListInterval : QuietListInterval);
+    });
+}
+
+auto HostDuty::listed(std::vector<HostReport> hosts, BootTime sentAt) -> void
+{
+    endLostLives(hosts);
+    m_hosts = std::move(hosts);
+    m_listedAt = sentAt;
+    if (auto *steward = m_steward.steward()) {
+        auto expected = std::set<WorkerName>();
+        for (const auto &it : m_hosts) {
+            if (it.state == HostState::Up && !it.worker.isEmpty())
+                expected.insert(it.worker);
+        }
+        steward->expectWorkers(std::move(expected));
+    }
+}
+
+/// A host that is down, or has another worker than before, has ended what the earlier one ran.
+auto HostDuty::endLostLives(const std::vector<HostReport> &hosts) -> void
+{
+    auto present = std::map<HostName, const HostReport *>();
+    for (const auto &it : hosts)
+        present[it.host] = &it;
+    for (const auto &before : m_hosts) {
+        if (before.worker.isEmpty())
+            continue;
+        const auto it = present.find(before.host);
+        if (it == present.end())
+            continue; // gone from the list is no proof
+        const auto isOver = it->second->state != HostState::Up
+            || (!it->second->worker.isEmpty() && it->second->worker != before.worker);
+        if (!isOver)
+            continue;
+        m_context.log.info("event=worker-ended worker={} host={} state={}", before.worker.value(),
+                           before.host.value(), static_cast<int>(it->second->state));
+        m_steward.dispatch(steward_event::WorkerEnded{before.worker});
+    }
+}
+
+auto HostDuty::views() const -> std::vector<HostView>
+{
+    auto loads = std::map<WorkerName, WorkerLoad>();
+    for (auto &it : m_steward.steward()->workerLoads())
+        loads.emplace(it.worker, it);
+    auto views = std::vector<HostView>();
+    for (const auto &it : m_hosts) {
+        auto view = HostView{it};
+        const auto load = loads.find(it.worker);
+        if (load != loads.end()) {
+            view.lastingRuns = load->second.lastingRuns;
+            view.otherRuns = load->second.otherRuns;
+            view.isVacated = load->second.isVacated;
+            view.isKnown = load->second.isUsable || load->second.isVacated;
+        }
+        // On standby nothing runs, and there is no worker to ask.
+        const auto &declaration = m_context.fleet.board.current();
+        if (declaration) {
+            const auto rule = declaration->rules.pools.find(it.pool);
+            view.isKnown = view.isKnown
+                || (rule != declaration->rules.pools.end() && rule->second.isStandby);
+        }
+        views.push_back(view);
+    }
+    return views;
+}
+
+/// Asked right before an order: vacating one host may have sent its tasks to the next.
+auto HostDuty::isIdleNow(const HostName &host) const -> bool
+{
+    const auto hosts = views();
+    const auto it = std::ranges::find_if(
+        hosts, [&host](const HostView &view) { return view.report.host == host; });
+    return it != hosts.end() && it->isIdle();
+}
+
+auto HostDuty::mayOrder(BootTime now) const -> bool
+{
+    const auto hasWaited = m_context.settings.isFirstStart
+        || now >= m_begunAt + m_context.settings.hostHolderLease;
+    return hasWaited && m_steward.stewardship().mayOrder(now);
+}
+
+auto HostDuty::plan() -> void
+{
+    const auto *steward = m_steward.steward();
+    if (steward == nullptr || steward->isRecovering() || !mayOrder(BootClock::now()))
+        return;
+    const auto hosts = views();
+    planUpkeep(hosts);
+    if (m_steward.steward() != nullptr)
+        planMoves(views());
+}
+
+auto HostDuty::planUpkeep(const std::vector<HostView> &hosts) -> void
+{
+    const auto orders = m_upkeep.step(hosts, m_listedAt, BootClock::now());
+    for (const auto &host : orders.vacate)
+        vacate(host, true);
+    for (const auto &start : orders.start) {
+        if (!m_ordered.contains(start.host) && isIdleNow(start.host))
+            beginUpkeep(start);
+    }
+    for (const auto wave : orders.completed) {
+        m_context.log.info("event=wave-completed wave={}", wave);
+        writeStatus(wave, true);
+    }
+}
+
+auto HostDuty::planMoves(const std::vector<HostView> &hosts) -> void
+{
+    const auto &declaration = m_context.fleet.board.current();
+    if (!declaration)
+        return;
+    auto blocked = m_ordered;
+    for (const auto &[host, until] : m_unclear)
+        blocked.insert(host);
+    for (const auto &it : hosts) {
+        if (m_upkeep.isDue(it.report.host))
+            blocked.insert(it.report.host);
+    }
+    const auto moves = m_sizer.step(hosts, m_steward.steward()->poolLoads(), declaration->rules,
+                                    blocked, BootClock::now());
+    for (const auto &it : moves)
+        move(it);
+}
+
+auto HostDuty::vacate(const HostName &host, bool isVacated) -> void
+{
+    const auto it = std::ranges::find(m_hosts, host, &HostReport::host);
+    if (it != m_hosts.end() && !it->worker.isEmpty())
+        m_steward.dispatch(steward_event::WorkerVacated{it->worker, isVacated});
+}
+
+auto HostDuty::beginUpkeep(const UpkeepStart &start) -> void
+{
+    const auto token = m_steward.stewardship().token();
+    if (!token || !m_steward.stewardship().mayOrder(BootClock::now()))
+        return;
+    m_upkeep.startSent(start);
+    m_ordered.insert(start.host);
+    m_context.log.info("event=upkeep-ordered host={} wave={}", start.host.value(), start.wave);
+    m_context.hosts.beginUpkeep(start, *token, [self = QPointer(this), start](HostOutcome outcome) {
+        if (!self)
+            return;
+        self->m_ordered.erase(start.host);
+        if (outcome == HostOutcome::Accepted) {
+            self->m_upkeep.startAccepted(start, BootClock::now());
+            const auto it = std::ranges::find(self->m_hosts, start.host, &HostReport::host);
+            if (it != self->m_hosts.end() && !it->worker.isEmpty())
+                self->m_steward.dispatch(steward_event::WorkerEnded{it->worker});
+            self->writeStatus(start.wave, false);
+            self->m_nextList = {};
+            return;
+        }
+        self->m_context.log.info("event=upkeep-not-accepted host={} wave={} outcome={}",
+                                 start.host.value(), start.wave, static_cast<int>(outcome));
+        if (outcome != HostOutcome::Unanswered) {
+            self->m_upkeep.startRefused(start);
+            return;
+        }
+        // Asked again until it is answered: an order that was carried out answers the same.
+        QTimer::singleShot(BusyListInterval, self, [self, start] { self->beginUpkeep(start); });
+    });
+}
+
+auto HostDuty::move(const HostMove &move) -> void
+{
+    const auto token = m_steward.stewardship().token();
+    if (!token || !m_ordered.insert(move.host).second)
+        return;
+    const auto it = std::ranges::find(m_hosts, move.host, &HostReport::host);
+    const auto worker = it == m_hosts.end() ? WorkerName() : it->worker;
+    vacate(move.host, true);
+    if (!isIdleNow(move.host)) {
+        vacate(move.host, false);
+        m_ordered.erase(move.host);
+        return;
+    }
+    m_context.log.info("event=move-ordered host={} to={}", move.host.value(), move.to.value());
+    m_context.hosts.move(move, *token, [self = QPointer(this), move, worker](HostOutcome outcome) {
+        if (!self)
+            return;
+        self->m_ordered.erase(move.host);
+        const auto now = BootClock::now();
+        if (outcome == HostOutcome::Accepted) {
+            if (!worker.isEmpty())
+                self->m_steward.dispatch(steward_event::WorkerEnded{worker});
+            const auto entry = std::ranges::find(self->m_hosts, move.host, &HostReport::host);
+            if (entry != self->m_hosts.end()) {
+                entry->state = HostState::Moving;
+                entry->pool = move.to;
+                entry->worker = {};
+            }
+            return;
+        }
+        self->m_context.log.info("event=move-not-accepted host={} outcome={}", move.host.value(),
+                                 static_cast<int>(outcome));
+        if (outcome == HostOutcome::Unanswered)
+            self->m_unclear[move.host] = now + LateOrderTime;
+        else if (!worker.isEmpty())
+            self->m_steward.dispatch(steward_event::WorkerVacated{worker, false});
+    });
+}
+
+auto HostDuty::writeStatus(std::uint64_t wave, bool isCompleted) -> void
+{
+    const auto token = m_steward.stewardship().token();
+    if (!token)
+        return;
+    auto commit = StoreCommit();
+    commit.compares.push_back(
+        {std::string(store_keys::Steward), static_cast<StoreRevision>(*token)});
+    commit.puts.push_back(m_context.records.waveStatus(wave, isCompleted));
+    auto buf = msgpack::sbuffer();
+    msgpack::pack(buf, m_upkeep.begun(wave));
+    commit.puts.push_back({store_keys::upkeep(wave), {buf.data(), buf.size()}, 0});
+    m_context.store.commit(commit, [self = QPointer(this), wave, isCompleted](auto reply) {
+        if (!self || reply)
+            return;
+        self->m_context.log.warning("event=wave-status-not-kept wave={} error=\"{}\"", wave,
+                                    reply.error().message());
+        if (reply.error().kind == StoreFailure::Kind::Conflict)
+            return; // another steward writes it
+        QTimer::singleShot(BusyListInterval, self,
+                           [self, wave, isCompleted] { self->writeStatus(wave, isCompleted); });
+    });
+}
+
+} // namespace shallotproxy
--- /dev/null
+++ b/packages/member/src/host_duty.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+
+#include "shallotproxy/member/runtime_context.hpp"
+
+namespace shallotproxy {
+
+class StewardDuty;
+
+/// Reads the list of hosts, and carries out what the planners of pools and upkeep want.
+class HostDuty : public QObject
+{
+public:
+    HostDuty(RuntimeContext &context, StewardDuty &steward);
+
+    auto start() -> void;
+    auto declarationsChanged() -> void;
+
+private:
+    auto step() -> void;
+    auto readList() -> void;
+    auto listed(std::vector<HostReport> hosts, BootTime sentAt) -> void;
+    auto endLostLives(const std::vector<HostReport> &hosts) -> void;
+    [[nodiscard]] auto views() const -> std::vector<HostView>;
+    auto plan() -> void;
+    auto planUpkeep(const std::vector<HostView> &hosts) -> void;
+    auto planMoves(const std::vector<HostView> &hosts) -> void;
+    auto beginUpkeep(const UpkeepStart &start) -> void;
+    auto move(const HostMove &move) -> void;
+    auto vacate(const HostName &host, bool isVacated) -> void;
+    auto writeStatus(std::uint64_t wave, bool isCompleted) -> void;
+    auto loadWave(const UpkeepWave &wave) -> void;
+    [[nodiscard]] auto isIdleNow(const HostName &host) const -> bool;
+    [[nodiscard]] auto mayOrder(BootTime now) const -> bool;
+
+    RuntimeContext &m_context;
+    StewardDuty &m_steward;
+    UpkeepPlanner m_upkeep;
+    PoolSizer m_sizer;
+    QTimer m_timer;
+    std::vector<HostReport> m_hosts;
+    BootTime m_listedAt;
+    BootTime m_begunAt;
+    BootTime m_nextList;
+    bool m_isListing = false;
+    std::set<std::uint64_t> m_waves; // declared to the planner, or being read
+    std::set<HostName> m_ordered; // an order is under way
+    std::map<HostName, BootTime> m_unclear; // an order was not answered; kept from others until then
+};
+
+} // namespace shallotproxy
--- a/packages/request/include/shallotproxy/request.hpp
+++ b/packages/request/include/shallotproxy/request.hpp
@@ -11,7 +11,6 @@
 #include "request/retry/retry_timing.hpp"
 #include "request/task/overuse.hpp"
 #include "request/task/placement.hpp"
-#include "request/task/quarantine.hpp"
 #include "request/task/size_estimator.hpp"
 #include "request/task/steward.hpp"
 #include "request/task/task_board.hpp"
--- a/packages/request/include/shallotproxy/request/task/task_board.hpp
+++ b/packages/request/include/shallotproxy/request/task/task_board.hpp
@@ -5,8 +5,9 @@
 #include <variant>
 #include <vector>
 
+#include "shallotproxy/job/quarantine.hpp"
+
 #include "placement.hpp"
-#include "quarantine.hpp"
 #include "shallotproxy/process/base/boot_clock.hpp"
 #include "size_estimator.hpp"
 #include "worker_run.hpp"
