--- a/packages/job/include/shallotproxy/job/host_view.hpp
+++ b/packages/job/include/shallotproxy/job/host_view.hpp
@@ -24,12 +24,13 @@
     HostReport report;
     std::size_t lastingRuns = 0;
     std::size_t otherRuns = 0;
+    bool hasUnkeptEnds = false; // they would go with the worker
     bool isKnown = false; // the worker has answered the steward
     bool isVacated = false;
 
     [[nodiscard]] auto isIdle() const -> bool
     {
-        return isKnown && lastingRuns == 0 && otherRuns == 0;
+        return isKnown && lastingRuns == 0 && otherRuns == 0 && !hasUnkeptEnds;
     }
 };
 
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -45,6 +45,7 @@
     Room used;
     std::size_t lastingRuns = 0;
     std::size_t otherRuns = 0;
+    bool hasUnkeptEnds = false; // ends that only the worker itself still tells
     bool isVacated = false;
     bool isUsable = false;
 };
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -232,6 +232,8 @@
     task->speedPercent = run.speedPercent;
     task->atWorkSince = m_now;
     attach(*task, worker);
+    // Its lease is an earlier steward's: it may last as long as one given now.
+    renewLease(worker);
 }
 
 auto Steward::applyEnd(Worker &worker, const EndedRun &end) -> void
@@ -559,6 +561,7 @@
     auto loads = std::vector<WorkerLoad>();
     for (const auto &[name, worker] : m_workers) {
         auto load = WorkerLoad{name, worker->report.pool, worker->report.capacity, worker->used};
+        load.hasUnkeptEnds = worker->acknowledged < worker->seenEnd;
         load.isVacated = worker->isVacated;
         load.isUsable = isUsable(*worker);
         for (const auto *task : worker->runs)
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -158,6 +158,7 @@
         if (load != loads.end()) {
             view.lastingRuns = load->second.lastingRuns;
             view.otherRuns = load->second.otherRuns;
+            view.hasUnkeptEnds = load->second.hasUnkeptEnds;
             view.isVacated = load->second.isVacated;
             view.isKnown = load->second.isUsable || load->second.isVacated;
         }
