--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -231,6 +231,7 @@
     task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
     task->speedPercent = run.speedPercent;
     task->atWorkSince = m_now;
+    task->mayRunUnseen = false; // its newest run has been found
     attach(*task, worker);
     // Its lease is an earlier steward's: it may last as long as one given now.
     renewLease(worker);
@@ -262,7 +263,6 @@
         } else {
             if (isHere)
                 release(*task);
-            task->mayRunUnseen = false;
             if (end.end == RunEnd::Failed) {
                 task->failedOn = worker.report.name;
                 m_quarantine.runFailed(host, runName, m_now);
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -509,6 +509,11 @@
                 return;
             }
             look->sentAt = now;
+            if (self->m_steward->isRecovering()) {
+                self->m_context.log.info("event=worker-asked worker={} active={} ended={} clock={}",
+                                         worker.value(), look->active.size(), look->ended.size(),
+                                         look->clockMilliseconds);
+            }
             self->dispatch(std::move(*look));
         });
 }
