--- a/packages/job/include/shallotproxy/job/job_progress.hpp
+++ b/packages/job/include/shallotproxy/job/job_progress.hpp
@@ -13,11 +13,10 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
     bool isDone = false;
-    std::uint32_t failures = 0;
-    std::uint64_t lastFailedRun = 0; // a failure told again isn't counted again
+    std::vector<std::uint64_t> failedRuns; // by number: one that is told again counts once
     std::string checkpoint;
 
-    MSGPACK_DEFINE(occurrence, step, index, isDone, failures, lastFailedRun, checkpoint)
+    MSGPACK_DEFINE(occurrence, step, index, isDone, failedRuns, checkpoint)
 };
 
 /// The changing part of a job's record. It stays after the job has ended, so that a repeated
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -103,8 +103,7 @@
         auto &occurrence = openOccurrence(job, it.occurrence);
         job.nextOccurrence = std::max(job.nextOccurrence, it.occurrence + 1);
         auto &task = occurrence.steps[it.step][it.index];
-        task.failures = it.failures;
-        task.lastFailedRun = it.lastFailedRun;
+        task.failedRuns = it.failedRuns;
         task.checkpoint = it.checkpoint;
         job.hasStarted = true;
         if (it.isDone)
@@ -153,15 +152,13 @@
 auto Steward::failTask(Task &task, std::uint64_t run) -> void
 {
     auto &job = *task.job;
-    if (run <= task.lastFailedRun)
+    const auto isCounted = std::ranges::find(task.failedRuns, run) != task.failedRuns.end();
+    if (task.spec().isLasting || isCounted)
         return;
-    task.lastFailedRun = run;
-    if (task.spec().isLasting)
-        return;
-    ++task.failures;
+    task.failedRuns.push_back(run);
     markChanged(job, false);
     const auto *rules = rulesOf(job);
-    if (rules != nullptr && task.failures >= rules->attempts)
+    if (rules != nullptr && task.failedRuns.size() >= rules->attempts)
         endJob(job, JobOutcome::Failed);
 }
 
@@ -217,10 +214,10 @@
         for (const auto &step : occurrence.steps) {
             for (const auto &task : step) {
                 const auto isDone = task.phase == TaskPhase::Done;
-                if (!isDone && task.failures == 0 && task.checkpoint.empty())
+                if (!isDone && task.failedRuns.empty() && task.checkpoint.empty())
                     continue;
                 result.progress.tasks.push_back({task.occurrence, task.step, task.index, isDone,
-                                                 task.failures, task.lastFailedRun,
+                                                 task.failedRuns,
                                                  isDone ? std::string() : task.checkpoint});
             }
         }
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -15,13 +15,13 @@
     TaskPhase phase = TaskPhase::Waiting;
     std::uint64_t run = 0; // newest number used
     Worker *worker = nullptr; // while Starting, Running or Stopping
-    std::uint32_t failures = 0;
-    std::uint64_t lastFailedRun = 0;
+    std::vector<std::uint64_t> failedRuns; // workers may tell them in any order
     std::string checkpoint;
     WorkerName failedOn; // avoided by the next run
     BootTime since; // of this phase
     BootTime orderedAt; // when the newest order was sent
     BootTime answeredAt; // when the worker last confirmed the run or its stop
+    bool wasSentAgain = false; // the start order, as the first had no answer
     bool isOrderOpen = false; // an order waits for its answer
     bool isStopConfirmed = false;
     bool mayRunUnseen = false; // an earlier steward may have started it somewhere
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -40,6 +40,8 @@
     if (!isNew && worker.report.pool != event.report.pool)
         std::erase(m_poolWorkers[worker.report.pool], &worker);
     const auto isMoved = isNew || worker.report.pool != event.report.pool;
+    if (event.report.isLeaving && !worker.report.isLeaving && !worker.isVacated)
+        worker.vacatedAt = m_now;
     worker.report = event.report;
     worker.isListed = true;
     if (isMoved)
@@ -182,8 +184,7 @@
         applyMissing(*worker, event);
     worker->nextLook = m_now + m_settings.busyLookGap;
     endRecoveryIfDone();
-    if (worker->isVacated)
-        vacate(*worker);
+    vacate(*worker);
     lookIfDue(*worker);
 }
 
@@ -337,11 +338,23 @@
         return;
     case OrderOutcome::Unanswered:
         return; // sent again, or stopped, by tickWorker()
+    case OrderOutcome::RunTooOld:
+        if (wasStarting && task->wasSentAgain) {
+            // An earlier order for this run was carried out, and the run has ended: the next look
+            // tells how.
+            task->phase = TaskPhase::Running;
+            task->since = m_now;
+            task->answeredAt = m_now;
+            worker->nextLook = m_now;
+            lookIfDue(*worker);
+            return;
+        }
+        task->run += 1;
+        break;
     case OrderOutcome::Unhealthy:
     case OrderOutcome::NotSent:
     case OrderOutcome::NoRoom:
     case OrderOutcome::TooLate:
-    case OrderOutcome::RunTooOld:
     case OrderOutcome::Invalid:
     case OrderOutcome::OtherLife:
         break;
@@ -349,10 +362,7 @@
     // Nothing was started by this order, but one sent before it may still be on its way.
     worker->restsUntil = m_now + m_settings.unhealthyRest;
     worker->nextLook = m_now;
-    if (event.outcome == OrderOutcome::RunTooOld)
-        task->run += 1;
-    const auto wasSentOnce = task->since == task->orderedAt;
-    if (wasStarting && wasSentOnce)
+    if (wasStarting && !task->wasSentAgain)
         release(*task);
     else if (wasStarting)
         stopTask(*task);
@@ -416,6 +426,7 @@
     task.speedPercent = 0;
     task.ownSpeedPercent = FullSpeed;
     task.mayRunUnseen = false;
+    task.wasSentAgain = false;
     attach(task, worker);
     orderStart(task);
 }
@@ -457,7 +468,9 @@
     worker.isLooking = true;
     const auto mayWait = worker.isHeld && !worker.runs.empty() && worker.failedLooks == 0
         && worker.unkept.empty();
-    const auto needsLease = worker.hasClock && !worker.runs.empty();
+    // A silent worker gets no new lease: what it runs must have an end that is known.
+    const auto needsLease =
+        worker.hasClock && !worker.runs.empty() && worker.failedLooks < MostFailedLooks;
     worker.acknowledged = acknowledged;
     m_actions.emplace_back(steward_action::LookAtWorker{
         worker.report.name, needsLease ? renewLease(worker) : 0, acknowledged,
@@ -477,9 +490,10 @@
         if (task->phase != TaskPhase::Starting)
             continue;
         // The same order again: a run that is there already stays the only one.
-        if (isUsable(worker) && !worker.isVacated && task->job->outcome == JobOutcome::Open)
+        if (isUsable(worker) && !worker.isVacated && task->job->outcome == JobOutcome::Open) {
+            task->wasSentAgain = true;
             orderStart(*task);
-        else
+        } else
             stopTask(*task);
     }
     if (worker.isVacated)
@@ -489,7 +503,9 @@
 
 auto Steward::isAtWork(const Task &task) const -> bool
 {
-    return task.phase == TaskPhase::Running && task.speedPercent >= FullSpeed;
+    return task.phase == TaskPhase::Running && task.speedPercent >= FullSpeed
+        && task.worker->failedLooks == 0
+        && m_now < task.worker->lastAnswer + m_settings.lookWait * 2;
 }
 
 /// Whether the job bears that this lasting task is away for a while.
@@ -506,12 +522,15 @@
 
 auto Steward::vacate(Worker &worker) -> void
 {
-    if (!worker.isVacated)
+    if (!worker.isVacated && !worker.report.isLeaving)
         return;
     const auto runs = worker.runs;
     for (auto *task : runs) {
         if (task->phase != TaskPhase::Running)
             continue;
+        // A leaving worker goes on with what may end in time.
+        if (!worker.isVacated && !task->spec().isLasting && !task->spec().savesProgress)
+            continue;
         const auto patience =
             task->spec().savesProgress ? m_settings.vacatePatience : m_settings.vacateLimit;
         const auto mayEnd = task->spec().isLasting ? mayEndLasting(*task)
