--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -508,11 +508,10 @@
         && m_now < task.worker->lastAnswer + m_settings.lookWait * 2;
 }
 
-/// Whether the job bears that this lasting task is away for a while.
+/// Whether the job bears that this lasting task is away for a while. One that wasn't seen at work
+/// may be at work all the same.
 auto Steward::mayEndLasting(const Task &task) const -> bool
 {
-    if (!isAtWork(task))
-        return task.phase == TaskPhase::Running;
     const auto &siblings =
         task.job->occurrences.at(task.occurrence).steps[task.step];
     const auto away = std::ranges::count_if(
