--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -146,6 +146,7 @@
     auto applyActive(Worker &worker, const steward_event::WorkerLooked &look) -> void;
     auto adopt(Worker &worker, const ActiveRun &run) -> void;
     auto applyEnd(Worker &worker, const EndedRun &end) -> void;
+    auto takeEnd(Task &task, Worker &worker, const EndedRun &end, bool isHere) -> void;
     auto applyMissing(Worker &worker, const steward_event::WorkerLooked &look) -> void;
     auto stopTask(Task &task) -> void;
     auto orderStop(Task &task) -> void;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -246,36 +246,44 @@
     auto *task = findTask(end.task);
     const auto changesBefore = m_changes;
     const auto isHere = task != nullptr && task->worker == &worker && task->run == end.run;
-    const auto isUnseen = task != nullptr && task->phase == TaskPhase::Waiting
-        && end.run >= task->run && task->job->outcome == JobOutcome::Open;
-    if (isHere || isUnseen) {
-        task->run = std::max(task->run, end.run);
-        task->job->hasStarted = true;
-        if (!end.checkpoint.empty() && end.end != RunEnd::Done) {
-            task->checkpoint = end.checkpoint;
-            markChanged(*task->job, false);
-        }
-        const auto host = HostName(worker.report.name.value());
-        const auto runName = TaskId(end.task.job + '.' + std::to_string(end.task.step) + '.'
-                                    + std::to_string(end.task.index));
-        if (end.end == RunEnd::Done && !task->spec().isLasting) {
-            m_quarantine.runSucceeded(host, runName);
-            finishTask(*task);
-        } else {
-            if (isHere)
-                release(*task);
-            if (end.end == RunEnd::Failed) {
-                task->failedOn = worker.report.name;
-                m_quarantine.runFailed(host, runName, m_now);
-                failTask(*task, end.run);
-            }
-        }
-    }
+    // Ends of runs that an earlier steward began come in any order.
+    const auto isUnseen = task != nullptr && !isHere && task->phase != TaskPhase::Done
+        && task->job->outcome == JobOutcome::Open;
+    if (isHere || isUnseen)
+        takeEnd(*task, worker, end, isHere);
     const auto isChanged = m_changes != changesBefore && task != nullptr;
     worker.unkept.push_back({end.sequence, isChanged ? task->job->spec.id : std::string(),
                              isChanged ? task->job->change : 0});
 }
 
+auto Steward::takeEnd(Task &task, Worker &worker, const EndedRun &end, bool isHere) -> void
+{
+    const auto isNewest = isHere || (task.phase == TaskPhase::Waiting && end.run >= task.run);
+    if (isNewest)
+        task.run = end.run;
+    task.job->hasStarted = true;
+    if (isNewest && !end.checkpoint.empty() && end.end != RunEnd::Done) {
+        task.checkpoint = end.checkpoint;
+        markChanged(*task.job, false);
+    }
+    const auto host = HostName(worker.report.name.value());
+    const auto runName = TaskId(end.task.job + '.' + std::to_string(end.task.step) + '.'
+                                + std::to_string(end.task.index));
+    const auto isDone = end.end == RunEnd::Done && !task.spec().isLasting;
+    if (isDone && (isHere || task.phase == TaskPhase::Waiting)) {
+        m_quarantine.runSucceeded(host, runName);
+        finishTask(task);
+        return;
+    }
+    if (isHere)
+        release(task);
+    if (end.end != RunEnd::Failed)
+        return;
+    task.failedOn = worker.report.name;
+    m_quarantine.runFailed(host, runName, m_now);
+    failTask(task, end.run);
+}
+
 /// A run that was confirmed before this look was sent, and is in neither list, is over.
 auto Steward::applyMissing(Worker &worker, const steward_event::WorkerLooked &look) -> void
 {
--- /dev/null
+++ b/tests/unit/job_world.cpp
@@ -0,0 +1,440 @@
+#include "job_world.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace shallotproxy::testing {
+
+namespace {
+
+constexpr auto AnswerTime = 2ms; // of a worker
+constexpr auto LostAnswerTime = 500ms; // until a caller gives an order up
+constexpr auto StopTime = 300ms;
+constexpr std::int64_t WorkerCores = 8'000;
+constexpr std::int64_t WorkerMemory = 16'000;
+
+auto describe(const JobTaskId &task) -> std::string
+{
+    return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.step, task.index);
+}
+
+} // namespace
+
+auto shortStep(std::uint32_t tasks) -> StepSpec
+{
+    auto step = StepSpec();
+    step.taskCount = tasks;
+    step.room = {1'000, 500, 0};
+    step.estimatedMilliseconds = 400;
+    return step;
+}
+
+auto lastingStep(std::uint32_t tasks) -> StepSpec
+{
+    auto step = shortStep(tasks);
+    step.isLasting = true;
+    step.mostPerWorker = 1;
+    step.mayMiss = 1;
+    return step;
+}
+
+auto oneStepJob(const std::string &id, StepSpec step) -> JobSpec
+{
+    auto job = JobSpec();
+    job.id = id;
+    job.queue = QueueName("quotes");
+    job.pool = PoolName(PoolOfTests);
+    job.team = TeamName("blue");
+    job.steps.push_back(std::move(step));
+    return job;
+}
+
+auto workerName(int number) -> WorkerName
+{
+    return WorkerName("worker-" + std::to_string(number));
+}
+
+auto workerReport(int number) -> WorkerReport
+{
+    auto report = WorkerReport();
+    report.name = workerName(number);
+    report.pool = PoolName(PoolOfTests);
+    report.dataCentre = DataCentreName("north");
+    report.capacity = {WorkerCores, WorkerMemory, 0};
+    return report;
+}
+
+auto rulesOfTests(std::uint32_t attempts) -> std::shared_ptr<const SchedulingRules>
+{
+    auto rules = SchedulingRules();
+    rules.queues[QueueName("quotes")] = {PoolName(PoolOfTests), attempts, 0, 1.6, 600};
+    rules.pools[PoolName(PoolOfTests)] = {};
+    return std::make_shared<const SchedulingRules>(std::move(rules));
+}
+
+JobWorld::JobWorld(int workers, std::uint32_t attempts)
+    : m_attempts(attempts)
+{
+    for (auto n = 0; n < workers; ++n) {
+        m_workers.push_back({});
+        m_workers.back().report = workerReport(n);
+    }
+}
+
+auto JobWorld::addJob(const JobSpec &job) -> void
+{
+    m_jobs[job.id] = job;
+    for (std::size_t n = 0; n < m_stewards.size(); ++n)
+        send(n, steward_event::JobAccepted{job, {}, false});
+}
+
+auto JobWorld::addSteward() -> std::size_t
+{
+    const auto number = m_stewards.size();
+    m_stewards.push_back({});
+    auto &driven = m_stewards.back();
+    driven.steward = std::make_unique<Steward>(++m_revision, StewardSettings(), m_now);
+    send(number, steward_event::Ticked{1'000'000});
+    send(number, steward_event::RulesChanged{rulesOfTests(m_attempts)});
+    for (const auto &[id, job] : m_jobs) {
+        const auto kept = m_kept.find(id);
+        if (kept != m_kept.end())
+            driven.writer.loaded(id, kept->second.revision);
+        send(number, steward_event::JobAccepted{
+                         job, kept == m_kept.end() ? JobProgress() : kept->second.progress, true});
+    }
+    auto expected = std::set<WorkerName>();
+    for (const auto &worker : m_workers) {
+        if (worker.isUp)
+            expected.insert(worker.report.name);
+    }
+    for (const auto &worker : m_workers) {
+        if (worker.isUp)
+            send(number, steward_event::WorkerReported{worker.report});
+    }
+    m_stewards[number].steward->expectWorkers(expected);
+    return number;
+}
+
+auto JobWorld::send(std::size_t steward, const StewardEvent &event) -> void
+{
+    if (!m_stewards[steward].isAlive)
+        return;
+    for (const auto &action : m_stewards[steward].steward->step(event, m_now))
+        perform(steward, action);
+}
+
+auto JobWorld::later(Duration delay, std::function<void()> action) -> void
+{
+    m_due.emplace(m_now + delay, std::move(action));
+}
+
+auto JobWorld::run(Duration time) -> void
+{
+    const auto end = m_now + time;
+    while (m_now < end) {
+        m_now += Step;
+        while (!m_due.empty() && m_due.begin()->first <= m_now) {
+            const auto action = std::move(m_due.begin()->second);
+            m_due.erase(m_due.begin());
+            action();
+        }
+        for (auto &worker : m_workers)
+            tickWorker(worker);
+        for (std::size_t n = 0; n < m_stewards.size(); ++n) {
+            send(n, steward_event::Ticked{1'000'000});
+            write(n);
+        }
+    }
+}
+
+auto JobWorld::nextFate() -> Fate
+{
+    if (fates.empty())
+        return Fate::Arrives;
+    const auto fate = fates.front();
+    fates.pop_front();
+    return fate;
+}
+
+auto JobWorld::find(const WorkerName &name) -> FakeWorker &
+{
+    return *std::ranges::find_if(m_workers,
+                                 [&name](const auto &it) { return it.report.name == name; });
+}
+
+auto JobWorld::clockOf(const FakeWorker &worker) const -> std::int64_t
+{
+    return worker.born
+        + std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch()).count();
+}
+
+auto JobWorld::isReached(const FakeWorker &worker) const -> bool
+{
+    return worker.isUp && m_now >= worker.silentUntil;
+}
+
+auto JobWorld::silence(int worker, Duration time) -> void
+{
+    m_workers[static_cast<std::size_t>(worker)].silentUntil = m_now + time;
+}
+
+auto JobWorld::crash(int worker) -> void
+{
+    auto &it = m_workers[static_cast<std::size_t>(worker)];
+    it.isUp = false;
+    it.active.clear();
+    it.used = {};
+}
+
+auto JobWorld::beginAgain(int worker) -> void
+{
+    auto &it = m_workers[static_cast<std::size_t>(worker)];
+    const auto report = it.report;
+    const auto born = it.born;
+    it = {};
+    it.report = report;
+    it.born = born + 1;
+}
+
+auto JobWorld::perform(std::size_t steward, const StewardAction &action) -> void
+{
+    std::visit([this, steward](const auto &it) { perform(steward, it); }, action);
+}
+
+auto JobWorld::perform(std::size_t steward, const steward_action::StartRun &order) -> void
+{
+    ++starts;
+    const auto fate = nextFate();
+    const auto token = m_stewards[steward].steward->token();
+    const auto name = order.worker;
+    const auto apply = [this, token, order, name] {
+        auto &worker = find(name);
+        return worker.isUp ? applyStart(worker, token, order) : OrderOutcome::NotSent;
+    };
+    const auto answer = [this, steward, order, name](OrderOutcome outcome, Duration delay) {
+        later(delay, [this, steward, order, name, outcome] {
+            const auto clock = outcome == OrderOutcome::Unanswered ? 0 : clockOf(find(name));
+            send(steward,
+                 steward_event::StartAnswered{name, order.task, order.run, outcome, clock});
+        });
+    };
+    if (fate == Fate::NotSent) {
+        answer(OrderOutcome::NotSent, AnswerTime);
+    } else if (fate == Fate::Late || !isReached(find(name))) {
+        const auto delay = fate == Fate::Late ? Duration(LongestLate) : Duration(1s);
+        later(delay, [apply] { apply(); });
+        answer(OrderOutcome::Unanswered, LostAnswerTime);
+    } else {
+        const auto outcome = apply();
+        if (fate == Fate::AnswerLost)
+            answer(OrderOutcome::Unanswered, LostAnswerTime);
+        else
+            answer(outcome, AnswerTime);
+    }
+}
+
+auto JobWorld::perform(std::size_t steward, const steward_action::StopRun &order) -> void
+{
+    const auto fate = nextFate();
+    const auto token = m_stewards[steward].steward->token();
+    auto outcome = OrderOutcome::Unanswered;
+    if (isReached(find(order.worker)) && fate != Fate::Late && fate != Fate::NotSent)
+        outcome = applyStop(find(order.worker), token, order);
+    if (fate == Fate::AnswerLost)
+        outcome = OrderOutcome::Unanswered;
+    later(outcome == OrderOutcome::Unanswered ? Duration(LostAnswerTime) : Duration(AnswerTime),
+          [this, steward, order, outcome] {
+              send(steward,
+                   steward_event::StopAnswered{order.worker, order.task, order.run, outcome});
+          });
+}
+
+auto JobWorld::perform(std::size_t steward, const steward_action::LookAtWorker &order) -> void
+{
+    auto &worker = find(order.worker);
+    const auto sentAt = m_now;
+    if (!isReached(worker)) {
+        later(LostAnswerTime, [this, steward, order, sentAt] {
+            send(steward,
+                 steward_event::LookFailed{order.worker, sentAt, OrderOutcome::Unanswered});
+        });
+        return;
+    }
+    const auto token = m_stewards[steward].steward->token();
+    if (token < worker.token) {
+        send(steward, steward_event::LookFailed{order.worker, sentAt, OrderOutcome::Superseded});
+        return;
+    }
+    worker.token = token;
+    if (order.leaseEndMilliseconds != 0) {
+        const auto left = std::chrono::milliseconds(order.leaseEndMilliseconds - clockOf(worker));
+        worker.leaseEnds = std::max(worker.leaseEnds, m_now + left);
+    }
+    for (const auto &end : worker.ended) {
+        if (end.sequence > order.acknowledged)
+            continue;
+        if (end.end == RunEnd::Done)
+            m_noted[end.task] = true;
+        if (end.end == RunEnd::Failed)
+            ++m_failures[end.task];
+    }
+    std::erase_if(worker.ended,
+                  [&order](const auto &it) { return it.sequence <= order.acknowledged; });
+    auto look = steward_event::WorkerLooked();
+    look.worker = order.worker;
+    look.sentAt = sentAt;
+    look.clockMilliseconds = clockOf(worker);
+    look.bornMilliseconds = worker.born;
+    for (const auto &run : worker.active)
+        look.active.push_back({run.task, run.number, {}, 100, 0});
+    look.ended = worker.ended;
+    later(AnswerTime, [this, steward, look] { send(steward, look); });
+}
+
+auto JobWorld::perform(std::size_t steward, const steward_action::KeepProgress &action) -> void
+{
+    m_stewards[steward].writer.changed(action.job, action.isUrgent, m_now);
+}
+
+auto JobWorld::perform(std::size_t steward, const steward_action::StepDown &) -> void
+{
+    m_stewards[steward].isAlive = false;
+}
+
+auto JobWorld::write(std::size_t steward) -> void
+{
+    auto &driven = m_stewards[steward];
+    const auto isHolder = steward + 1 == m_stewards.size();
+    if (!driven.isAlive)
+        return;
+    const auto batch = driven.writer.next(m_now, [&driven](const std::string &job) {
+        auto entry = std::optional<ProgressWriter::Entry>();
+        if (const auto record = driven.steward->record(job)) {
+            entry.emplace();
+            entry->job = job;
+            entry->change = record->change;
+            entry->bytes = encodeProgress(record->progress);
+        }
+        return entry;
+    });
+    if (!batch)
+        return;
+    if (!isStoreUp || !isHolder) {
+        driven.writer.failed(m_now);
+        return;
+    }
+    ++m_revision;
+    for (const auto &it : *batch)
+        m_kept[it.job] = {*decodeProgress(it.bytes), m_revision};
+    for (const auto &it : driven.writer.stored(m_revision))
+        send(steward, steward_event::ProgressKept{it.job, it.change});
+}
+
+auto JobWorld::checkStart(const steward_action::StartRun &order) -> void
+{
+    for (const auto &worker : m_workers) {
+        const auto isRunning = worker.isUp
+            && std::ranges::any_of(worker.active, [&order](const Run &it) {
+                                   return it.task == order.task;
+                               });
+        if (isRunning)
+            violations.push_back("runs twice: " + describe(order.task));
+    }
+    if (m_noted.contains(order.task))
+        violations.push_back("starts after it was done: " + describe(order.task));
+    const auto failures = m_failures.find(order.task);
+    if (failures != m_failures.end() && failures->second >= m_attempts)
+        violations.push_back("starts after its last attempt: " + describe(order.task));
+}
+
+auto JobWorld::applyStart(FakeWorker &worker, std::uint64_t token,
+                          const steward_action::StartRun &order) -> OrderOutcome
+{
+    if (token < worker.token)
+        return OrderOutcome::Superseded;
+    worker.token = token;
+    const auto left = std::chrono::milliseconds(order.leaseEndMilliseconds - clockOf(worker));
+    if (left <= 0ms)
+        return OrderOutcome::TooLate;
+    const auto isThere = std::ranges::any_of(worker.active, [&order](const Run &it) {
+        return it.task == order.task && it.number == order.run;
+    });
+    if (isThere)
+        return OrderOutcome::Accepted;
+    const auto ended = worker.highestEnded.find(order.task);
+    if (ended != worker.highestEnded.end() && order.run <= ended->second)
+        return OrderOutcome::RunTooOld;
+    const auto &spec = m_jobs.at(order.task.job).steps[order.task.step];
+    if (!worker.report.capacity.holds(worker.used + spec.room))
+        return OrderOutcome::NoRoom;
+    checkStart(order);
+    worker.leaseEnds = std::max(worker.leaseEnds, m_now + left);
+    worker.used += spec.room;
+    auto run = Run();
+    run.task = order.task;
+    run.number = order.run;
+    run.startedAt = m_now;
+    run.isLasting = spec.isLasting;
+    run.endsAt = m_now + RunTime;
+    run.willFail = fails(order.task);
+    worker.active.push_back(run);
+    return OrderOutcome::Accepted;
+}
+
+auto JobWorld::applyStop(FakeWorker &worker, std::uint64_t token,
+                         const steward_action::StopRun &order) -> OrderOutcome
+{
+    if (token < worker.token)
+        return OrderOutcome::Superseded;
+    worker.token = token;
+    auto &highest = worker.highestEnded[order.task];
+    highest = std::max(highest, order.run);
+    for (auto &run : worker.active) {
+        if (run.task == order.task && run.number <= order.run)
+            run.stopsAt = std::min(run.stopsAt, m_now + StopTime);
+    }
+    return OrderOutcome::Accepted;
+}
+
+auto JobWorld::endRun(FakeWorker &worker, std::size_t index, RunEnd end) -> void
+{
+    const auto run = worker.active[index];
+    worker.active.erase(worker.active.begin() + static_cast<std::ptrdiff_t>(index));
+    worker.used -= m_jobs.at(run.task.job).steps[run.task.step].room;
+    auto &highest = worker.highestEnded[run.task];
+    highest = std::max(highest, run.number);
+    worker.ended.push_back({++worker.lastEnd, run.task, run.number, end, {}});
+}
+
+auto JobWorld::tickWorker(FakeWorker &worker) -> void
+{
+    for (auto n = worker.active.size(); n-- > 0;) {
+        const auto &run = worker.active[n];
+        if (m_now >= worker.leaseEnds)
+            endRun(worker, n, RunEnd::Lapsed);
+        else if (m_now >= run.stopsAt)
+            endRun(worker, n, RunEnd::Stopped);
+        else if (!run.isLasting && m_now >= run.endsAt)
+            endRun(worker, n, run.willFail ? RunEnd::Failed : RunEnd::Done);
+    }
+}
+
+auto JobWorld::outcome(const std::string &job) const -> JobOutcome
+{
+    const auto it = m_kept.find(job);
+    return it == m_kept.end() ? JobOutcome::Open : it->second.progress.state();
+}
+
+auto JobWorld::activeRuns(const std::string &job) const -> std::size_t
+{
+    auto count = std::size_t{0};
+    for (const auto &worker : m_workers) {
+        count += static_cast<std::size_t>(std::ranges::count_if(
+            worker.active, [&job](const Run &it) { return it.task.job == job; }));
+    }
+    return count;
+}
+
+} // namespace shallotproxy::testing
--- /dev/null
+++ b/tests/unit/job_world.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "shallotproxy/job.hpp"
+
+namespace shallotproxy::testing {
+
+using namespace std::chrono_literals;
+
+inline constexpr auto PoolOfTests = "nordlys";
+
+auto oneStepJob(const std::string &id, StepSpec step) -> JobSpec;
+auto shortStep(std::uint32_t tasks) -> StepSpec;
+auto lastingStep(std::uint32_t tasks) -> StepSpec;
+auto workerName(int number) -> WorkerName;
+auto workerReport(int number) -> WorkerReport;
+auto rulesOfTests(std::uint32_t attempts) -> std::shared_ptr<const SchedulingRules>;
+
+/// What happens to one order on its way.
+enum class Fate : std::uint8_t { Arrives, AnswerLost, Late, NotSent };
+
+/// Workers and a store as stewards see them, with the faults that a test asks for, in its own time.
+/// Any number of stewards may act on them at once.
+class JobWorld
+{
+public:
+    static constexpr auto Step = 50ms;
+    static constexpr auto RunTime = 400ms; // of a task that ends by itself
+    static constexpr auto LongestLate = 4s; // of an order that is carried out late
+
+    explicit JobWorld(int workers, std::uint32_t attempts = 3);
+
+    auto addJob(const JobSpec &job) -> void;
+    /// A further steward, with a higher token, that reads what is kept now. Returns its number.
+    auto addSteward() -> std::size_t;
+    auto killSteward(std::size_t number) -> void { m_stewards.at(number).isAlive = false; }
+    [[nodiscard]] auto steward(std::size_t number) -> Steward & { return *m_stewards[number].steward; }
+    auto run(Duration time) -> void;
+    auto send(std::size_t steward, const StewardEvent &event) -> void;
+
+    /// The fate of each next order; afterwards all arrive.
+    std::deque<Fate> fates;
+    bool isStoreUp = true;
+    std::function<bool(const JobTaskId &)> fails = [](const auto &) { return false; };
+    auto silence(int worker, Duration time) -> void;
+    auto crash(int worker) -> void;
+    /// The worker begins again under its name, and knows nothing of before.
+    auto beginAgain(int worker) -> void;
+
+    /// What went wrong, in words; empty if nothing did.
+    std::vector<std::string> violations;
+    std::uint64_t starts = 0;
+    [[nodiscard]] auto outcome(const std::string &job) const -> JobOutcome;
+    [[nodiscard]] auto activeRuns(const std::string &job) const -> std::size_t;
+    [[nodiscard]] auto now() const -> BootTime { return m_now; }
+
+private:
+    struct Run
+    {
+        JobTaskId task;
+        std::uint64_t number = 0;
+        BootTime endsAt;
+        BootTime stopsAt = BootTime::max();
+        BootTime startedAt;
+        bool isLasting = false;
+        bool willFail = false;
+    };
+
+    struct FakeWorker
+    {
+        WorkerReport report;
+        bool isUp = true;
+        BootTime silentUntil;
+        std::int64_t born = 1;
+        std::uint64_t token = 0;
+        BootTime leaseEnds;
+        Room used;
+        std::vector<Run> active;
+        std::vector<EndedRun> ended;
+        std::uint64_t lastEnd = 0;
+        std::map<JobTaskId, std::uint64_t> highestEnded;
+    };
+
+    struct Driven
+    {
+        std::unique_ptr<Steward> steward;
+        ProgressWriter writer;
+        bool isAlive = true;
+    };
+
+    auto perform(std::size_t steward, const StewardAction &action) -> void;
+    auto perform(std::size_t steward, const steward_action::StartRun &order) -> void;
+    auto perform(std::size_t steward, const steward_action::StopRun &order) -> void;
+    auto perform(std::size_t steward, const steward_action::LookAtWorker &order) -> void;
+    auto perform(std::size_t, const steward_action::PaceRun &) -> void { }
+    auto perform(std::size_t steward, const steward_action::KeepProgress &action) -> void;
+    auto perform(std::size_t steward, const steward_action::StepDown &) -> void;
+    auto applyStart(FakeWorker &worker, std::uint64_t token, const steward_action::StartRun &order)
+        -> OrderOutcome;
+    auto applyStop(FakeWorker &worker, std::uint64_t token, const steward_action::StopRun &order)
+        -> OrderOutcome;
+    auto checkStart(const steward_action::StartRun &order) -> void;
+    auto endRun(FakeWorker &worker, std::size_t index, RunEnd end) -> void;
+    auto tickWorker(FakeWorker &worker) -> void;
+    auto write(std::size_t steward) -> void;
+    auto later(Duration delay, std::function<void()> action) -> void;
+    auto nextFate() -> Fate;
+    [[nodiscard]] auto clockOf(const FakeWorker &worker) const -> std::int64_t;
+    [[nodiscard]] auto isReached(const FakeWorker &worker) const -> bool;
+    auto find(const WorkerName &name) -> FakeWorker &;
+
+    struct Kept
+    {
+        JobProgress progress;
+        std::uint64_t revision = 0;
+    };
+
+    BootTime m_now{1h};
+    std::uint32_t m_attempts;
+    std::vector<FakeWorker> m_workers;
+    std::vector<Driven> m_stewards;
+    std::multimap<BootTime, std::function<void()>> m_due;
+    std::map<std::string, JobSpec> m_jobs;
+    std::map<std::string, Kept> m_kept;
+    std::map<JobTaskId, bool> m_noted; // done, and acknowledged to the worker
+    std::map<JobTaskId, std::uint32_t> m_failures; // acknowledged ones
+    std::uint64_t m_revision = 100;
+};
+
+} // namespace shallotproxy::testing
--- /dev/null
+++ b/tests/unit/unit-steward.cpp
@@ -0,0 +1,303 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "job_world.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Fate;
+using testing::JobWorld;
+
+auto toFates(const std::vector<std::uint8_t> &numbers) -> std::deque<Fate>
+{
+    auto fates = std::deque<Fate>();
+    for (const auto number : numbers)
+        fates.push_back(number % 8 < 4 ? Fate::Arrives : static_cast<Fate>(number % 4));
+    return fates;
+}
+
+/// The first order of this kind among the actions.
+template <typename T>
+auto firstOf(const Steward::Actions &actions) -> const T *
+{
+    for (const auto &it : actions) {
+        if (const auto *found = std::get_if<T>(&it))
+            return found;
+    }
+    return nullptr;
+}
+
+/// One steward with one worker that has been asked, driven event by event.
+class SingleWorker
+{
+public:
+    explicit SingleWorker(StepSpec step, std::uint32_t attempts = 2)
+        : steward(7, StewardSettings(), now)
+    {
+        steward.step(steward_event::Ticked{1'000'000}, now);
+        steward.step(steward_event::RulesChanged{testing::rulesOfTests(attempts)}, now);
+        steward.step(steward_event::JobAccepted{testing::oneStepJob("job", std::move(step)), {},
+                                                true},
+                     now);
+        steward.step(steward_event::WorkerReported{testing::workerReport(0)}, now);
+    }
+
+    auto look(std::vector<ActiveRun> active, std::vector<EndedRun> ended) -> Steward::Actions
+    {
+        auto event = steward_event::WorkerLooked();
+        event.worker = testing::workerName(0);
+        event.sentAt = now;
+        event.clockMilliseconds = 5'000;
+        event.bornMilliseconds = 1;
+        event.active = std::move(active);
+        event.ended = std::move(ended);
+        now += 2ms;
+        return steward.step(event, now);
+    }
+
+    auto tick(Duration time) -> Steward::Actions
+    {
+        now += time;
+        return steward.step(steward_event::Ticked{1'000'000}, now);
+    }
+
+    BootTime now{1h};
+    Steward steward;
+    const JobTaskId task{"job", 0, 0, 0};
+};
+
+TEST(Steward, TakesAJobToItsEnd)
+{
+    auto world = JobWorld(3);
+    world.addSteward();
+    world.addJob(testing::oneStepJob("a", testing::shortStep(20)));
+    world.run(5s);
+    EXPECT_EQ(world.outcome("a"), JobOutcome::Completed);
+    EXPECT_EQ(world.starts, 20U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+TEST(Steward, TellsCompletedOnlyOnceThatIsKept)
+{
+    auto world = JobWorld(3);
+    const auto steward = world.addSteward();
+    world.isStoreUp = false;
+    world.addJob(testing::oneStepJob("a", testing::shortStep(2)));
+    world.run(3s);
+    EXPECT_EQ(world.steward(steward).view("a").state, JobState::Running);
+    world.isStoreUp = true;
+    world.run(1s);
+    EXPECT_EQ(world.steward(steward).view("a").state, JobState::Completed);
+}
+
+TEST(Steward, FailsAJobAfterItsLastAttempt)
+{
+    auto world = JobWorld(3, 2);
+    world.fails = [](const JobTaskId &task) { return task.index == 1; };
+    world.addSteward();
+    world.addJob(testing::oneStepJob("a", testing::shortStep(3)));
+    world.run(8s);
+    EXPECT_EQ(world.outcome("a"), JobOutcome::Failed);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// Found on blyglass trouble-1: a run taken over had no lease in the books, so that the next tick took
+// it for ended.
+TEST(Steward, DoesNotStartAgainWhatItTookOver)
+{
+    auto world = JobWorld(3);
+    const auto first = world.addSteward();
+    world.addJob(testing::oneStepJob("a", testing::lastingStep(3)));
+    world.run(2s);
+    world.killSteward(first);
+    world.addSteward();
+    world.run(3s);
+    EXPECT_EQ(world.starts, 3U);
+    EXPECT_EQ(world.activeRuns("a"), 3U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// Found on kragenwerk trouble-1, seed 496499798819.
+TEST(Steward, DoesNotTakeAFailedRunForTheNewestOne)
+{
+    auto single = SingleWorker(testing::shortStep(1));
+    single.steward.step(steward_event::WorkerReported{testing::workerReport(1)}, single.now);
+    single.steward.expectWorkers({testing::workerName(0), testing::workerName(1)});
+    const auto actions = single.look({}, {{1, single.task, 3'001, RunEnd::Failed, {}}});
+    // The second worker, not asked yet, may have run 3002.
+    EXPECT_EQ(firstOf<steward_action::StartRun>(actions), nullptr);
+}
+
+// Found on blyglass scale-1, seed 1098906904560.
+TEST(Steward, CountsFailuresThatAreToldOutOfOrder)
+{
+    auto single = SingleWorker(testing::shortStep(1), 2);
+    single.look({}, {{1, single.task, 3'002, RunEnd::Failed, {}},
+                     {2, single.task, 3'001, RunEnd::Failed, {}}});
+    const auto record = single.steward.record("job");
+    ASSERT_TRUE(record.has_value());
+    EXPECT_EQ(record->progress.state(), JobOutcome::Failed);
+}
+
+// Found on blyglass trouble-2, seed 238498417874: the run had been carried out without an answer and
+// had ended when the order was sent again.
+TEST(Steward, WaitsForTheEndOfARunThatIsRefusedAsOld)
+{
+    auto single = SingleWorker(testing::shortStep(1));
+    single.steward.expectWorkers({testing::workerName(0)});
+    const auto begun = single.look({}, {});
+    const auto *start = firstOf<steward_action::StartRun>(begun);
+    ASSERT_NE(start, nullptr);
+    const auto run = start->run;
+    const auto answer = [&single, run](OrderOutcome outcome) {
+        return single.steward.step(
+            steward_event::StartAnswered{testing::workerName(0), single.task, run, outcome, 0},
+            single.now);
+    };
+    single.now += 500ms;
+    answer(OrderOutcome::Unanswered);
+    const auto again = single.tick(400ms);
+    ASSERT_NE(firstOf<steward_action::StartRun>(again), nullptr);
+    EXPECT_EQ(firstOf<steward_action::StartRun>(again)->run, run);
+    EXPECT_EQ(firstOf<steward_action::StartRun>(answer(OrderOutcome::RunTooOld)), nullptr);
+    single.now += 20ms;
+    single.look({}, {{1, single.task, run, RunEnd::Done, {}}});
+    EXPECT_EQ(single.steward.record("job")->progress.state(), JobOutcome::Completed);
+}
+
+// Found on kragenwerk hunt-cfb8-7: each look at a silent worker was taken to renew its lease.
+TEST(Steward, RunsALastingTaskElsewhereOnceItsSilentWorkersLeaseHasEnded)
+{
+    auto world = JobWorld(3);
+    world.addSteward();
+    world.addJob(testing::oneStepJob("a", testing::lastingStep(1)));
+    world.run(2s);
+    for (auto n = 0; n < 3; ++n) {
+        if (world.activeRuns("a") == 1)
+            world.silence(0, 1h);
+    }
+    world.crash(0);
+    world.run(10s);
+    EXPECT_EQ(world.activeRuns("a"), 1U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// Found on blyglass hunt-9db6-7: a task that wasn't seen at work was ended freely.
+TEST(Steward, EndsNoLastingTaskWhileAnotherOfItsStepMayBeAway)
+{
+    auto world = JobWorld(4);
+    const auto steward = world.addSteward();
+    world.addJob(testing::oneStepJob("a", testing::lastingStep(3)));
+    world.run(2s);
+    // Two of the three can't be seen; vacating the third's worker has to wait.
+    world.silence(0, 2s);
+    world.silence(1, 2s);
+    world.run(1s);
+    for (auto n = 0; n < 4; ++n)
+        world.send(steward, steward_event::WorkerVacated{testing::workerName(n), n >= 2});
+    world.run(500ms);
+    EXPECT_EQ(world.activeRuns("a"), 3U);
+}
+
+// Found on blyglass scale-1: a host went to standby with ends that only it still told.
+TEST(Steward, TellsOfEndsThatAreNotKept)
+{
+    auto world = JobWorld(1);
+    const auto steward = world.addSteward();
+    world.isStoreUp = false;
+    world.addJob(testing::oneStepJob("a", testing::shortStep(1)));
+    world.run(2s);
+    EXPECT_TRUE(world.steward(steward).workerLoads().front().hasUnkeptEnds);
+    world.isStoreUp = true;
+    world.run(2s);
+    EXPECT_FALSE(world.steward(steward).workerLoads().front().hasUnkeptEnds);
+}
+
+TEST(Steward, MakesRoomForLastingTasksInAFullPool)
+{
+    auto world = JobWorld(2);
+    world.addSteward();
+    auto step = testing::shortStep(400);
+    step.savesProgress = true;
+    world.addJob(testing::oneStepJob("many", step));
+    world.run(500ms);
+    auto lasting = testing::lastingStep(2);
+    lasting.room.milliCores = 6'000;
+    world.addJob(testing::oneStepJob("lasts", lasting));
+    world.run(4s);
+    EXPECT_EQ(world.activeRuns("lasts"), 2U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+TEST(Steward, KeepsATeamBelowItsLimit)
+{
+    auto now = BootTime(1h);
+    auto steward = Steward(3, StewardSettings(), now);
+    auto rules = *testing::rulesOfTests(3);
+    rules.teams[TeamName("blue")].limit = {3'000, 0, 0};
+    steward.step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)}, now);
+    steward.step(steward_event::WorkerReported{testing::workerReport(0)}, now);
+    steward.expectWorkers({testing::workerName(0)});
+    auto look = steward_event::WorkerLooked();
+    look.worker = testing::workerName(0);
+    look.clockMilliseconds = 1;
+    steward.step(look, now);
+    const auto actions = steward.step(
+        steward_event::JobAccepted{testing::oneStepJob("a", testing::shortStep(8)), {}, false},
+        now);
+    EXPECT_EQ(std::ranges::count_if(actions,
+                                    [](const auto &it) {
+                                        return std::holds_alternative<steward_action::StartRun>(it);
+                                    }),
+              3);
+}
+
+TEST(Steward, StartsNothingInAClosedDataCentreOrOnALeavingWorker)
+{
+    auto world = JobWorld(2);
+    const auto steward = world.addSteward();
+    world.run(500ms);
+    auto leaving = testing::workerReport(1);
+    leaving.isLeaving = true;
+    leaving.dataCentre = DataCentreName("south");
+    world.send(steward, steward_event::WorkerReported{leaving});
+    world.send(steward, steward_event::DataCentresClosed{{DataCentreName("north")}});
+    world.addJob(testing::oneStepJob("a", testing::shortStep(4)));
+    world.run(1s);
+    EXPECT_EQ(world.starts, 0U);
+    world.send(steward, steward_event::DataCentresClosed{{}});
+    world.run(3s);
+    EXPECT_EQ(world.outcome("a"), JobOutcome::Completed);
+}
+
+// Orders that are lost, late or answered late, workers that begin again, and a steward that is
+// replaced while it goes on.
+RC_GTEST_PROP(StewardUnderFaults, RunsNothingTwiceAndFinishesAll,
+              (const std::vector<std::uint8_t> &numbers, std::uint8_t change, std::uint8_t worker,
+               bool isKilled))
+{
+    auto world = JobWorld(3);
+    const auto first = world.addSteward();
+    world.fates = toFates(numbers);
+    world.fails = [](const JobTaskId &task) { return task.index % 7 == 3 && task.job == "b"; };
+    world.addJob(testing::oneStepJob("a", testing::shortStep(12)));
+    world.addJob(testing::oneStepJob("b", testing::shortStep(5)));
+    world.addJob(testing::oneStepJob("c", testing::lastingStep(2)));
+    world.run(std::chrono::milliseconds(50 * (change % 32)));
+    world.silence(worker % 3, std::chrono::milliseconds(100 * (worker / 3 % 30)));
+    if (isKilled)
+        world.killSteward(first);
+    world.addSteward();
+    world.run(40s);
+    RC_ASSERT(world.violations == std::vector<std::string>());
+    RC_ASSERT(world.outcome("a") == JobOutcome::Completed);
+    RC_ASSERT(world.outcome("b") == JobOutcome::Failed);
+    RC_ASSERT(world.activeRuns("c") == 2U);
+}
+
+} // namespace
+
+} // namespace shallotproxy
