--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -25,9 +25,9 @@
     /// Idle hosts stay this long before they go to standby: a move costs as much as about 1.2 s of
     /// a host in a pool, and takes 1.5 s each way.
     static constexpr Milliseconds IdleBeforeStandby{2'500};
-    static constexpr Milliseconds IdleBeforeMove{400}; // gaps between two jobs are shorter
-    static constexpr Milliseconds Smoothing{500}; // of the demand: shorter peaks pass by themselves
-    static constexpr std::size_t MostMovesAtOnce = 6;
+    static constexpr Milliseconds IdleBeforeMove{200}; // gaps between two jobs are shorter
+    static constexpr Milliseconds Smoothing{700}; // of falling demand; rising demand counts at once
+    static constexpr std::size_t MostMovesAtOnce = 24; // a turn lasts 4 s, a move 1.5 s
     static constexpr double TargetUse = 0.85; // of a pool's cores: the rest is lost to packing
     static constexpr std::size_t SpareHosts = 1; // in each pool, for what comes next
 
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -16,7 +16,7 @@
     auto &demand = m_demand[pool];
     const auto elapsed = Seconds(now - m_steppedAt).count();
     const auto weight = std::min(1.0, elapsed / Seconds(Smoothing).count());
-    demand += (cores - demand) * weight;
+    demand = cores > demand ? cores : demand + (cores - demand) * weight;
     return demand;
 }
 
