--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -96,7 +96,7 @@
     [[nodiscard]] auto poolLoads() const -> std::map<PoolName, PoolLoad>;
     [[nodiscard]] auto workerLoads() const -> std::vector<WorkerLoad>;
     [[nodiscard]] auto isRecovering() const -> bool { return m_isRecovering; }
-    /// The workers that the last list of hosts named; recovery waits for each of them.
+    /// The workers of all hosts that are up; recovery waits until each of them has been asked.
     auto expectWorkers(std::set<WorkerName> workers) -> void;
     /// The largest worker of a pool, over all its lives seen; no value while none has been seen.
     [[nodiscard]] auto largestWorker(const PoolName &pool) const -> std::optional<Room>;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -573,8 +573,8 @@
         const auto it = m_workers.find(name);
         return it != m_workers.end() && it->second->isHeld;
     };
-    const auto isAllAsked = m_hasHostList && std::ranges::all_of(m_expected, isAsked)
-        && std::ranges::all_of(m_workers, [](const auto &it) { return it.second->isHeld; });
+    // A registered worker that no host has any more is over.
+    const auto isAllAsked = m_hasHostList && std::ranges::all_of(m_expected, isAsked);
     if (!isAllAsked && m_now < m_recoversUntil)
         return;
     m_isRecovering = false;
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -120,7 +120,13 @@
             if (it.state == HostState::Up && !it.worker.isEmpty())
                 expected.insert(it.worker);
         }
+        const auto wasRecovering = steward->isRecovering();
+        const auto count = expected.size();
         steward->expectWorkers(std::move(expected));
+        if (wasRecovering) {
+            m_context.log.info("event=hosts-listed hosts={} workers={} recovering={}",
+                               m_hosts.size(), count, steward->isRecovering());
+        }
     }
 }
 
@@ -193,7 +199,7 @@
 auto HostDuty::plan() -> void
 {
     const auto *steward = m_steward.steward();
-    if (steward == nullptr || steward->isRecovering() || !mayOrder(BootClock::now()))
+    if (steward == nullptr || !mayOrder(BootClock::now()))
         return;
     const auto hosts = views();
     planUpkeep(hosts);
