--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -68,6 +68,7 @@
     Milliseconds lastingPatience{800}; // lasting tasks then displace others
     Milliseconds vacatePatience{2'500}; // tasks that save progress may end by themselves so long
     Milliseconds vacateLimit{5'500}; // others so long
+    Milliseconds settling{1'500}; // stops of the steward before take effect: 0.9 s and a look
     /// What an earlier steward may have left on workers that can't be asked has ended after this.
     Milliseconds recovery{14'000};
 };
@@ -191,6 +192,7 @@
     std::set<WorkerName> m_expected;
     Quarantine m_quarantine;
     std::uint64_t m_changes = 0;
+    BootTime m_begunAt;
     BootTime m_recoversUntil;
     bool m_isRecovering = true;
     bool m_hasHostList = false;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -29,6 +29,7 @@
     , m_settings(settings)
     , m_now(now)
     , m_quarantine(settings.quarantine)
+    , m_begunAt(now)
     , m_recoversUntil(now + settings.recovery)
 { }
 
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -520,6 +520,9 @@
 /// may be at work all the same.
 auto Steward::mayEndLasting(const Task &task) const -> bool
 {
+    // A task that the steward before has ended may still be listed as at work.
+    if (m_now < m_begunAt + m_settings.settling)
+        return false;
     const auto &siblings =
         task.job->occurrences.at(task.occurrence).steps[task.step];
     const auto away = std::ranges::count_if(
--- /dev/null
+++ b/tests/unit/unit-job-plans.cpp
@@ -0,0 +1,356 @@
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "shallotproxy/job.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+auto hostName(std::size_t number) -> HostName
+{
+    return HostName("host-" + std::to_string(number));
+}
+
+auto idleHost(std::size_t number, const std::string &pool) -> HostView
+{
+    auto view = HostView();
+    view.report.host = hostName(number);
+    view.report.pool = PoolName(pool);
+    view.report.state = HostState::Up;
+    view.report.capacity = {10'000, 10'000, 0};
+    view.report.worker = WorkerName("worker-" + std::to_string(number));
+    view.isKnown = true;
+    return view;
+}
+
+auto poolRules() -> SchedulingRules
+{
+    auto rules = SchedulingRules();
+    rules.pools[PoolName("a")] = {};
+    rules.pools[PoolName("b")] = {};
+    rules.pools[PoolName("spare")] = {true};
+    return rules;
+}
+
+auto waveOf(std::size_t hosts, std::uint32_t mostAtOnce) -> UpkeepWave
+{
+    auto wave = UpkeepWave();
+    wave.number = 1;
+    wave.mostAtOnce = mostAtOnce;
+    for (std::size_t n = 0; n < hosts; ++n)
+        wave.hosts.insert(hostName(n));
+    return wave;
+}
+
+RC_GTEST_PROP(UpkeepPlanner, NeverHasMoreDownThanTheWaveAllows,
+              (const std::vector<std::uint8_t> &choices))
+{
+    constexpr std::size_t Hosts = 9;
+    constexpr std::uint32_t MostAtOnce = 3;
+    auto now = BootTime(1h);
+    auto planner = UpkeepPlanner();
+    planner.waveDeclared(waveOf(Hosts, MostAtOnce), {});
+    auto hosts = std::vector<HostView>();
+    for (std::size_t n = 0; n < Hosts; ++n)
+        hosts.push_back(idleHost(n, "a"));
+    auto sent = std::vector<UpkeepStart>(); // answers still to come
+    auto downUntil = std::map<HostName, BootTime>();
+    auto begun = std::set<HostName>();
+    auto completed = false;
+    const auto countDown = [&downUntil, &now] {
+        return std::ranges::count_if(downUntil, [now](const auto &it) { return it.second > now; });
+    };
+    for (std::size_t n = 0; n < 400 && !completed; ++n) {
+        const auto choice = choices.empty() ? std::uint8_t{3} : choices[n % choices.size()];
+        now += 300ms;
+        for (auto &it : hosts) {
+            const auto isDown = downUntil.contains(it.report.host)
+                && downUntil.at(it.report.host) > now;
+            it.report.state = isDown ? HostState::InUpkeep : HostState::Up;
+            it.otherRuns = choice % 5 == 0 && n < 200 ? 1 : 0;
+        }
+        const auto listedAt = now;
+        now += 5ms;
+        const auto orders = planner.step(hosts, listedAt, now);
+        for (const auto &it : orders.start) {
+            planner.startSent(it);
+            sent.push_back(it);
+            // Carried out at once or never; in doubt the same order goes out again.
+            if (choice % 3 != 0 && begun.insert(it.host).second) {
+                RC_ASSERT(countDown() < static_cast<std::ptrdiff_t>(MostAtOnce));
+                downUntil[it.host] = now + 2s;
+            }
+        }
+        if (choice % 4 == 1 || n > 200) {
+            for (const auto &it : sent) {
+                if (begun.insert(it.host).second) {
+                    RC_ASSERT(countDown() < static_cast<std::ptrdiff_t>(MostAtOnce));
+                    downUntil[it.host] = now + 2s;
+                }
+                planner.startAccepted(it, now);
+            }
+            sent.clear();
+        }
+        completed = !orders.completed.empty();
+        RC_ASSERT(!completed || begun.size() == Hosts);
+    }
+    RC_ASSERT(completed);
+}
+
+TEST(UpkeepPlanner, LeavesOutWhatAnEarlierStewardBegan)
+{
+    auto planner = UpkeepPlanner();
+    planner.waveDeclared(waveOf(3, 3), {hostName(0)});
+    const auto hosts = std::vector{idleHost(0, "a"), idleHost(1, "a"), idleHost(2, "a")};
+    const auto now = BootTime(1h);
+    const auto orders = planner.step(hosts, now, now + 1ms);
+    EXPECT_EQ(orders.start.size(), 2U);
+    EXPECT_TRUE(planner.isDue(hostName(1)));
+    EXPECT_FALSE(planner.isDue(hostName(0)));
+}
+
+TEST(UpkeepPlanner, BeginsNoHostWithRunsOrWithEndsThatAreNotKept)
+{
+    auto planner = UpkeepPlanner();
+    planner.waveDeclared(waveOf(2, 2), {});
+    auto hosts = std::vector{idleHost(0, "a"), idleHost(1, "a")};
+    hosts[0].otherRuns = 1;
+    hosts[1].hasUnkeptEnds = true;
+    const auto now = BootTime(1h);
+    const auto orders = planner.step(hosts, now, now + 1ms);
+    EXPECT_TRUE(orders.start.empty());
+    EXPECT_EQ(orders.vacate.size(), 2U);
+}
+
+TEST(PoolSizer, GivesAPoolInItsTurnWhatIdlesElsewhereAndOnStandby)
+{
+    auto sizer = PoolSizer();
+    auto hosts = std::vector<HostView>();
+    for (std::size_t n = 0; n < 3; ++n)
+        hosts.push_back(idleHost(n, "a"));
+    for (std::size_t n = 3; n < 7; ++n)
+        hosts.push_back(idleHost(n, "b"));
+    hosts.push_back(idleHost(7, "spare"));
+    for (std::size_t n = 0; n < 3; ++n)
+        hosts[n].otherRuns = 4;
+    auto loads = std::map<PoolName, PoolLoad>();
+    loads[PoolName("a")].used = {30'000, 0, 0};
+    auto now = BootTime(1h);
+    sizer.step(hosts, loads, poolRules(), {}, now);
+    now += PoolSizer::IdleBeforeMove;
+    // The turn begins: five times what the pool holds.
+    loads[PoolName("a")].wanted = {120'000, 0, 0};
+    const auto moves = sizer.step(hosts, loads, poolRules(), {}, now);
+    EXPECT_EQ(moves.size(), 4U); // three idle ones of b, which keeps one, and the one on standby
+    for (const auto &it : moves)
+        EXPECT_EQ(it.to, PoolName("a"));
+}
+
+TEST(PoolSizer, SendsWhatIdlesForLongToStandby)
+{
+    auto sizer = PoolSizer();
+    auto hosts = std::vector<HostView>();
+    for (std::size_t n = 0; n < 5; ++n)
+        hosts.push_back(idleHost(n, "a"));
+    auto now = BootTime(1h);
+    EXPECT_TRUE(sizer.step(hosts, {}, poolRules(), {}, now).empty());
+    now += PoolSizer::IdleBeforeStandby + 1ms;
+    const auto moves = sizer.step(hosts, {}, poolRules(), {hostName(0)}, now);
+    EXPECT_EQ(moves.size(), 4U); // one stays, the blocked one
+    for (const auto &it : moves) {
+        EXPECT_EQ(it.to, PoolName("spare"));
+        EXPECT_NE(it.host, hostName(0));
+    }
+}
+
+TEST(ProgressWriter, WritesOneBatchAtATimeAndUrgentJobsFirst)
+{
+    auto writer = ProgressWriter();
+    auto now = BootTime(1h);
+    const auto source = [](const std::string &job) {
+        auto entry = ProgressWriter::Entry();
+        entry.job = job;
+        return std::optional(entry);
+    };
+    for (auto n = 0; n < 20; ++n)
+        writer.changed("slow-" + std::to_string(n), false, now);
+    writer.changed("urgent", true, now);
+    EXPECT_FALSE(writer.next(now, source).has_value());
+    now += ProgressWriter::UrgentDelay;
+    const auto first = writer.next(now, source);
+    ASSERT_TRUE(first.has_value());
+    EXPECT_EQ(first->front().job, "urgent");
+    EXPECT_EQ(first->size(), ProgressWriter::JobsPerWrite);
+    now += 1s;
+    EXPECT_FALSE(writer.next(now, source).has_value());
+    writer.stored(50);
+    EXPECT_TRUE(writer.next(now, source).has_value());
+}
+
+TEST(ProgressWriter, WritesAgainUnderTheRevisionThatAConflictTold)
+{
+    auto writer = ProgressWriter();
+    auto now = BootTime(1h);
+    const auto source = [](const std::string &job) {
+        auto entry = ProgressWriter::Entry();
+        entry.job = job;
+        return std::optional(entry);
+    };
+    writer.loaded("a", 10);
+    writer.changed("a", true, now);
+    now += 1s;
+    EXPECT_EQ(writer.next(now, source)->front().revision, 10U);
+    // The write was carried out without an answer, and is refused when it is sent again.
+    writer.failed(now);
+    now += ProgressWriter::RetryDelay;
+    EXPECT_EQ(writer.next(now, source)->front().revision, 10U);
+    writer.conflicted({{"a", 17}}, now);
+    EXPECT_EQ(writer.next(now, source)->front().revision, 17U);
+}
+
+TEST(Stewardship, EndsBeforeAnotherMemberCanBegin)
+{
+    auto stewardship = Stewardship();
+    const auto begun = BootTime(1h);
+    EXPECT_FALSE(stewardship.mayOrder(begun));
+    stewardship.acquired(9, begun);
+    EXPECT_TRUE(stewardship.mayOrder(begun + 1s));
+    EXPECT_FALSE(stewardship.mayOrder(begun + Stewardship::LeaseTime));
+    stewardship.renewed(begun + 1s);
+    EXPECT_TRUE(stewardship.mayOrder(begun + Stewardship::LeaseTime));
+    stewardship.renewed(begun); // an answer that comes late
+    EXPECT_TRUE(stewardship.mayOrder(begun + Stewardship::LeaseTime));
+    EXPECT_TRUE(stewardship.mayHold(begun + Stewardship::HoldOnTime));
+    EXPECT_FALSE(stewardship.mayHold(begun + 1s + Stewardship::HoldOnTime));
+    stewardship.lost();
+    EXPECT_FALSE(stewardship.mayHold(begun));
+}
+
+TEST(LatencyGuard, SlowsNearTheTargetAndSpeedsUpBelowIt)
+{
+    EXPECT_EQ(LatencyGuard::nextSpeed(100, 1.2), 0);
+    EXPECT_EQ(LatencyGuard::nextSpeed(100, 0.9), 50);
+    EXPECT_EQ(LatencyGuard::nextSpeed(50, 0.7), 50);
+    EXPECT_EQ(LatencyGuard::nextSpeed(95, 0.2), 100);
+}
+
+/// Jobs of a turn that asks for several times what the pool holds, worked off in an order. Returns
+/// how many end within their objective.
+auto onTimeJobs(const std::vector<std::uint8_t> &sizes, bool isSorted) -> int
+{
+    struct Entry
+    {
+        WaitingStep step;
+        Duration work{};
+    };
+    constexpr auto Unit = 40ms;
+    auto waiting = std::vector<WaitingStep>();
+    const auto begun = BootTime(1h);
+    for (std::size_t n = 0; n < sizes.size(); ++n) {
+        const auto work = Unit * (1 + sizes[n] % 25);
+        auto step = WaitingStep();
+        step.submittedAt = begun + 10ms * n;
+        step.workLeft = work;
+        step.onTimeUntil = step.submittedAt + work * 16 / 10 + 600ms;
+        step.index = n;
+        waiting.push_back(step);
+    }
+    auto now = begun;
+    auto onTime = 0;
+    while (!waiting.empty()) {
+        if (isSorted)
+            sortWaiting(waiting, now);
+        const auto next = waiting.front();
+        waiting.erase(waiting.begin());
+        now += next.workLeft;
+        onTime += now <= next.onTimeUntil ? 1 : 0;
+    }
+    return onTime;
+}
+
+// Fifty turns, each of 60 jobs that ask for many times what one core can do in their time.
+TEST(WaitingOrder, EndsMoreJobsOfATurnOnTimeThanFirstComeFirstServed)
+{
+    constexpr auto Turns = 50U;
+    constexpr auto JobsOfATurn = 60U;
+    auto sorted = 0;
+    auto inOrder = 0;
+    for (auto turn = 0U; turn < Turns; ++turn) {
+        auto random = std::mt19937(turn);
+        auto sizes = std::vector<std::uint8_t>();
+        for (auto n = 0U; n < JobsOfATurn; ++n)
+            sizes.push_back(static_cast<std::uint8_t>(random()));
+        sorted += onTimeJobs(sizes, true);
+        inOrder += onTimeJobs(sizes, false);
+    }
+    EXPECT_GE(sorted, 2 * inOrder);
+}
+
+TEST(WaitingOrder, PutsLastingWorkFirstAndLateWorkLast)
+{
+    const auto now = BootTime(1h);
+    auto steps = std::vector<WaitingStep>(3);
+    steps[0].onTimeUntil = now - 1s;
+    steps[0].workLeft = 10ms;
+    steps[1].onTimeUntil = now + 10s;
+    steps[1].workLeft = 500ms;
+    steps[2].isLasting = true;
+    steps[2].priority = 5;
+    for (std::size_t n = 0; n < steps.size(); ++n)
+        steps[n].index = n;
+    sortWaiting(steps, now);
+    EXPECT_EQ(steps[0].index, 2U);
+    EXPECT_EQ(steps[1].index, 1U);
+    EXPECT_EQ(steps[2].index, 0U);
+}
+
+TEST(JobRecords, SurviveTheirEncoding)
+{
+    auto spec = JobSpec();
+    spec.id = "0123456789abcdef";
+    spec.queue = QueueName("q");
+    spec.payload = std::string("\0\xff text", 7);
+    spec.steps.resize(2);
+    spec.steps[1].after = {0};
+    spec.steps[1].room = {2'500, 64, 1};
+    const auto decoded = decodeJob(encodeJob(spec));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->payload, spec.payload);
+    EXPECT_EQ(decoded->steps[1].room, spec.steps[1].room);
+    auto progress = JobProgress();
+    progress.tasks.push_back({0, 1, 2, false, {3, 4}, "c"});
+    const auto read = decodeProgress(encodeProgress(progress));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->tasks.front().failedRuns, (std::vector<std::uint64_t>{3, 4}));
+}
+
+RC_GTEST_PROP(JobRecords, AreNeverTakenFromOtherBytes, (const std::string &bytes))
+{
+    decodeJob(bytes);
+    decodeProgress(bytes);
+}
+
+TEST(JobRecords, OfBadJobsAreRefused)
+{
+    auto spec = JobSpec();
+    EXPECT_EQ(checkJob(spec).error().kind, JobError::Kind::Malformed);
+    spec.steps.resize(1);
+    EXPECT_TRUE(checkJob(spec).has_value());
+    spec.steps[0].after = {0};
+    EXPECT_FALSE(checkJob(spec).has_value());
+    spec.steps[0].after = {};
+    spec.steps[0].taskCount = 0;
+    EXPECT_FALSE(checkJob(spec).has_value());
+    spec.steps[0].taskCount = 1;
+    spec.steps[0].room.milliCores = -1;
+    EXPECT_FALSE(checkJob(spec).has_value());
+}
+
+} // namespace
+
+} // namespace shallotproxy
