--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -35,6 +35,7 @@
 
     auto holderChanged(const VersionedRecord *record) -> void;
     auto campaign() -> void;
+    auto campaignLater() -> void;
     auto claim(StoreLease lease, BootTime grantedAt) -> void;
     auto checkClaim(StoreLease lease, BootTime grantedAt) -> void;
     auto hold(std::uint64_t token, StoreLease lease, BootTime grantedAt) -> void;
@@ -81,6 +82,7 @@
     std::vector<StewardEvent> m_events;
     bool m_isDispatching = false;
     bool m_isCampaigning = false;
+    bool m_wasUnsure = false; // at the last look, whether the declarations are the newest
     bool m_isLeaving = false;
 };
 
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -16,8 +16,12 @@
 constexpr milliseconds TickInterval{100}; // the finest step of the steward's own timeouts
 constexpr milliseconds PlacementDelay{2}; // groups answers that come together
 constexpr milliseconds CampaignSpread{80}; // members begin this far apart, so few calls are lost
-constexpr milliseconds ShareHandicap{20}; // for a whole core; 80 ms for a quarter
-constexpr double LeastShare = 0.05; // bounds the handicap
+// Half a core serves the largest fleet; below it a member waits longer the less it has: 120 ms with
+// a quarter, 380 ms with 0.12, more than members start apart.
+constexpr double EnoughShare = 0.5;
+constexpr double LeastShare = 0.05; // bounds the wait
+constexpr milliseconds ShareHandicap{60};
+constexpr milliseconds UnsureRetry{50}; // costs no call
 constexpr milliseconds CampaignRetry{250}; // after a campaign that failed
 constexpr milliseconds ClaimCheckDelay{100}; // before the outcome of a lost answer is read
 
@@ -93,12 +97,18 @@
     if (record != nullptr || m_isLeaving || m_isCampaigning)
         return;
     m_isCampaigning = true;
-    // Members with more processor time go first: the steward does most of the work.
-    const auto share = std::max(m_context.settings.processorShare, LeastShare);
-    const auto handicap = static_cast<int>(static_cast<double>(ShareHandicap.count()) / share);
-    const auto wait =
-        handicap + QRandomGenerator::global()->bounded(static_cast<int>(CampaignSpread.count()));
-    QTimer::singleShot(wait, this, [this] { campaign(); });
+    campaignLater();
+}
+
+/// Members with more processor time go first: the steward does most of the work.
+auto StewardDuty::campaignLater() -> void
+{
+    const auto share = std::clamp(m_context.settings.processorShare, LeastShare, EnoughShare);
+    const auto handicap = static_cast<int>((1 / share - 1 / EnoughShare)
+                                           * static_cast<double>(ShareHandicap.count()));
+    const auto spread = static_cast<int>(CampaignSpread.count());
+    QTimer::singleShot(handicap + QRandomGenerator::global()->bounded(spread), this,
+                       [this] { campaign(); });
 }
 
 auto StewardDuty::campaign() -> void
@@ -110,7 +120,13 @@
     }
     const auto retry = [this] { QTimer::singleShot(CampaignRetry, this, [this] { campaign(); }); };
     if (!m_context.fleet.board.isFresh(BootClock::now())) {
-        retry();
+        m_wasUnsure = true;
+        QTimer::singleShot(UnsureRetry, this, [this] { campaign(); });
+        return;
+    }
+    // All members become sure at the same moment.
+    if (std::exchange(m_wasUnsure, false)) {
+        campaignLater();
         return;
     }
     const auto sentAt = BootClock::now();
