Write requests at once, move half of a fleet at a time, test the adapter and the calls

Cause: each request waited a turn of the event loop for its socket, and a turn of a queue on 350 hosts needs 110 of them, not 24.

--- /dev/null
+++ b/bench/steward_cost.cpp
@@ -0,0 +1,190 @@
+// Processor time of the steward's decisions and of reading one worker's lists, against the number
+// of workers. Usage: bench_steward [WORKERS...]
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+#include <fmt/format.h>
+
+#include "shallotproxy/job.hpp"
+#include "wire.hpp"
+
+namespace {
+
+using namespace shallotproxy;
+using namespace std::chrono_literals;
+
+constexpr auto Pools = 4;
+constexpr auto SimulatedTime = 10s;
+constexpr auto RunTime = 640ms;
+constexpr auto JobsPerWorkerAndSecond = 0.25; // three quarters of the room, by tasks of 5 cores
+constexpr std::uint32_t TasksPerJob = 10;
+
+struct Cost
+{
+    std::uint64_t events = 0;
+    std::uint64_t starts = 0;
+    std::chrono::nanoseconds time{};
+};
+
+/// Workers that run what they are told, and tell its end.
+class Fleet
+{
+public:
+    explicit Fleet(int workers)
+        : m_steward(1, StewardSettings(), m_now)
+        , m_active(static_cast<std::size_t>(workers))
+        , m_ended(static_cast<std::size_t>(workers))
+    {
+        auto rules = SchedulingRules();
+        for (auto n = 0; n < Pools; ++n) {
+            rules.pools[pool(n)] = {};
+            rules.queues[QueueName(pool(n).value())] = {pool(n), 3, 0, 1.6, 600};
+        }
+        step(steward_event::Ticked{1'000'000});
+        step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)});
+        for (auto n = 0; n < workers; ++n) {
+            auto report = WorkerReport();
+            report.name = WorkerName(std::to_string(n));
+            report.pool = pool(n % Pools);
+            report.capacity = {64'000, 128'000, 0};
+            step(steward_event::WorkerReported{report});
+        }
+        m_steward.expectWorkers({});
+    }
+
+    auto run() -> Cost
+    {
+        auto random = std::mt19937(7);
+        auto owed = 0.0;
+        for (const auto end = m_now + SimulatedTime; m_now < end; m_now += 10ms) {
+            owed += JobsPerWorkerAndSecond * static_cast<double>(m_active.size()) / 100;
+            for (; owed >= 1; owed -= 1)
+                submit(random);
+            for (std::size_t n = 0; n < m_active.size(); ++n)
+                endRuns(n);
+            step(steward_event::PlacementDue());
+            if (++m_rounds % 10 == 0)
+                step(steward_event::Ticked{1'000'000});
+        }
+        return m_cost;
+    }
+
+private:
+    static auto pool(int number) -> PoolName { return PoolName("pool-" + std::to_string(number)); }
+
+    auto submit(std::mt19937 &random) -> void
+    {
+        auto job = JobSpec();
+        job.id = fmt::format("{:016x}", ++m_jobs);
+        job.queue = QueueName(pool(static_cast<int>(m_jobs % Pools)).value());
+        job.steps.resize(1);
+        job.steps[0].taskCount = TasksPerJob;
+        job.steps[0].room = {4'000 + static_cast<std::int64_t>(random() % 3'000), 6'000, 0};
+        job.steps[0].estimatedMilliseconds = 640;
+        step(steward_event::JobAccepted{job, {}, false});
+    }
+
+    auto endRuns(std::size_t worker) -> void
+    {
+        auto &active = m_active[worker];
+        auto look = steward_event::WorkerLooked();
+        for (auto n = active.size(); n-- > 0;) {
+            if (active[n].second > m_now)
+                continue;
+            look.ended.push_back(
+                {++m_sequence, active[n].first.task, active[n].first.run, RunEnd::Done, {}});
+            active.erase(active.begin() + static_cast<std::ptrdiff_t>(n));
+        }
+        if (look.ended.empty() && m_steward.token() == 0)
+            return;
+        if (look.ended.empty() && m_rounds > 0)
+            return;
+        look.worker = WorkerName(std::to_string(worker));
+        look.sentAt = m_now;
+        look.clockMilliseconds = 1;
+        for (const auto &it : active)
+            look.active.push_back(it.first);
+        step(look);
+    }
+
+    auto step(const StewardEvent &event) -> void
+    {
+        const auto begun = std::chrono::steady_clock::now();
+        const auto actions = m_steward.step(event, m_now);
+        m_cost.time += std::chrono::steady_clock::now() - begun;
+        ++m_cost.events;
+        for (const auto &action : actions) {
+            if (const auto *start = std::get_if<steward_action::StartRun>(&action))
+                answer(*start);
+            if (const auto *keep = std::get_if<steward_action::KeepProgress>(&action)) {
+                if (const auto record = m_steward.record(keep->job))
+                    m_kept.emplace_back(keep->job, record->change);
+            }
+        }
+        for (const auto &[job, change] : std::exchange(m_kept, {}))
+            m_steward.step(steward_event::ProgressKept{job, change}, m_now);
+    }
+
+    auto answer(const steward_action::StartRun &start) -> void
+    {
+        ++m_cost.starts;
+        const auto worker = static_cast<std::size_t>(std::stoul(start.worker.value()));
+        m_active[worker].push_back({{start.task, start.run, {}, 0, 0}, m_now + RunTime});
+        step(steward_event::StartAnswered{start.worker, start.task, start.run,
+                                          OrderOutcome::Accepted, 1});
+    }
+
+    BootTime m_now{1h};
+    Steward m_steward;
+    std::vector<std::vector<std::pair<ActiveRun, BootTime>>> m_active;
+    std::vector<int> m_ended;
+    std::vector<std::pair<std::string, std::uint64_t>> m_kept;
+    std::uint64_t m_jobs = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_rounds = 0;
+    Cost m_cost;
+};
+
+auto measureLook() -> void
+{
+    constexpr auto Rows = 12;
+    constexpr auto Times = 20'000;
+    auto body = std::string(R"({"clock_ms":482113,"born":1,"active":[)");
+    for (auto n = 0; n < Rows; ++n) {
+        body += fmt::format(R"({}["5c0e7a21d94b36f8.0.1.{}",3002,"",{},3306])", n == 0 ? "" : ",",
+                            n, n);
+    }
+    body += R"(],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+    const auto begun = std::chrono::steady_clock::now();
+    auto rows = std::size_t{0};
+    for (auto n = 0; n < Times; ++n)
+        rows += platform::decodeLook(WorkerName("w"), body)->active.size();
+    const auto time = std::chrono::steady_clock::now() - begun;
+    fmt::print("a look of {} rows, {} bytes: {:.1f} us\n", rows / Times, body.size(),
+               std::chrono::duration<double, std::micro>(time).count() / Times);
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    auto sizes = std::vector<int>();
+    for (auto n = 1; n < argc; ++n)
+        sizes.push_back(std::atoi(argv[n]));
+    if (sizes.empty())
+        sizes = {48, 96, 192, 384};
+    fmt::print("workers  starts/s  decisions: cores   us per start\n");
+    for (const auto workers : sizes) {
+        const auto cost = Fleet(workers).run();
+        const auto seconds = std::chrono::duration<double>(cost.time).count();
+        const auto time = std::chrono::duration<double>(SimulatedTime).count();
+        fmt::print("{:7}  {:8.0f}  {:16.4f}  {:13.1f}\n", workers,
+                   static_cast<double>(cost.starts) / time, seconds / time,
+                   seconds * 1e6 / static_cast<double>(cost.starts));
+    }
+    measureLook();
+    return 0;
+}
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -48,6 +48,7 @@
         m_goneHandler = nullptr;
         const auto isKept = m_isKeepAlive && m_server->m_isKeepingAlive;
         m_socket->write(serializeResponse(response, isKept));
+        m_socket->flush();
         if (!isKept) {
             linger();
             return;
--- a/packages/connection/src/target_connection.cpp
+++ b/packages/connection/src/target_connection.cpp
@@ -36,7 +36,10 @@
     , m_bounds(bounds)
 {
     m_timeout.setSingleShot(true);
-    connect(&m_socket, &QTcpSocket::connected, this, [this] { write(); });
+    connect(&m_socket, &QTcpSocket::connected, this, [this] {
+        m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        write();
+    });
     connect(&m_socket, &QTcpSocket::readyRead, this, [this] { read(); });
     connect(&m_socket, &QTcpSocket::disconnected, this, [this] { handleDisconnect(); });
     connect(&m_socket, &QTcpSocket::errorOccurred, this, [this] { handleDisconnect(); });
@@ -86,9 +89,10 @@
     // From here on the target may have the request, whatever happens to the connection.
     m_isWritten = true;
     m_progress.stop();
-    m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
     m_socket.write(m_waiting);
     m_waiting.clear();
+    // At once: waiting for the event loop to find the socket writable costs a wake-up a request.
+    m_socket.flush();
 }
 
 auto TargetConnection::read() -> void
--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -27,7 +27,8 @@
     static constexpr Milliseconds IdleBeforeStandby{2'500};
     static constexpr Milliseconds IdleBeforeMove{200}; // gaps between two jobs are shorter
     static constexpr Milliseconds Smoothing{700}; // of falling demand; rising demand counts at once
-    static constexpr std::size_t MostMovesAtOnce = 24; // a turn lasts 4 s, a move 1.5 s
+    /// One in this many hosts moves at a time: a turn lasts 4 s, a move 1.5 s.
+    static constexpr std::size_t HostsPerMove = 2;
     static constexpr double TargetUse = 0.85; // of a pool's cores: the rest is lost to packing
     static constexpr std::size_t SpareHosts = 1; // in each pool, for what comes next
 
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -68,7 +68,10 @@
     m_steppedAt = now;
 
     auto moves = std::vector<HostMove>();
-    const auto mayMoveMore = [&moves, moving] { return moves.size() + moving < MostMovesAtOnce; };
+    const auto mostMoves = (hosts.size() + HostsPerMove - 1) / HostsPerMove;
+    const auto mayMoveMore = [&moves, moving, mostMoves] {
+        return moves.size() + moving < mostMoves;
+    };
     for (auto &[name, pool] : pools) {
         while (pool.hosts < pool.needed && mayMoveMore()) {
             const auto donor = std::ranges::max_element(pools, {}, [](const auto &it) {
--- /dev/null
+++ b/tests/unit/unit-platform-wire.cpp
@@ -0,0 +1,208 @@
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+#include "settings.hpp"
+#include "wire.hpp"
+
+namespace shallotproxy::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto Configuration = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","prefix":"/q/","service":"s1","attempts":2,"stretch":1.6,
+   "slo_ms":600,"priority":1},
+  {"name":"r2","host":"a.example","prefix":"/q/long/","service":"s2","public":true,"unknown":[1]}],
+  "services":[{"name":"s1"},{"name":"s2","standby":true}],"limits":{"max_body_bytes":1000},
+  "tenants":[{"name":"t1","api_keys":["k1","k2"],"weight":3,"cap":{"cpu":5000}}]})";
+
+auto record(const std::string &key, const std::string &value) -> VersionedRecord
+{
+    auto result = VersionedRecord();
+    result.key = key;
+    result.value = value;
+    return result;
+}
+
+auto declaration() -> FleetDeclaration
+{
+    return std::get<FleetDeclaration>(
+        *Records().decodeDeclaration(record("op/config", Configuration)));
+}
+
+TEST(PlatformWire, ReadsAConfiguration)
+{
+    const auto read = declaration();
+    EXPECT_EQ(read.version, 7U);
+    ASSERT_EQ(read.queues.size(), 2U);
+    EXPECT_EQ(read.queues[0].rules.attempts, 2U);
+    EXPECT_EQ(read.queues[0].rules.graceMilliseconds, 600);
+    EXPECT_TRUE(read.queues[1].isOpen);
+    EXPECT_TRUE(read.rules.pools.at(PoolName("s2")).isStandby);
+    EXPECT_EQ(read.teamsByKey.at("k2"), TeamName("t1"));
+    EXPECT_EQ(read.rules.teams.at(TeamName("t1")).limit, (Room{5'000, 0, 0}));
+}
+
+TEST(PlatformWire, ReadsEvacuationsAndWaves)
+{
+    const auto closed = *Records().decodeDeclaration(record("op/evacuate/north", "{}"));
+    EXPECT_EQ(std::get<ClosedDataCentre>(closed).dataCentre, DataCentreName("north"));
+    const auto wave = std::get<UpkeepWave>(*Records().decodeDeclaration(
+        record("op/wave/3", R"({"wave":3,"machines":["m1","m2"],"duration_s":2.5,"cap":4})")));
+    EXPECT_EQ(wave.hosts.size(), 2U);
+    EXPECT_EQ(wave.mostAtOnce, 4U);
+    EXPECT_EQ(wave.duration, 2'500ms);
+}
+
+TEST(PlatformWire, TakesNoWorkerFromAStrangersRecord)
+{
+    const auto records = Records();
+    const auto good = std::string(
+        R"({"service":"s1","address":"10.0.0.1:80","zone":"north","state":"draining","slots":8,
+            "capacity":{"cpu":1000},"labels":["a","r1"],"seq":4,"born":17})");
+    const auto report = records.decodeWorker(record("servers/i-1", good));
+    ASSERT_TRUE(report.has_value());
+    EXPECT_EQ(report->name, WorkerName("i-1"));
+    EXPECT_TRUE(report->isLeaving);
+    EXPECT_EQ(report->bornMilliseconds, 17);
+    EXPECT_FALSE(records.decodeWorker(record("servers/i-2", "\xff\xfe")));
+    EXPECT_FALSE(records.decodeWorker(record("servers/i-2", "[]")));
+    EXPECT_FALSE(records.decodeWorker(record("servers/i-2", R"({"service":5})")));
+    EXPECT_FALSE(records.decodeWorker(record("servers/i-2", R"({"state":"ready"})")));
+    auto state = good;
+    state.replace(state.find("draining"), 8, "sleeping");
+    EXPECT_FALSE(records.decodeWorker(record("servers/i-2", state)));
+}
+
+RC_GTEST_PROP(PlatformWire, ReadsAnyBytesWithoutACrash, (const std::string &bytes))
+{
+    const auto records = Records();
+    static_cast<void>(records.decodeWorker(record("servers/x", bytes)));
+    static_cast<void>(records.decodeDeclaration(record("op/config", bytes)));
+    static_cast<void>(records.decodeDeclaration(record("op/wave/1", bytes)));
+    static_cast<void>(Callers().decodeJob(bytes));
+    decodeLook(WorkerName("w"), bytes);
+    parseTaskName(bytes);
+    RC_ASSERT(fromBase64(toBase64(bytes)) == bytes);
+}
+
+RC_GTEST_PROP(PlatformWire, NamesTasksSoThatTheyAreReadBack,
+              (std::uint32_t occurrence, std::uint32_t step, std::uint32_t index))
+{
+    const auto task = JobTaskId{"0123456789abcdef", occurrence, step, index};
+    RC_ASSERT(parseTaskName(taskName(task)) == std::optional(task));
+}
+
+TEST(PlatformWire, ReadsAJob)
+{
+    const auto job = Callers().decodeJob(
+        R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900},
+            {"count":2,"after":[0],"long_running":true,"anti_affinity":1,"may_miss":1,
+             "target_ms":30,"fills":true,"new_field":{}}],
+            "max_runs":3,"initial_delay_ms":1000,"interval_ms":50})");
+    ASSERT_TRUE(job.has_value());
+    EXPECT_EQ(job->steps[0].room, (Room{500, 256, 0}));
+    EXPECT_TRUE(job->steps[1].isLasting);
+    EXPECT_EQ(job->steps[1].mayMiss, 1U);
+    EXPECT_EQ(job->occurrences, 3U);
+    EXPECT_TRUE(job->isScheduled());
+    EXPECT_EQ(job->chainMilliseconds(), 900);
+}
+
+TEST(PlatformWire, RefusesMalformedJobs)
+{
+    const auto callers = Callers();
+    EXPECT_FALSE(callers.decodeJob(""));
+    EXPECT_FALSE(callers.decodeJob("{}"));
+    EXPECT_FALSE(callers.decodeJob(R"({"steps":{}})"));
+    EXPECT_FALSE(callers.decodeJob(R"({"steps":[{"count":"many"}]})"));
+    EXPECT_FALSE(callers.decodeJob(R"({"steps":[{"after":[0]}]})"));
+    EXPECT_FALSE(callers.decodeJob(R"({"steps":[{"count":-1}]})"));
+}
+
+TEST(PlatformWire, KnowsTheCallsOfCallers)
+{
+    const auto callers = Callers();
+    const auto kindOf = [&callers](const char *method, const char *rest) {
+        const auto call = callers.decodeCall({method, "/", {}, {}}, rest);
+        return call ? std::optional(call->kind) : std::nullopt;
+    };
+    EXPECT_EQ(kindOf("POST", "5c0e7a21d94b36f8"), CallerCall::Kind::Submit);
+    EXPECT_EQ(kindOf("GET", "5c0e7a21d94b36f8"), CallerCall::Kind::ReadJob);
+    EXPECT_EQ(kindOf("DELETE", "5c0e7a21d94b36f8"), CallerCall::Kind::CancelJob);
+    EXPECT_EQ(kindOf("GET", ""), CallerCall::Kind::CountPending);
+    EXPECT_EQ(kindOf("POST", ""), std::nullopt);
+    EXPECT_EQ(kindOf("POST", "5c0e7a21d94b36fx"), std::nullopt);
+    EXPECT_EQ(kindOf("PUT", "5c0e7a21d94b36f8"), std::nullopt);
+    EXPECT_EQ(callers.encodeState(JobState::Completed).body, R"({"state":"completed"})");
+    EXPECT_EQ(callers.encodeState(JobState::Unknown).status, 410U);
+}
+
+TEST(PlatformWire, ReadsAWorkersLists)
+{
+    const auto look =
+        decodeLook(WorkerName("w"),
+                   R"({"clock_ms":9,"born":3,"active":[["0123456789abcdef.0.1.17",2,"c",41,7]],
+            "finished":[[58,"0123456789abcdef.0.1.9",1,"lapsed","s"],[59,"strange",1,"done",""]]})");
+    ASSERT_TRUE(look.has_value());
+    EXPECT_EQ(look->active.at(0).progressPercent, 41);
+    EXPECT_EQ(look->active.at(0).figure, 7);
+    EXPECT_EQ(look->ended.at(0).end, RunEnd::Lapsed);
+    EXPECT_EQ(look->ended.at(0).checkpoint, "s");
+    EXPECT_EQ(look->ended.size(), 2U);
+    EXPECT_FALSE(decodeLook(WorkerName("w"), R"({"clock_ms":9,"active":[[]],"finished":[]})"));
+}
+
+TEST(DeclarationBoard, AdmitsByTheLongestPrefixAndTheKey)
+{
+    const auto now = BootTime(1h);
+    auto board = DeclarationBoard(4s);
+    EXPECT_EQ(board.admit("a.example", "/q/1", "k1", now).error().kind,
+              CallRefusal::Kind::NoConfiguration);
+    board.declared(std::make_shared<const FleetDeclaration>(declaration()));
+    board.confirmed(now);
+    EXPECT_EQ(board.admit("a.example", "/q/1", "k1", now)->team, TeamName("t1"));
+    EXPECT_EQ(board.admit("a.example", "/q/1", "k1", now)->rest, "1");
+    EXPECT_EQ(board.admit("a.example", "/q/long/1", "", now)->queue->name, QueueName("r2"));
+    EXPECT_EQ(board.admit("a.example", "/q/1", "k9", now).error().kind,
+              CallRefusal::Kind::UnknownKey);
+    EXPECT_EQ(board.admit("b.example", "/q/1", "k1", now).error().kind, CallRefusal::Kind::NoQueue);
+}
+
+TEST(DeclarationBoard, RefusesKeysOnceItMayNotBeTheNewest)
+{
+    const auto now = BootTime(1h);
+    auto board = DeclarationBoard(4s);
+    board.declared(std::make_shared<const FleetDeclaration>(declaration()));
+    board.confirmed(now);
+    EXPECT_TRUE(board.admit("a.example", "/q/1", "k1", now + 3'900ms).has_value());
+    EXPECT_EQ(board.admit("a.example", "/q/1", "k1", now + 4s).error().kind,
+              CallRefusal::Kind::Stale);
+    EXPECT_TRUE(board.admit("a.example", "/q/long/1", "", now + 4s).has_value());
+    board.confirmed(now + 5s);
+    EXPECT_TRUE(board.admit("a.example", "/q/1", "k1", now + 6s).has_value());
+}
+
+TEST(DeclarationBoard, NeverGoesBack)
+{
+    auto board = DeclarationBoard(4s);
+    auto old = declaration();
+    old.version = 6;
+    EXPECT_TRUE(board.declared(std::make_shared<const FleetDeclaration>(declaration())));
+    EXPECT_FALSE(board.declared(std::make_shared<const FleetDeclaration>(old)));
+    EXPECT_EQ(board.current()->version, 7U);
+}
+
+TEST(PlatformSettings, NameTheFileAndTheKeyThatIsWrong)
+{
+    const auto missing = loadSettings("/nonexistent/boot.json");
+    ASSERT_FALSE(missing.has_value());
+    EXPECT_EQ(missing.error().kind, SettingsError::Kind::Unreadable);
+    EXPECT_NE(missing.error().message().find("/nonexistent/boot.json"), std::string::npos);
+}
+
+} // namespace
+
+} // namespace shallotproxy::platform
