--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -21,10 +21,11 @@
 {
     auto order = Waiting{request, timeoutMilliseconds, std::move(callback), BootClock::now()};
     auto &entry = m_endpoints[endpoint];
-    if (entry.busy >= m_mostAtOnce)
+    if (entry.busy >= m_mostAtOnce) {
         entry.waiting.push_back(std::move(order));
-    else
+    } else {
         sendNow(endpoint, std::move(order));
+    }
 }
 
 auto HttpClient::takeIdle(Endpoint &entry) -> TargetConnection *
@@ -51,10 +52,11 @@
         [this, endpoint, connection, callback = std::move(order.callback)](auto reply) {
             auto &used = m_endpoints[endpoint];
             --used.busy;
-            if (connection->isReusable())
+            if (connection->isReusable()) {
                 used.idle.push_back({connection, BootClock::now()});
-            else
+            } else {
                 connection->deleteLater();
+            }
             sendNext(endpoint);
             callback(std::move(reply));
         });
@@ -67,10 +69,11 @@
         auto next = std::move(entry.waiting.front());
         entry.waiting.pop_front();
         const auto waited = BootClock::now() - next.since;
-        if (waited < std::chrono::milliseconds(next.timeoutMilliseconds))
+        if (waited < std::chrono::milliseconds(next.timeoutMilliseconds)) {
             sendNow(endpoint, std::move(next));
-        else
+        } else {
             next.callback(tl::unexpected(TargetError{TargetError::Kind::NotConnected}));
+        }
     }
 }
 
--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -109,7 +109,7 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    auto operator<=>(const JobTaskId &) const = default;
+    auto operator<=>(const JobTaskId &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 auto encodeJob(const JobSpec &spec) -> std::string;
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -60,6 +60,8 @@
     Milliseconds runLease{5'000};
     Milliseconds longestLease{10'000}; // what workers grant at most; from the platform's settings
     Milliseconds lookWait{900}; // a look waits for an end this long
+    Milliseconds guardedLookWait{
+        400}; // where tasks on spare cores run; half of their figure's span
     Milliseconds busyLookGap{15}; // between two looks: groups ends that come together
     Milliseconds silence{2'200}; // a worker without an answer for this long gets no new work
     Milliseconds resendInterval{350}; // between two orders of one kind for one run
@@ -99,6 +101,8 @@
     [[nodiscard]] auto poolLoads() const -> std::map<PoolName, PoolLoad>;
     [[nodiscard]] auto workerLoads() const -> std::vector<WorkerLoad>;
     [[nodiscard]] auto isRecovering() const -> bool { return m_isRecovering; }
+    /// Forgets jobs that ended before this Unix time, and returns their names.
+    auto forgetEnded(std::int64_t wallMilliseconds, std::size_t most) -> std::vector<std::string>;
     /// The workers of all hosts that are up; recovery waits until each of them has been asked.
     auto expectWorkers(std::set<WorkerName> workers) -> void;
     /// The largest worker of a pool, over all its lives seen; no value while none has been seen.
@@ -148,6 +152,7 @@
     auto releaseAll(Worker &worker) -> void;
     auto beginAgain(Worker &worker) -> void;
     auto applyActive(Worker &worker, const steward_event::WorkerLooked &look) -> void;
+    auto guardLatency(Worker &worker) -> void;
     auto adopt(Worker &worker, const ActiveRun &run) -> void;
     auto applyEnd(Worker &worker, const EndedRun &end) -> void;
     auto takeEnd(Task &task, Worker &worker, const EndedRun &end, bool isHere) -> void;
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -226,6 +226,30 @@
     return result;
 }
 
+auto Steward::forgetEnded(std::int64_t wallMilliseconds, std::size_t most)
+    -> std::vector<std::string>
+{
+    auto forgotten = std::vector<std::string>();
+    for (auto it = m_jobs.begin(); it != m_jobs.end() && forgotten.size() < most;) {
+        const auto &job = *it->second;
+        const auto isOver = job.keptOutcome != JobOutcome::Open && job.keptChange == job.change
+            && job.endedMilliseconds < wallMilliseconds;
+        const auto hasRuns = std::ranges::any_of(job.occurrences, [](const auto &occurrence) {
+            return std::ranges::any_of(occurrence.second.steps, [](const auto &step) {
+                return std::ranges::any_of(step,
+                                           [](const Task &task) { return task.worker != nullptr; });
+            });
+        });
+        if (!isOver || hasRuns) {
+            ++it;
+            continue;
+        }
+        forgotten.push_back(it->first);
+        it = m_jobs.erase(it);
+    }
+    return forgotten;
+}
+
 auto Steward::view(const std::string &job) const -> JobView
 {
     const auto it = m_jobs.find(job);
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -209,7 +209,7 @@
         bool disturbs = false;
         std::int64_t freeCores = 0;
 
-        auto operator<=>(const Score &) const = default;
+        auto operator<=>(const Score &) const = default; // NOLINT(modernize-use-nullptr)
     };
     const auto &spec = task.spec();
     Worker *best = nullptr;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "shallotproxy/job/latency_guard.hpp"
 #include "steward_state.hpp"
 
 namespace shallotproxy {
@@ -182,6 +183,7 @@
     applyActive(*worker, event);
     if (!event.hasMoreEnds && event.ended.size() < FullListOfEnds)
         applyMissing(*worker, event);
+    guardLatency(*worker);
     worker->nextLook = m_now + m_settings.busyLookGap;
     endRecoveryIfDone();
     vacate(*worker);
@@ -213,6 +215,29 @@
     }
 }
 
+/// Slows tasks on spare cores while a neighbour that serves users is near its target.
+auto Steward::guardLatency(Worker &worker) -> void
+{
+    auto worst = 0.0;
+    for (const auto *task : worker.runs) {
+        const auto target = task->spec().latencyTargetMilliseconds;
+        if (target > 0 && task->phase == TaskPhase::Running) {
+            worst =
+                std::max(worst, static_cast<double>(task->figure) / static_cast<double>(target));
+        }
+    }
+    for (auto *task : worker.runs) {
+        if (!task->spec().usesSpareCores || task->phase != TaskPhase::Running)
+            continue;
+        const auto speed = LatencyGuard::nextSpeed(task->ownSpeedPercent, worst);
+        if (speed == task->ownSpeedPercent)
+            continue;
+        task->ownSpeedPercent = speed;
+        m_actions.emplace_back(
+            steward_action::PaceRun{worker.report.name, task->id(), task->run, speed});
+    }
+}
+
 /// A run that an earlier steward began, or one that nobody needs any more.
 auto Steward::adopt(Worker &worker, const ActiveRun &run) -> void
 {
@@ -370,10 +395,11 @@
     // Nothing was started by this order, but one sent before it may still be on its way.
     worker->restsUntil = m_now + m_settings.unhealthyRest;
     worker->nextLook = m_now;
-    if (wasStarting && !task->wasSentAgain)
+    if (wasStarting && !task->wasSentAgain) {
         release(*task);
-    else if (wasStarting)
+    } else if (wasStarting) {
         stopTask(*task);
+    }
     lookIfDue(*worker);
 }
 
@@ -479,9 +505,13 @@
     const auto needsLease =
         worker.hasClock && !worker.runs.empty() && worker.failedLooks < MostFailedLooks;
     worker.acknowledged = acknowledged;
-    m_actions.emplace_back(steward_action::LookAtWorker{
-        worker.report.name, needsLease ? renewLease(worker) : 0, acknowledged,
-        mayWait ? static_cast<int>(m_settings.lookWait.count()) : 0});
+    // Beside tasks that serve users, those on spare cores are paced by what each look tells.
+    const auto isGuarded =
+        std::ranges::any_of(worker.runs, [](const Task *it) { return it->spec().usesSpareCores; });
+    const auto wait = isGuarded ? m_settings.guardedLookWait : m_settings.lookWait;
+    m_actions.emplace_back(
+        steward_action::LookAtWorker{worker.report.name, needsLease ? renewLease(worker) : 0,
+                                     acknowledged, mayWait ? static_cast<int>(wait.count()) : 0});
 }
 
 auto Steward::tickWorker(Worker &worker) -> void
--- a/packages/job/src/waiting_order.cpp
+++ b/packages/job/src/waiting_order.cpp
@@ -15,7 +15,7 @@
     Duration::rep order;
     std::size_t index;
 
-    auto operator<=>(const Rank &) const = default;
+    auto operator<=>(const Rank &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 auto rankOf(const WaitingStep &step, BootTime now) -> Rank
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -48,6 +48,7 @@
     auto jobChanged(const VersionedRecord &record) -> void;
     auto workerChanged(const VersionedRecord &record) -> void;
     auto tick() -> void;
+    auto forgetEndedJobs() -> void;
 
     auto perform(const steward_action::StartRun &action) -> void;
     auto perform(const steward_action::StopRun &action) -> void;
@@ -80,6 +81,7 @@
     QTimer m_writeTimer;
     QTimer m_placeTimer;
     std::vector<StewardEvent> m_events;
+    BootTime m_nextForgetting;
     bool m_isDispatching = false;
     bool m_isCampaigning = false;
     bool m_wasUnsure = false; // at the last look, whether the declarations are the newest
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -223,10 +223,11 @@
     m_context.store.read(key, [self = QPointer(this), call](auto reply) {
         if (!self)
             return;
-        if (reply && !reply->records.empty())
+        if (reply && !reply->records.empty()) {
             self->answer(call, {200, {}, "{}"}, "accepted-unanswered");
-        else
+        } else {
             self->answer(call, {504, {}, "{}"}, "submission-unknown");
+        }
     });
 }
 
@@ -278,11 +279,12 @@
                          otherwise();
                          return;
                      }
-                     if (isCount)
+                     if (isCount) {
                          self->answer(call, self->m_context.codec.encodePending(told.pending),
                                       "counted");
-                     else
+                     } else {
                          self->answerView(call, {state, told.team});
+                     }
                  });
 }
 
@@ -337,12 +339,13 @@
                 return;
             }
             auto view = JobView{JobState::Running, record->team};
-            if (record->state() == JobOutcome::Completed)
+            if (record->state() == JobOutcome::Completed) {
                 view.state = JobState::Completed;
-            else if (record->state() == JobOutcome::Failed)
+            } else if (record->state() == JobOutcome::Failed) {
                 view.state = JobState::Failed;
-            else if (record->state() == JobOutcome::Cancelled)
+            } else if (record->state() == JobOutcome::Cancelled) {
                 view.state = JobState::Cancelled;
+            }
             self->answerView(call, view);
         });
     });
@@ -354,12 +357,13 @@
     m_context.store.read(key, [self = QPointer(this), call](auto job) {
         if (!self)
             return;
-        if (!job)
+        if (!job) {
             self->refuse(call, 503, job.error().name());
-        else if (job->records.empty())
+        } else if (job->records.empty()) {
             self->cancelEndedJob(call);
-        else
+        } else {
             self->writeCancellation(call, job->records.front());
+        }
     });
 }
 
@@ -380,12 +384,13 @@
         if (!self)
             return;
         const auto isOver = reply || reply.error().kind == StoreFailure::Kind::Conflict;
-        if (isOver)
+        if (isOver) {
             self->answer(call, {200, {}, "{}"}, reply ? "cancelled" : "cancelled-before");
-        else if (reply.error().kind == StoreFailure::Kind::NotDone)
+        } else if (reply.error().kind == StoreFailure::Kind::NotDone) {
             self->refuse(call, 503, reply.error().name());
-        else
+        } else {
             self->answer(call, {504, {}, "{}"}, "cancellation-unknown");
+        }
     });
 }
 
@@ -431,7 +436,7 @@
 {
     --m_openCalls;
     const auto elapsed = BootClock::now() - call->receivedAt;
-    const auto label = fmt::format("kind=\"{}\",status=\"{}\"", call->kind, response.status);
+    const auto label = fmt::format(R"(kind="{}",status="{}")", call->kind, response.status);
     m_context.metrics.count("shallotproxy_calls_total", label);
     m_context.metrics.sample("shallotproxy_call_seconds", fmt::format("kind=\"{}\"", call->kind),
                              std::chrono::duration<double>(elapsed).count());
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -312,10 +312,11 @@
         }
         self->m_context.log.info("event=move-not-accepted host={} outcome={}", move.host.value(),
                                  static_cast<int>(outcome));
-        if (outcome == HostOutcome::Unanswered)
+        if (outcome == HostOutcome::Unanswered) {
             self->m_unclear[move.host] = now + LateOrderTime;
-        else if (!worker.isEmpty())
+        } else if (!worker.isEmpty()) {
             self->m_steward.dispatch(steward_event::WorkerVacated{worker, false});
+        }
     });
 }
 
--- a/packages/member/src/member_runtime.cpp
+++ b/packages/member/src/member_runtime.cpp
@@ -28,7 +28,7 @@
 
 auto MemberRuntime::start() -> Expected<void, ListenError>
 {
-    if (const auto listening = m_callers.listen(); !listening)
+    if (auto listening = m_callers.listen(); !listening)
         return listening;
     m_context.log.info("event=member-starts callers={} inner={}",
                        m_context.settings.callersEndpoint, m_context.settings.innerEndpoint);
@@ -40,10 +40,11 @@
     };
     handlers.confirmed = [this](BootTime at) { m_context.fleet.board.confirmed(at); };
     handlers.reached = [this](bool isReached) {
-        if (isReached)
+        if (isReached) {
             m_context.log.info("event=store-regained");
-        else
+        } else {
             m_context.log.warning("event=store-lost");
+        }
     };
     m_declarations = std::make_unique<RecordWatch>(
         m_context.store, m_context.records.declarationsPrefix(), DeclarationWait, handlers, this);
--- a/packages/member/src/record_watch.cpp
+++ b/packages/member/src/record_watch.cpp
@@ -83,10 +83,11 @@
         std::min(FirstRetryMilliseconds << std::min(m_failures, 3), LongestRetryMilliseconds);
     ++m_failures;
     QTimer::singleShot(wait, this, [this] {
-        if (m_isLoaded)
+        if (m_isLoaded) {
             watch();
-        else
+        } else {
             load();
+        }
     });
 }
 
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds RecordWait{2'000}; // of the steward's other watches
 constexpr milliseconds TickInterval{100}; // the finest step of the steward's own timeouts
 constexpr milliseconds PlacementDelay{2}; // groups answers that come together
+constexpr milliseconds ForgetInterval{
+    5'000}; // with 20 at once: four jobs a second for each steward
+constexpr std::size_t ForgottenAtOnce = 20; // records of one write, of at most 32 entries
+constexpr std::int64_t KeptFactor = 2; // kept for twice as long as promised
 constexpr milliseconds CampaignSpread{80}; // members begin this far apart, so few calls are lost
 // Half a core serves the largest fleet; below it a member waits longer the less it has: 120 ms with
 // a quarter, 380 ms with 0.12, more than members start apart.
@@ -134,10 +138,11 @@
                                [self = QPointer(this), sentAt, retry](auto reply) {
                                    if (!self)
                                        return;
-                                   if (reply)
+                                   if (reply) {
                                        self->claim(reply->lease, sentAt);
-                                   else
+                                   } else {
                                        retry();
+                                   }
                                });
 }
 
@@ -208,10 +213,11 @@
     m_context.store.renewLease(m_lease, [self = QPointer(this), sentAt, life = m_life](auto reply) {
         if (!self || life != self->m_life || !self->m_stewardship.token())
             return;
-        if (reply)
+        if (reply) {
             self->m_stewardship.renewed(sentAt);
-        else if (reply.error().kind == StoreFailure::Kind::LeaseGone)
+        } else if (reply.error().kind == StoreFailure::Kind::LeaseGone) {
             self->stepDown("lease-gone");
+        }
     });
 }
 
@@ -438,8 +444,32 @@
         return;
     }
     dispatch(steward_event::Ticked{wallMilliseconds()});
-    if (m_steward)
-        m_context.workers.closeIdle(now);
+    if (!m_steward)
+        return;
+    m_context.workers.closeIdle(now);
+    if (now >= m_nextForgetting) {
+        m_nextForgetting = now + ForgetInterval;
+        forgetEndedJobs();
+    }
+}
+
+/// Ended jobs are known for a while, so that a repeated submission finds them; then they go.
+auto StewardDuty::forgetEndedJobs() -> void
+{
+    const auto before = wallMilliseconds() - m_context.settings.stateKept.count() * KeptFactor;
+    const auto jobs = m_steward->forgetEnded(before, ForgottenAtOnce);
+    if (jobs.empty())
+        return;
+    auto commit = StoreCommit();
+    commit.compares.push_back(
+        {std::string(store_keys::Steward), static_cast<StoreRevision>(*m_stewardship.token())});
+    for (const auto &job : jobs) {
+        commit.removes.push_back(store_keys::progress(job));
+        m_writer.forgotten(job);
+    }
+    m_context.log.info("event=jobs-forgotten jobs={}", jobs.size());
+    // Records that stay after a failure are read by the next steward, and go with it.
+    m_context.store.commit(commit, [](const auto &) {});
 }
 
 /// Events that come while one is handled wait their turn, so that the steward never re-enters.
--- a/tests/unit/job_world.cpp
+++ b/tests/unit/job_world.cpp
@@ -232,10 +232,11 @@
         answer(OrderOutcome::Unanswered, LostAnswerTime);
     } else {
         const auto outcome = apply();
-        if (fate == Fate::AnswerLost)
+        if (fate == Fate::AnswerLost) {
             answer(OrderOutcome::Unanswered, LostAnswerTime);
-        else
+        } else {
             answer(outcome, AnswerTime);
+        }
     }
 }
 
@@ -415,12 +416,13 @@
 {
     for (auto n = worker.active.size(); n-- > 0;) {
         const auto &run = worker.active[n];
-        if (m_now >= worker.leaseEnds)
+        if (m_now >= worker.leaseEnds) {
             endRun(worker, n, RunEnd::Lapsed);
-        else if (m_now >= run.stopsAt)
+        } else if (m_now >= run.stopsAt) {
             endRun(worker, n, RunEnd::Stopped);
-        else if (!run.isLasting && m_now >= run.endsAt)
+        } else if (!run.isLasting && m_now >= run.endsAt) {
             endRun(worker, n, run.willFail ? RunEnd::Failed : RunEnd::Done);
+        }
     }
 }
 
--- a/tests/unit/unit-platform-clients.cpp
+++ b/tests/unit/unit-platform-clients.cpp
@@ -14,7 +14,7 @@
 using test::runUntil;
 
 /// Answers each request with the same bytes, or closes the connection if there are none.
-auto answering(std::string status, std::string body) -> FakeTarget::Handler
+auto answering(const std::string &status, const std::string &body) -> FakeTarget::Handler
 {
     return [status, body](QTcpSocket &socket, int) {
         if (status.empty()) {
@@ -208,7 +208,7 @@
     auto client = HttpClient(HttpBounds(), 1);
     auto kinds = std::map<int, TargetError::Kind>();
     for (auto n = 0; n < 2; ++n) {
-        client.send(target.endpoint(), {"GET", "/", {}, {}}, 100,
+        client.send(target.endpoint(), {"GET", "/", {}, {}}, n == 0 ? 200 : 50,
                     [&kinds, n](const TargetReply &reply) { kinds[n] = reply.error().kind; });
     }
     ASSERT_TRUE(runUntil([&kinds] { return kinds.size() == 2; }));
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -240,6 +240,37 @@
     EXPECT_FALSE(world.steward(steward).workerLoads().front().hasUnkeptEnds);
 }
 
+TEST(Steward, ForgetsEndedJobsOnceTheyAreOldAndKept)
+{
+    auto world = JobWorld(1);
+    const auto steward = world.addSteward();
+    world.addJob(test::oneStepJob("a", test::shortStep(1)));
+    world.addJob(test::oneStepJob("b", test::lastingStep(1)));
+    world.run(3s);
+    EXPECT_TRUE(world.steward(steward).forgetEnded(999'999, 10).empty());
+    EXPECT_EQ(world.steward(steward).forgetEnded(1'000'001, 10), std::vector<std::string>{"a"});
+    EXPECT_EQ(world.steward(steward).view("a").state, JobState::Unknown);
+    EXPECT_EQ(world.steward(steward).view("b").state, JobState::Running);
+}
+
+// A neighbour that serves users comes near its target while another task fills the worker.
+TEST(Steward, SlowsTasksOnSpareCoresBesideOneThatServes)
+{
+    auto serving = test::lastingStep(1);
+    serving.latencyTargetMilliseconds = 100;
+    auto single = SingleWorker(serving);
+    auto filling = test::oneStepJob("fill", test::lastingStep(1));
+    filling.steps[0].usesSpareCores = true;
+    single.steward.step(steward_event::JobAccepted{filling, {}, true}, single.now);
+    const auto fill = JobTaskId{"fill", 0, 0, 0};
+    single.look({{single.task, 5, {}, 100, 20}, {fill, 5, {}, 100, 900}}, {});
+    const auto actions = single.look({{single.task, 5, {}, 100, 130}, {fill, 5, {}, 100, 900}}, {});
+    const auto *pace = firstOf<steward_action::PaceRun>(actions);
+    ASSERT_NE(pace, nullptr);
+    EXPECT_EQ(pace->task, fill);
+    EXPECT_EQ(pace->speedPercent, 0);
+}
+
 TEST(Steward, MakesRoomForLastingTasksInAFullPool)
 {
     auto world = JobWorld(2);
