--- a/packages/job/include/shallotproxy/job.hpp
+++ b/packages/job/include/shallotproxy/job.hpp
@@ -2,6 +2,7 @@
 
 // Public header of the job library: what lives as long as a job, over requests and members.
 
+#include "job/host_view.hpp"
 #include "job/job_progress.hpp"
 #include "job/job_spec.hpp"
 #include "job/latency_guard.hpp"
--- a/packages/job/include/shallotproxy/job/host_view.hpp
+++ b/packages/job/include/shallotproxy/job/host_view.hpp
@@ -25,7 +25,7 @@
     std::size_t lastingRuns = 0;
     std::size_t otherRuns = 0;
     bool hasUnkeptEnds = false; // they would go with the worker
-    bool isKnown = false; // the worker has answered the steward
+    bool isKnown = false; // what runs there is known, or nothing can
     bool isVacated = false;
 
     [[nodiscard]] auto isIdle() const -> bool
@@ -34,4 +34,7 @@
     }
 };
 
+/// Joins a host with the load of its worker; `load` is null if the steward knows no such worker.
+auto viewOf(const HostReport &report, const WorkerLoad *load, bool isStandby) -> HostView;
+
 } // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -88,7 +88,7 @@
 /// Why a job can't be taken or read.
 struct JobError
 {
-    enum class Kind { Malformed = 901, NeverFits = 902, BadRecord = 903 };
+    enum class Kind { Malformed = 901, Unsupported = 902, BadRecord = 903 };
 
     Kind kind = Kind::Malformed;
     std::string detail;
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -46,6 +46,7 @@
     std::size_t lastingRuns = 0;
     std::size_t otherRuns = 0;
     bool hasUnkeptEnds = false; // ends that only the worker itself still tells
+    bool isAsked = false; // its lists have been read by this steward
     bool isVacated = false;
     bool isUsable = false;
 };
--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -75,8 +75,8 @@
     switch (kind) {
     case Kind::Malformed:
         return "malformed-job";
-    case Kind::NeverFits:
-        return "job-never-fits";
+    case Kind::Unsupported:
+        return "unsupported-job";
     case Kind::BadRecord:
         break;
     }
@@ -96,6 +96,10 @@
         return malformed(fmt::format("{} occurrences", spec.occurrences));
     for (std::size_t n = 0; n < spec.steps.size(); ++n) {
         const auto &step = spec.steps[n];
+        if (step.isGang) {
+            return tl::unexpected(
+                JobError{JobError::Kind::Unsupported, fmt::format("step {} is a gang", n)});
+        }
         if (step.taskCount == 0 || step.taskCount > MostTasksPerStep)
             return malformed(fmt::format("step {} has {} tasks", n, step.taskCount));
         if (step.room.milliCores < 0 || step.room.memoryMegabytes < 0 || step.room.accelerators < 0)
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -619,6 +619,7 @@
     for (const auto &[name, worker] : m_workers) {
         auto load = WorkerLoad{name, worker->report.pool, worker->report.capacity, worker->used};
         load.hasUnkeptEnds = worker->acknowledged < worker->seenEnd;
+        load.isAsked = worker->isHeld;
         load.isVacated = worker->isVacated;
         load.isUsable = isUsable(*worker);
         for (const auto *task : worker->runs)
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -158,25 +158,18 @@
     auto loads = std::map<WorkerName, WorkerLoad>();
     for (auto &it : m_steward.steward()->workerLoads())
         loads.emplace(it.worker, it);
+    const auto &declaration = m_context.fleet.board.current();
+    const auto isStandby = [&declaration](const PoolName &pool) {
+        if (!declaration)
+            return false;
+        const auto rule = declaration->rules.pools.find(pool);
+        return rule != declaration->rules.pools.end() && rule->second.isStandby;
+    };
     auto views = std::vector<HostView>();
     for (const auto &it : m_hosts) {
-        auto view = HostView{it};
         const auto load = loads.find(it.worker);
-        if (load != loads.end()) {
-            view.lastingRuns = load->second.lastingRuns;
-            view.otherRuns = load->second.otherRuns;
-            view.hasUnkeptEnds = load->second.hasUnkeptEnds;
-            view.isVacated = load->second.isVacated;
-            view.isKnown = load->second.isUsable || load->second.isVacated;
-        }
-        // On standby nothing runs, and there is no worker to ask.
-        const auto &declaration = m_context.fleet.board.current();
-        if (declaration) {
-            const auto rule = declaration->rules.pools.find(it.pool);
-            view.isKnown =
-                view.isKnown || (rule != declaration->rules.pools.end() && rule->second.isStandby);
-        }
-        views.push_back(view);
+        views.push_back(
+            viewOf(it, load == loads.end() ? nullptr : &load->second, isStandby(it.pool)));
     }
     return views;
 }
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -534,7 +534,7 @@
                                              OrderOutcome::NotSent});
         return;
     }
-    m_context.log.info("event=run-stopped job={} occurrence={} step={} task={} run={} worker={}",
+    m_context.log.info("event=run-ended job={} occurrence={} step={} task={} run={} worker={}",
                        action.task.job, action.task.occurrence, action.task.step, action.task.index,
                        action.run, action.worker.value());
     m_context.workers.stop(*report, *m_stewardship.token(), action,
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -347,6 +347,9 @@
     spec.steps[0].taskCount = 0;
     EXPECT_FALSE(checkJob(spec).has_value());
     spec.steps[0].taskCount = 1;
+    spec.steps[0].isGang = true;
+    EXPECT_EQ(checkJob(spec).error().kind, JobError::Kind::Unsupported);
+    spec.steps[0].isGang = false;
     spec.steps[0].room.milliCores = -1;
     EXPECT_FALSE(checkJob(spec).has_value());
 }
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -139,6 +139,17 @@
     EXPECT_EQ(firstOf<steward_action::StartRun>(actions), nullptr);
 }
 
+// Found on kragenwerk trouble-2: a crashed worker was still registered.
+TEST(Steward, EndsItsRecoveryWithoutWorkersOfHostsThatAreDown)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    single.steward.step(steward_event::WorkerReported{test::workerReport(1)}, single.now);
+    single.steward.expectWorkers({test::workerName(0)});
+    const auto actions = single.look({}, {});
+    EXPECT_FALSE(single.steward.isRecovering());
+    EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr);
+}
+
 // Found on blyglass scale-1, seed 1098906904560.
 TEST(Steward, CountsFailuresThatAreToldOutOfOrder)
 {
@@ -271,6 +282,20 @@
     EXPECT_EQ(pace->speedPercent, 0);
 }
 
+// Found on blyglass hunt-4405-23: a host was maintained before its worker had been asked.
+TEST(Steward, TakesNoWorkerForIdleThatItHasNotAsked)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    single.step(steward_event::WorkerVacated{test::workerName(0), true});
+    auto report = HostReport();
+    report.state = HostState::Up;
+    const auto before = single.steward.workerLoads();
+    EXPECT_FALSE(viewOf(report, &before.front(), false).isIdle());
+    single.look({}, {});
+    const auto after = single.steward.workerLoads();
+    EXPECT_TRUE(viewOf(report, &after.front(), false).isIdle());
+}
+
 TEST(Steward, MakesRoomForLastingTasksInAFullPool)
 {
     auto world = JobWorld(2);
