Put jobs of teams with less than their part first

Each team is to get its part when all is full; nothing but limits saw to that on the platform. Test: WaitingOrder.PutsATeamWithLessThanItsPartBeforeOneWithMore.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -223,11 +223,11 @@
     auto arguments = Arguments();
     auto description = options::options_description("Options");
     description.add_options()("help,h", "show this help")("version", "show the version")(
-        "settings", options::value(&arguments.settingsFile),
-        "settings file (YAML)")("check-settings", options::value(&arguments.settingsFile),
-                                "check a settings file and exit")(
-        "on-platform", options::bool_switch(&arguments.isOnPlatform),
-        "run on the users' platform, with its settings file")(
+        "settings", options::value(&arguments.settingsFile), "settings file (YAML)")(
+        "check-settings", options::value(&arguments.settingsFile),
+        "check a settings file and exit")("on-platform",
+                                          options::bool_switch(&arguments.isOnPlatform),
+                                          "run on the users' platform, with its settings file")(
         "log-level", options::value(&arguments.logLevel)->default_value("info"),
         "debug, info, warning or error");
     auto values = options::variables_map();
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -182,6 +182,8 @@
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
     [[nodiscard]] auto isBelowLimit(const Job &job, const Room &room) const -> bool;
     [[nodiscard]] auto mayPlace(const Task &task) const -> bool;
+    [[nodiscard]] auto teamShare(const TeamName &team) const -> double;
+    [[nodiscard]] auto meanTeamShare() const -> double;
     auto markDirty(const PoolName &pool) -> void { m_dirtyPools.insert(pool); }
 
     std::uint64_t m_token;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -110,6 +110,7 @@
         return;
     auto candidates = std::vector<Candidate>();
     auto order = std::vector<WaitingStep>();
+    const auto meanShare = meanTeamShare();
     for (auto *job : jobs->second) {
         if (job->waitingTasks == 0)
             continue;
@@ -121,9 +122,10 @@
                                            [this](const Task &it) { return mayPlace(it); });
                 if (!isOpen || !isReady(*job, occurrence, step))
                     continue;
-                order.push_back({rules == nullptr ? 0 : rules->priority,
-                                 job->spec.steps[step].isLasting, job->workLeft, job->onTimeUntil,
-                                 job->submittedAt, 0, candidates.size()});
+                order.push_back(
+                    {rules == nullptr ? 0 : rules->priority, job->spec.steps[step].isLasting,
+                     job->workLeft, job->onTimeUntil, job->submittedAt,
+                     meanShare > 0 ? teamShare(job->spec.team) / meanShare : 1, candidates.size()});
                 candidates.push_back({job, &occurrence, step});
             }
         }
@@ -152,6 +154,27 @@
     }
 }
 
+/// Cores that the team has running over its weight.
+auto Steward::teamShare(const TeamName &team) const -> double
+{
+    const auto running = m_running.find(team);
+    if (running == m_running.end() || !m_rules)
+        return 0;
+    const auto rules = m_rules->teams.find(team);
+    const auto weight = rules == m_rules->teams.end() ? 1.0 : std::max(rules->second.weight, 1e-3);
+    return static_cast<double>(running->second.milliCores) / weight;
+}
+
+auto Steward::meanTeamShare() const -> double
+{
+    if (!m_rules || m_rules->teams.empty())
+        return 0;
+    auto sum = 0.0;
+    for (const auto &[team, rules] : m_rules->teams)
+        sum += teamShare(team);
+    return sum / static_cast<double>(m_rules->teams.size());
+}
+
 /// Places what fits of a step. Its tasks are alike, so the first that fits nowhere ends it.
 auto Steward::placeStep(const PoolName &pool, const Candidate &candidate) -> bool
 {
--- a/packages/job/src/waiting_order.cpp
+++ b/packages/job/src/waiting_order.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr double MostPressure = 2; // shares move the order, they don't turn it into one by team
+
 struct Rank
 {
     bool isOfTasksThatEnd;
@@ -21,7 +23,9 @@
 auto rankOf(const WaitingStep &step, BootTime now) -> Rank
 {
     const auto isLate = now + step.workLeft > step.onTimeUntil;
-    const auto order = isLate ? step.submittedAt.time_since_epoch() : step.workLeft;
+    const auto pressure = std::clamp(step.teamPressure, 1 / MostPressure, MostPressure);
+    const auto weighted = std::chrono::duration_cast<Duration>(step.workLeft * pressure);
+    const auto order = isLate ? step.submittedAt.time_since_epoch() : weighted;
     return {!step.isLasting, step.priority, isLate, order.count(), step.index};
 }
 
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -291,6 +291,20 @@
     EXPECT_GE(sorted, 2 * inOrder);
 }
 
+TEST(WaitingOrder, PutsATeamWithLessThanItsPartBeforeOneWithMore)
+{
+    const auto now = BootTime(1h);
+    auto steps = std::vector<WaitingStep>(2);
+    for (std::size_t n = 0; n < steps.size(); ++n) {
+        steps[n].onTimeUntil = now + 10s;
+        steps[n].workLeft = n == 0 ? 600ms : 700ms;
+        steps[n].teamPressure = n == 0 ? 1.4 : 0.6;
+        steps[n].index = n;
+    }
+    sortWaiting(steps, now);
+    EXPECT_EQ(steps[0].index, 1U);
+}
+
 TEST(WaitingOrder, PutsLastingWorkFirstAndLateWorkLast)
 {
     const auto now = BootTime(1h);
