Space looks by the size of the fleet

Cause (grown sites): most of a steward's time goes into looks, one for each end that a worker lists; 41,008 looks for 34,144 runs. They are now 0.4 ms apart for each worker of the fleet, so that ends come in groups.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -63,7 +63,9 @@
     Milliseconds lookWait{900}; // a look waits for an end this long
     Milliseconds guardedLookWait{
         400}; // where tasks on spare cores run; half of their figure's span
-    Milliseconds busyLookGap{15}; // between two looks: groups ends that come together
+    Milliseconds busyLookGap{15}; // between two looks: groups ends that come together ...
+    /// ... and the larger the fleet, the longer: bounds the looks a second of a busy steward.
+    std::chrono::microseconds lookGapPerWorker{400};
     Milliseconds silence{2'200}; // a worker without an answer for this long gets no new work
     Milliseconds resendInterval{350}; // between two orders of one kind for one run
     Milliseconds quarantine{6'000}; // a worker that fails everything rests this long at first
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -184,7 +184,9 @@
     if (!event.hasMoreEnds && event.ended.size() < FullListOfEnds)
         applyMissing(*worker, event);
     guardLatency(*worker);
-    worker->nextLook = m_now + m_settings.busyLookGap;
+    worker->nextLook = m_now
+        + std::max<Duration>(m_settings.busyLookGap,
+                             m_settings.lookGapPerWorker * static_cast<int>(m_workers.size()));
     endRecoveryIfDone();
     vacate(*worker);
     lookIfDue(*worker);
