--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -182,6 +182,7 @@
     auto makeRoom(const PoolName &pool, const Task &task) -> void;
     auto startTask(Task &task, Worker &worker) -> void;
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
+    [[nodiscard]] auto mayRunOn(const Worker &worker, const Task &task) const -> bool;
     [[nodiscard]] auto isBelowLimit(const Job &job, const Room &room) const -> bool;
     [[nodiscard]] auto mayPlace(const Task &task) const -> bool;
     [[nodiscard]] auto teamShare(const TeamName &team) const -> double;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -207,18 +207,25 @@
 }
 
 auto Steward::fits(const Worker &worker, const Task &task) const -> bool
+{
+    const auto isKeptFree = m_now < worker.onlyLastingUntil && !task.spec().isLasting;
+    return worker.freeRoom().holds(task.spec().reservedRoom()) && !isKeptFree
+        && mayRunOn(worker, task);
+}
+
+/// Whether the task may run on the worker, once there is room.
+auto Steward::mayRunOn(const Worker &worker, const Task &task) const -> bool
 {
     const auto &spec = task.spec();
-    if (!worker.freeRoom().holds(spec.reservedRoom()) || !hasLabel(worker.report, spec.workerLabel))
-        return false;
-    if (worker.isVacated || (m_now < worker.onlyLastingUntil && !spec.isLasting))
+    if (!isUsable(worker) || worker.isVacated || !hasLabel(worker.report, spec.workerLabel)
+        || m_quarantine.isHeld(HostName(worker.report.name.value()), m_now)) {
         return false;
-    if (spec.mostPerWorker == 0)
-        return true;
+    }
     const auto isSibling = [&task](const Task *it) {
         return it->job == task.job && it->step == task.step && it->occurrence == task.occurrence;
     };
-    return std::ranges::count_if(worker.runs, isSibling) < std::int64_t{spec.mostPerWorker};
+    return spec.mostPerWorker == 0
+        || std::ranges::count_if(worker.runs, isSibling) < std::int64_t{spec.mostPerWorker};
 }
 
 /// The fullest worker that the task fits on, so that others fall idle and can be given away. Near
@@ -238,9 +245,7 @@
     Worker *best = nullptr;
     auto bestScore = Score();
     for (auto *worker : m_poolWorkers[pool]) {
-        if (!isUsable(*worker) || !fits(*worker, task))
-            continue;
-        if (m_quarantine.isHeld(HostName(worker->report.name.value()), m_now))
+        if (!fits(*worker, task))
             continue;
         const auto isServing = [](const Task *it) {
             return it->spec().latencyTargetMilliseconds > 0;
@@ -269,7 +274,7 @@
     for (auto *worker : m_poolWorkers[pool]) {
         if (m_now < worker->onlyLastingUntil)
             return; // room is being made already
-        if (!isUsable(*worker) || worker->isVacated)
+        if (!mayRunOn(*worker, task))
             continue;
         auto runs = std::vector<Task *>();
         std::ranges::copy_if(worker->runs, std::back_inserter(runs), [](const Task *it) {
@@ -281,8 +286,7 @@
         auto count = std::size_t{0};
         while (count < runs.size() && !room.holds(task.spec().reservedRoom()))
             room += runs[count++]->spec().reservedRoom();
-        const auto isEnough = room.holds(task.spec().reservedRoom())
-            && hasLabel(worker->report, task.spec().workerLabel);
+        const auto isEnough = room.holds(task.spec().reservedRoom());
         if (!isEnough || count == 0 || (best != nullptr && count >= bestRuns.size()))
             continue;
         runs.resize(count);
--- a/tests/unit/job_world.cpp
+++ b/tests/unit/job_world.cpp
@@ -381,7 +381,7 @@
     run.number = order.run;
     run.startedAt = m_now;
     run.isLasting = spec.isLasting;
-    run.endsAt = m_now + RunTime;
+    run.endsAt = m_now + runTime;
     run.willFail = fails(order.task);
     worker.active.push_back(run);
     return OrderOutcome::Accepted;
--- a/tests/unit/job_world.hpp
+++ b/tests/unit/job_world.hpp
@@ -30,7 +30,6 @@
 {
 public:
     static constexpr auto Step = 50ms;
-    static constexpr auto RunTime = 400ms; // of a task that ends by itself
     static constexpr auto LongestLate = 4s; // of an order that is carried out late
 
     explicit JobWorld(int workers, std::uint32_t attempts = 3);
@@ -49,6 +48,7 @@
     /// The fate of each next order; afterwards all arrive.
     std::deque<Fate> fates;
     bool isStoreUp = true;
+    Duration runTime = 400ms; // of a task that ends by itself
     std::function<bool(const JobTaskId &)> fails = [](const auto &) { return false; };
     auto silence(int worker, Duration time) -> void;
     auto crash(int worker) -> void;
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -312,6 +312,33 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// Found on kragenwerk quiet-1, seed 383730584827: room was made, again and again, on the worker
+// that already ran another task of the step.
+TEST(Steward, MakesRoomOnlyWhereTheTaskMayRun)
+{
+    auto world = JobWorld(2);
+    const auto steward = world.addSteward();
+    world.runTime = 1h;
+    // The second worker is full of runs of which two would have to end.
+    world.send(steward, steward_event::WorkerVacated{test::workerName(0), true});
+    world.addJob(test::oneStepJob("small", test::shortStep(8)));
+    world.run(200ms);
+    // The first has a task of the step, and one run whose end would be room enough.
+    world.send(steward, steward_event::WorkerVacated{test::workerName(0), false});
+    auto lasting = test::lastingStep(2);
+    lasting.room.milliCores = 2'000;
+    world.addJob(test::oneStepJob("lasts", lasting));
+    auto large = test::shortStep(1);
+    large.room.milliCores = 6'000;
+    world.addJob(test::oneStepJob("large", large));
+    world.run(4s);
+    EXPECT_EQ(world.activeRuns("lasts"), 2U);
+    EXPECT_EQ(world.activeRuns("large"), 1U);
+    EXPECT_EQ(world.starts,
+              11U); // eight small, one large, two lasting: the large one never stopped
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST(Steward, KeepsATeamBelowItsLimit)
 {
     auto now = BootTime(1h);
