--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -43,7 +43,10 @@
             continue;
         }
         auto &pool = pools[report.pool];
-        if (report.state != HostState::Down)
+        // A host that is being emptied for its upkeep, or has it, serves nothing new.
+        const auto isServing =
+            report.state == HostState::Moving || (report.state == HostState::Up && !it.isVacated);
+        if (isServing)
             ++pool.hosts;
         if (!it.isIdle()) {
             m_idleSince.erase(report.host);
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -151,6 +151,26 @@
         EXPECT_EQ(it.to, PoolName("a"));
 }
 
+// Found on kragenwerk quiet-1, seed 383730584827: a lasting task found no room for 12 s in a pool
+// whose hosts were emptied for their upkeep.
+TEST(PoolSizer, ReplacesHostsThatAreEmptiedForTheirUpkeep)
+{
+    auto sizer = PoolSizer();
+    auto hosts = std::vector<HostView>();
+    for (std::size_t n = 0; n < 3; ++n) {
+        hosts.push_back(idleHost(n, "a"));
+        hosts.back().lastingRuns = 1;
+        hosts.back().isVacated = true;
+    }
+    hosts.push_back(idleHost(3, "spare"));
+    hosts.push_back(idleHost(4, "spare"));
+    auto loads = std::map<PoolName, PoolLoad>();
+    loads[PoolName("a")].used = {3'000, 0, 0};
+    loads[PoolName("a")].wanted = {1'000, 0, 0};
+    const auto moves = sizer.step(hosts, loads, poolRules(), {}, BootTime(1h));
+    EXPECT_EQ(moves.size(), 2U);
+}
+
 TEST(PoolSizer, SendsWhatIdlesForLongToStandby)
 {
     auto sizer = PoolSizer();
