--- a/packages/job/src/job_progress.cpp
+++ b/packages/job/src/job_progress.cpp
@@ -12,7 +12,7 @@
 auto decodeProgress(std::string_view bytes) -> Expected<JobProgress, JobError>
 {
     try {
-        auto progress = msgpack::unpack(bytes.data(), bytes.size()).get().as<JobProgress>();
+        auto progress = unpackBounded(bytes).get().as<JobProgress>();
         if (progress.outcome > static_cast<std::uint8_t>(JobOutcome::Cancelled))
             return tl::unexpected(JobError{JobError::Kind::BadRecord, "unknown outcome"});
         return progress;
--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -120,7 +120,7 @@
 auto decodeJob(std::string_view bytes) -> Expected<JobSpec, JobError>
 {
     try {
-        auto spec = msgpack::unpack(bytes.data(), bytes.size()).get().as<JobSpec>();
+        auto spec = unpackBounded(bytes).get().as<JobSpec>();
         if (const auto checked = checkJob(spec); !checked)
             return tl::unexpected(checked.error());
         return spec;
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -45,7 +45,7 @@
     if (!reply || reply->status != 200)
         return {};
     try {
-        return msgpack::unpack(reply->body.data(), reply->body.size()).get().as<InnerAnswer>();
+        return unpackBounded(reply->body).get().as<InnerAnswer>();
     } catch (const std::exception &) {
         return {}; // taken for a member that isn't the steward: the store is asked instead
     }
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -65,7 +65,7 @@
             if (!reply->records.empty()) {
                 const auto &value = reply->records.front().value;
                 try {
-                    const auto unpacked = msgpack::unpack(value.data(), value.size());
+                    const auto unpacked = unpackBounded(value);
                     unpacked.get().convert(begun);
                 } catch (const std::exception &ec) {
                     // Hosts that are begun again answer that they are done.
