Use one bounded record codec everywhere, drop state that nothing reads

Found while reading the change again. The project had packRecord/unpackRecord in the daemon; the new code wrote it four times more, and bounded what unpacked bytes may claim only for itself. The codec now lives in packages/process and serves peers' frames, configurations, tasks, claims, intents, jobs and progress, so the bound holds for all of them. Hosts are judged by one worker's load in place of a list of all for each order; the quarantine learns the workers' names only when one is new; one mapping from a job's outcome to what is told. Unread: largest worker, waiting work (summed each 150 ms), the time at work, a flag of looks that nobody set, the body bound of the configuration, a count of dropped lines.

--- a/bench/steward_cost.cpp
+++ b/bench/steward_cost.cpp
@@ -36,7 +36,6 @@
     explicit Fleet(int workers)
         : m_steward(1, StewardSettings(), m_now)
         , m_active(static_cast<std::size_t>(workers))
-        , m_ended(static_cast<std::size_t>(workers))
     {
         auto rules = SchedulingRules();
         for (auto n = 0; n < Pools; ++n) {
@@ -98,8 +97,6 @@
                 {++m_sequence, active[n].first.task, active[n].first.run, RunEnd::Done, {}});
             active.erase(active.begin() + static_cast<std::ptrdiff_t>(n));
         }
-        if (look.ended.empty() && m_steward.token() == 0)
-            return;
         if (look.ended.empty() && m_rounds > 0)
             return;
         look.worker = WorkerName(std::to_string(worker));
@@ -140,7 +137,6 @@
     BootTime m_now{1h};
     Steward m_steward;
     std::vector<std::vector<std::pair<ActiveRun, BootTime>>> m_active;
-    std::vector<int> m_ended;
     std::vector<std::pair<std::string, std::uint64_t>> m_kept;
     std::uint64_t m_jobs = 0;
     std::uint64_t m_sequence = 0;
--- a/packages/daemon/src/configuration_module.cpp
+++ b/packages/daemon/src/configuration_module.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
-#include "record_codec.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 
 namespace shallotproxy {
 
--- a/packages/daemon/src/intent_module.cpp
+++ b/packages/daemon/src/intent_module.cpp
@@ -4,7 +4,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
-#include "record_codec.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 
 namespace shallotproxy {
 
@@ -218,10 +218,10 @@
                 refuse(call, {IntentError::Kind::UnknownIntent, id.value(), "no such intent"});
                 return;
             }
-            const auto &bytes = reply->reads.front().front().value;
-            try {
-                function(msgpack::unpack(bytes.data(), bytes.size()).get().as<IntentRecord>());
-            } catch (const msgpack::type_error &) {
+            const auto record = unpackRecord<IntentRecord>(reply->reads.front().front().value);
+            if (record) {
+                function(*record);
+            } else {
                 refuse(call, {IntentError::Kind::Malformed, id.value(), "unreadable record"});
             }
         });
--- a/packages/daemon/src/usage_module.cpp
+++ b/packages/daemon/src/usage_module.cpp
@@ -6,7 +6,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
-#include "record_codec.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 
 namespace shallotproxy {
 
--- a/packages/job/include/shallotproxy/job/host_view.hpp
+++ b/packages/job/include/shallotproxy/job/host_view.hpp
@@ -34,7 +34,8 @@
     }
 };
 
-/// Joins a host with the load of its worker; `load` is null if the steward knows no such worker.
-auto viewOf(const HostReport &report, const WorkerLoad *load, bool isStandby) -> HostView;
+/// Joins a host with the load of its worker, if the steward knows one.
+auto viewOf(const HostReport &report, const std::optional<WorkerLoad> &load, bool isStandby)
+    -> HostView;
 
 } // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -7,7 +7,6 @@
 
 #include <msgpack.hpp>
 
-#include "shallotproxy/process/base/bounded_unpack.hpp"
 #include "shallotproxy/process/base/error.hpp"
 #include "shallotproxy/process/base/names.hpp"
 
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -13,6 +13,9 @@
 /// What callers are told of a job.
 enum class JobState { Unknown, Queued, Running, Completed, Failed, Cancelled };
 
+/// What is told of a job with this outcome; `whileOpen` if it has none yet.
+auto stateOf(JobOutcome outcome, JobState whileOpen) -> JobState;
+
 /// What a caller may see of a job, and the team it belongs to.
 struct JobView
 {
@@ -32,17 +35,12 @@
 {
     Room used; // by runs
     Room wanted; // by tasks whose turn has come
-    Duration workWaiting{}; // core time of jobs not yet done, as estimated, over one core
     std::size_t leastWorkers = 0; // that lasting tasks need, as they keep apart
 };
 
 /// What runs on one worker, for plans over hosts.
 struct WorkerLoad
 {
-    WorkerName worker;
-    PoolName pool;
-    Room capacity;
-    Room used;
     std::size_t lastingRuns = 0;
     std::size_t otherRuns = 0;
     bool hasUnkeptEnds = false; // ends that only the worker itself still tells
@@ -102,14 +100,13 @@
     [[nodiscard]] auto pendingJobs(const QueueName &queue) const -> std::size_t;
     [[nodiscard]] auto record(const std::string &job) const -> std::optional<JobRecord>;
     [[nodiscard]] auto poolLoads() const -> std::map<PoolName, PoolLoad>;
-    [[nodiscard]] auto workerLoads() const -> std::vector<WorkerLoad>;
+    /// No value if the worker isn't known.
+    [[nodiscard]] auto workerLoad(const WorkerName &name) const -> std::optional<WorkerLoad>;
     [[nodiscard]] auto isRecovering() const -> bool { return m_isRecovering; }
     /// Forgets jobs that ended before this Unix time, and returns their names.
     auto forgetEnded(std::int64_t wallMilliseconds, std::size_t most) -> std::vector<std::string>;
     /// The workers of all hosts that are up; recovery waits until each of them has been asked.
     auto expectWorkers(std::set<WorkerName> workers) -> void;
-    /// The largest worker of a pool, over all its lives seen; no value while none has been seen.
-    [[nodiscard]] auto largestWorker(const PoolName &pool) const -> std::optional<Room>;
 
 private:
     struct Job;
@@ -200,7 +197,6 @@
     std::map<PoolName, std::vector<Job *>> m_openJobs;
     std::map<WorkerName, std::unique_ptr<Worker>> m_workers;
     std::map<PoolName, std::vector<Worker *>> m_poolWorkers;
-    std::map<PoolName, Room> m_largest;
     std::map<TeamName, Room> m_running;
     std::set<PoolName> m_dirtyPools;
     std::set<WorkerName> m_expected;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -129,7 +129,6 @@
     std::int64_t bornMilliseconds = 0;
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended;
-    bool hasMoreEnds = false;
 };
 struct LookFailed
 {
--- a/packages/job/src/host_view.cpp
+++ b/packages/job/src/host_view.cpp
@@ -2,12 +2,13 @@
 
 namespace shallotproxy {
 
-auto viewOf(const HostReport &report, const WorkerLoad *load, bool isStandby) -> HostView
+auto viewOf(const HostReport &report, const std::optional<WorkerLoad> &load, bool isStandby)
+    -> HostView
 {
     auto view = HostView{report};
     // On standby nothing runs, and there is no worker to ask.
     view.isKnown = isStandby;
-    if (load == nullptr)
+    if (!load)
         return view;
     view.lastingRuns = load->lastingRuns;
     view.otherRuns = load->otherRuns;
--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "shallotproxy/job/job_spec.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 
 namespace shallotproxy {
 
@@ -112,21 +113,17 @@
 
 auto encodeJob(const JobSpec &spec) -> std::string
 {
-    auto buf = msgpack::sbuffer();
-    msgpack::pack(buf, spec);
-    return {buf.data(), buf.size()};
+    return packRecord(spec);
 }
 
 auto decodeJob(std::string_view bytes) -> Expected<JobSpec, JobError>
 {
-    try {
-        auto spec = unpackBounded(bytes).get().as<JobSpec>();
-        if (const auto checked = checkJob(spec); !checked)
-            return tl::unexpected(checked.error());
-        return spec;
-    } catch (const std::exception &ec) {
-        return tl::unexpected(JobError{JobError::Kind::BadRecord, ec.what()});
-    }
+    auto spec = unpackRecord<JobSpec>(bytes);
+    if (!spec)
+        return tl::unexpected(JobError{JobError::Kind::BadRecord, "no job"});
+    if (const auto checked = checkJob(*spec); !checked)
+        return tl::unexpected(checked.error());
+    return std::move(*spec);
 }
 
 } // namespace shallotproxy
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -13,6 +13,21 @@
 
 } // namespace
 
+auto stateOf(JobOutcome outcome, JobState whileOpen) -> JobState
+{
+    switch (outcome) {
+    case JobOutcome::Completed:
+        return JobState::Completed;
+    case JobOutcome::Failed:
+        return JobState::Failed;
+    case JobOutcome::Cancelled:
+        return JobState::Cancelled;
+    case JobOutcome::Open:
+        break;
+    }
+    return whileOpen;
+}
+
 auto Steward::Task::id() const -> JobTaskId
 {
     return {job->spec.id, occurrence, step, index};
@@ -257,17 +272,8 @@
         return {};
     const auto &entry = *it->second;
     // An outcome is told only once a successor would tell the same.
-    switch (entry.keptOutcome) {
-    case JobOutcome::Completed:
-        return {JobState::Completed, entry.spec.team};
-    case JobOutcome::Failed:
-        return {JobState::Failed, entry.spec.team};
-    case JobOutcome::Cancelled:
-        return {JobState::Cancelled, entry.spec.team};
-    case JobOutcome::Open:
-        break;
-    }
-    return {entry.hasStarted ? JobState::Running : JobState::Queued, entry.spec.team};
+    const auto whileOpen = entry.hasStarted ? JobState::Running : JobState::Queued;
+    return {stateOf(entry.keptOutcome, whileOpen), entry.spec.team};
 }
 
 auto Steward::pendingJobs(const QueueName &queue) const -> std::size_t
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -313,23 +313,16 @@
             for (const auto &[number, occurrence] : job->occurrences) {
                 for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                     const auto &spec = job->spec.steps[step];
-                    const auto left = occurrence.tasksLeft[step];
                     if (spec.isLasting && spec.mostPerWorker > 0) {
                         load.leastWorkers = std::max<std::size_t>(
                             load.leastWorkers,
                             (spec.taskCount + spec.mostPerWorker - 1) / spec.mostPerWorker);
                     }
-                    if (left == 0 || spec.isLasting)
-                        continue;
-                    load.workWaiting += milliseconds(spec.estimatedMilliseconds) * left
-                        * spec.room.milliCores / std::int64_t{1'000};
-                }
-                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                     if (!isReady(*job, occurrence, step))
                         continue;
                     for (const auto &task : occurrence.steps[step]) {
                         if (task.phase == TaskPhase::Waiting)
-                            load.wanted += job->spec.steps[step].reservedRoom();
+                            load.wanted += spec.reservedRoom();
                     }
                 }
             }
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -28,7 +28,6 @@
     int progressPercent = 0;
     int ownSpeedPercent = 100; // as last ordered
     std::int64_t figure = 0;
-    BootTime atWorkSince;
 
     [[nodiscard]] auto id() const -> JobTaskId;
     [[nodiscard]] auto spec() const -> const StepSpec &;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cmath>
 
 #include "shallotproxy/job/latency_guard.hpp"
 #include "steward_state.hpp"
@@ -47,17 +46,13 @@
     worker.isListed = true;
     if (isMoved)
         m_poolWorkers[worker.report.pool].push_back(&worker);
-    auto &largest = m_largest[worker.report.pool];
-    largest.milliCores = std::max(largest.milliCores, worker.report.capacity.milliCores);
-    largest.memoryMegabytes =
-        std::max(largest.memoryMegabytes, worker.report.capacity.memoryMegabytes);
-    largest.accelerators = std::max(largest.accelerators, worker.report.capacity.accelerators);
     markDirty(worker.report.pool);
-    auto names = std::set<HostName>();
-    for (const auto &[name, it] : m_workers)
-        names.emplace(name.value());
-    if (isNew)
+    if (isNew) {
+        auto names = std::set<HostName>();
+        for (const auto &[name, it] : m_workers)
+            names.emplace(name.value());
         m_quarantine.workersChanged(names);
+    }
     lookIfDue(worker);
 }
 
@@ -181,7 +176,7 @@
     for (const auto &end : event.ended)
         applyEnd(*worker, end);
     applyActive(*worker, event);
-    if (!event.hasMoreEnds && event.ended.size() < FullListOfEnds)
+    if (event.ended.size() < FullListOfEnds)
         applyMissing(*worker, event);
     guardLatency(*worker);
     worker->nextLook = m_now
@@ -203,11 +198,8 @@
         }
         if (!run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
-        const auto wasAtWork = task->progressPercent >= FullSpeed;
         task->progressPercent = run.progressPercent;
         task->figure = run.figure;
-        if (!wasAtWork && run.progressPercent >= FullSpeed)
-            task->atWorkSince = m_now;
         // The list shows a run whose order has had no answer yet.
         if (task->phase == TaskPhase::Starting && task->orderedAt < look.sentAt) {
             task->phase = TaskPhase::Running;
@@ -258,7 +250,6 @@
     task->answeredAt = m_now;
     task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
     task->progressPercent = run.progressPercent;
-    task->atWorkSince = m_now;
     task->mayRunUnseen = false; // its newest run has been found
     attach(*task, worker);
     // Its lease is an earlier steward's: it may last as long as one given now.
@@ -615,26 +606,20 @@
         markDirty(pool);
 }
 
-auto Steward::workerLoads() const -> std::vector<WorkerLoad>
+auto Steward::workerLoad(const WorkerName &name) const -> std::optional<WorkerLoad>
 {
-    auto loads = std::vector<WorkerLoad>();
-    for (const auto &[name, worker] : m_workers) {
-        auto load = WorkerLoad{name, worker->report.pool, worker->report.capacity, worker->used};
-        load.hasUnkeptEnds = worker->acknowledged < worker->seenEnd;
-        load.isAsked = worker->isHeld;
-        load.isVacated = worker->isVacated;
-        load.isUsable = isUsable(*worker);
-        for (const auto *task : worker->runs)
-            ++(task->spec().isLasting ? load.lastingRuns : load.otherRuns);
-        loads.push_back(load);
-    }
-    return loads;
-}
-
-auto Steward::largestWorker(const PoolName &pool) const -> std::optional<Room>
-{
-    const auto it = m_largest.find(pool);
-    return it == m_largest.end() ? std::nullopt : std::optional(it->second);
+    const auto it = m_workers.find(name);
+    if (it == m_workers.end())
+        return std::nullopt;
+    const auto &worker = *it->second;
+    auto load = WorkerLoad();
+    load.hasUnkeptEnds = worker.acknowledged < worker.seenEnd;
+    load.isAsked = worker.isHeld;
+    load.isVacated = worker.isVacated;
+    load.isUsable = isUsable(worker);
+    for (const auto *task : worker.runs)
+        ++(task->spec().isLasting ? load.lastingRuns : load.otherRuns);
+    return load;
 }
 
 } // namespace shallotproxy
--- a/packages/member/include/shallotproxy/member/declarations.hpp
+++ b/packages/member/include/shallotproxy/member/declarations.hpp
@@ -24,7 +24,6 @@
     std::vector<JobQueue> queues;
     std::map<std::string, TeamName> teamsByKey;
     SchedulingRules rules;
-    std::size_t mostBodyBytes = 0;
 };
 
 /// Nothing more is to be started in this data centre.
--- a/packages/member/include/shallotproxy/member/event_log.hpp
+++ b/packages/member/include/shallotproxy/member/event_log.hpp
@@ -34,7 +34,6 @@
     }
     /// Writes what standard output takes at once.
     auto flush() -> void;
-    [[nodiscard]] auto droppedLines() const -> std::uint64_t;
 
 private:
     class Sink;
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -1,6 +1,7 @@
 #include <QPointer>
 
 #include "shallotproxy/member/caller_duty.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 #include "store_keys.hpp"
 
 namespace shallotproxy {
@@ -35,20 +36,15 @@
 
 auto encodeInner(const InnerAnswer &answer) -> HttpResponse
 {
-    auto buf = msgpack::sbuffer();
-    msgpack::pack(buf, answer);
-    return {200, {}, {buf.data(), buf.size()}};
+    return {200, {}, packRecord(answer)};
 }
 
 auto decodeInner(const TargetReply &reply) -> InnerAnswer
 {
     if (!reply || reply->status != 200)
         return {};
-    try {
-        return unpackBounded(reply->body).get().as<InnerAnswer>();
-    } catch (const std::exception &) {
-        return {}; // taken for a member that isn't the steward: the store is asked instead
-    }
+    // What can't be read is taken for a member that isn't the steward: the store is asked instead.
+    return unpackRecord<InnerAnswer>(reply->body).value_or(InnerAnswer());
 }
 
 } // namespace
@@ -338,15 +334,7 @@
                 self->refuse(call, 503, record.error().name());
                 return;
             }
-            auto view = JobView{JobState::Running, record->team};
-            if (record->state() == JobOutcome::Completed) {
-                view.state = JobState::Completed;
-            } else if (record->state() == JobOutcome::Failed) {
-                view.state = JobState::Failed;
-            } else if (record->state() == JobOutcome::Cancelled) {
-                view.state = JobState::Cancelled;
-            }
-            self->answerView(call, view);
+            self->answerView(call, {stateOf(record->state(), JobState::Running), record->team});
         });
     });
 }
--- a/packages/member/src/event_log.cpp
+++ b/packages/member/src/event_log.cpp
@@ -35,8 +35,6 @@
         m_buffer.erase(0, written);
     }
 
-    [[nodiscard]] auto dropped() const -> std::uint64_t { return m_dropped; }
-
 protected:
     auto sink_it_(const spdlog::details::log_msg &msg) // NOLINT(readability-identifier-naming)
         -> void override
@@ -78,9 +76,4 @@
     m_sink->writeWaiting();
 }
 
-auto EventLog::droppedLines() const -> std::uint64_t
-{
-    return m_sink->dropped();
-}
-
 } // namespace shallotproxy
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "host_duty.hpp"
 #include "shallotproxy/member/steward_duty.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 #include "store_keys.hpp"
 
 namespace shallotproxy {
@@ -63,14 +64,13 @@
             }
             auto begun = std::set<HostName>();
             if (!reply->records.empty()) {
-                const auto &value = reply->records.front().value;
-                try {
-                    const auto unpacked = unpackBounded(value);
-                    unpacked.get().convert(begun);
-                } catch (const std::exception &ec) {
+                const auto &record = reply->records.front();
+                if (auto hosts = unpackRecord<std::set<HostName>>(record.value)) {
+                    begun = std::move(*hosts);
+                } else {
                     // Hosts that are begun again answer that they are done.
-                    self->m_context.log.warning("event=record-unreadable key={} error=\"{}\"",
-                                                reply->records.front().key, ec.what());
+                    self->m_context.log.warning(
+                        "event=record-unreadable key={} error=\"no set of hosts\"", record.key);
                 }
             }
             self->m_context.log.info("event=wave-declared wave={} hosts={} begun={} at-once={}",
@@ -153,34 +153,29 @@
     }
 }
 
+auto HostDuty::viewOfHost(const HostReport &report) const -> HostView
+{
+    auto isStandby = false;
+    if (const auto &declaration = m_context.fleet.board.current()) {
+        const auto rule = declaration->rules.pools.find(report.pool);
+        isStandby = rule != declaration->rules.pools.end() && rule->second.isStandby;
+    }
+    return viewOf(report, m_steward.steward()->workerLoad(report.worker), isStandby);
+}
+
 auto HostDuty::views() const -> std::vector<HostView>
 {
-    auto loads = std::map<WorkerName, WorkerLoad>();
-    for (auto &it : m_steward.steward()->workerLoads())
-        loads.emplace(it.worker, it);
-    const auto &declaration = m_context.fleet.board.current();
-    const auto isStandby = [&declaration](const PoolName &pool) {
-        if (!declaration)
-            return false;
-        const auto rule = declaration->rules.pools.find(pool);
-        return rule != declaration->rules.pools.end() && rule->second.isStandby;
-    };
     auto views = std::vector<HostView>();
-    for (const auto &it : m_hosts) {
-        const auto load = loads.find(it.worker);
-        views.push_back(
-            viewOf(it, load == loads.end() ? nullptr : &load->second, isStandby(it.pool)));
-    }
+    for (const auto &it : m_hosts)
+        views.push_back(viewOfHost(it));
     return views;
 }
 
 /// Asked right before an order: vacating one host may have sent its tasks to the next.
 auto HostDuty::isIdleNow(const HostName &host) const -> bool
 {
-    const auto hosts = views();
-    const auto it = std::ranges::find_if(
-        hosts, [&host](const HostView &view) { return view.report.host == host; });
-    return it != hosts.end() && it->isIdle();
+    const auto it = std::ranges::find(m_hosts, host, &HostReport::host);
+    return it != m_hosts.end() && m_steward.steward() != nullptr && viewOfHost(*it).isIdle();
 }
 
 auto HostDuty::mayOrder(BootTime now) const -> bool
@@ -322,9 +317,7 @@
     commit.compares.push_back(
         {std::string(store_keys::Steward), static_cast<StoreRevision>(*token)});
     commit.puts.push_back(m_context.records.waveStatus(wave, isCompleted));
-    auto buf = msgpack::sbuffer();
-    msgpack::pack(buf, m_upkeep.begun(wave));
-    commit.puts.push_back({store_keys::upkeep(wave), {buf.data(), buf.size()}, 0});
+    commit.puts.push_back({store_keys::upkeep(wave), packRecord(m_upkeep.begun(wave)), 0});
     m_context.store.commit(commit, [self = QPointer(this), wave, isCompleted](auto reply) {
         if (!self || reply)
             return;
--- a/packages/member/src/host_duty.hpp
+++ b/packages/member/src/host_duty.hpp
@@ -23,6 +23,7 @@
     auto readList() -> void;
     auto listed(std::vector<HostReport> hosts, BootTime sentAt) -> void;
     auto endLostLives(const std::vector<HostReport> &hosts) -> void;
+    [[nodiscard]] auto viewOfHost(const HostReport &report) const -> HostView;
     [[nodiscard]] auto views() const -> std::vector<HostView>;
     auto plan() -> void;
     auto planUpkeep(const std::vector<HostView> &hosts) -> void;
--- a/packages/process/src/peer_session.cpp
+++ b/packages/process/src/peer_session.cpp
@@ -1,5 +1,6 @@
 #include <span>
 
+#include "shallotproxy/process/base/record_codec.hpp"
 #include "shallotproxy/process/peer/peer_session.hpp"
 
 namespace shallotproxy {
@@ -97,7 +98,7 @@
 auto PeerSession::takeHello(const QByteArray &body) -> std::optional<PeerError>
 {
     try {
-        const auto handle = msgpack::unpack(body.data(), static_cast<std::size_t>(body.size()));
+        const auto handle = unpackBounded({body.data(), static_cast<std::size_t>(body.size())});
         const auto &root = handle.get();
         if (root.type != msgpack::type::ARRAY || root.via.array.size == 0)
             return PeerError{PeerError::Kind::Malformed};
@@ -145,7 +146,7 @@
     -> Expected<std::optional<PeerEnvelope>, PeerError>
 {
     try {
-        const auto handle = msgpack::unpack(body.data(), static_cast<std::size_t>(body.size()));
+        const auto handle = unpackBounded({body.data(), static_cast<std::size_t>(body.size())});
         const auto &root = handle.get();
         if (root.type != msgpack::type::ARRAY || root.via.array.size < ConfirmationFields)
             return failure(PeerError::Kind::Malformed);
--- a/packages/request/src/claim_record.cpp
+++ b/packages/request/src/claim_record.cpp
@@ -2,26 +2,19 @@
 
 #include <fmt/format.h>
 
+#include "shallotproxy/process/base/record_codec.hpp"
 #include "shallotproxy/request/claim/claim_record.hpp"
 
 namespace shallotproxy {
 
 auto encodeClaim(const ClaimRecord &record) -> std::string
 {
-    auto buf = msgpack::sbuffer();
-    msgpack::pack(buf, record);
-    return {buf.data(), buf.size()};
+    return packRecord(record);
 }
 
 auto decodeClaim(const std::string &bytes) -> std::optional<ClaimRecord>
 {
-    try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<ClaimRecord>();
-    } catch (const msgpack::type_error &) {
-        return std::nullopt;
-    } catch (const msgpack::unpack_error &) {
-        return std::nullopt;
-    }
+    return unpackRecord<ClaimRecord>(bytes);
 }
 
 auto claimSuffix(const ClaimName &name) -> std::string
--- a/packages/request/src/task/task_record.cpp
+++ b/packages/request/src/task/task_record.cpp
@@ -1,4 +1,5 @@
 #include "shallotproxy/request/task/task_record.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 
 namespace shallotproxy {
 
@@ -65,20 +66,12 @@
 
 auto packTask(const TaskRecord &record) -> std::string
 {
-    auto buf = msgpack::sbuffer();
-    msgpack::pack(buf, record);
-    return {buf.data(), buf.size()};
+    return packRecord(record);
 }
 
 auto unpackTask(const std::string &bytes) -> std::optional<TaskRecord>
 {
-    try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<TaskRecord>();
-    } catch (const msgpack::type_error &) {
-        return std::nullopt;
-    } catch (const msgpack::unpack_error &) {
-        return std::nullopt;
-    }
+    return unpackRecord<TaskRecord>(bytes);
 }
 
 } // namespace shallotproxy
--- a/packages/version/src/configuration.cpp
+++ b/packages/version/src/configuration.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "shallotproxy/process/base/record_codec.hpp"
 #include "shallotproxy/version/configuration/codec.hpp"
 #include "shallotproxy/version/configuration/configuration.hpp"
 
@@ -62,7 +63,7 @@
     for (const auto &it : parts)
         bytes += it;
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackBounded(bytes);
         const auto &root = handle.get();
         if (root.type != msgpack::type::ARRAY || root.via.array.size != FieldCount)
             return std::nullopt;
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "shallotproxy/job.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
 
 namespace shallotproxy {
 
@@ -363,6 +364,15 @@
     EXPECT_EQ(read->tasks.front().failedRuns, (std::vector<std::uint64_t>{3, 4}));
 }
 
+TEST(RecordCodec, TakesNoListThatClaimsMoreThanItsBytes)
+{
+    const auto bytes = std::string("\xdd\x7f\xff\xff\xff", 5); // a list of 2^31 - 1
+    EXPECT_FALSE(unpackRecord<std::vector<std::uint64_t>>(bytes).has_value());
+    EXPECT_THROW(unpackBounded(bytes), msgpack::unpack_error);
+    const auto list = std::vector<std::uint64_t>{1, 2, 3};
+    EXPECT_EQ(unpackRecord<std::vector<std::uint64_t>>(packRecord(list)), list);
+}
+
 RC_GTEST_PROP(JobRecords, AreNeverTakenFromOtherBytes, (const std::string &bytes))
 {
     static_cast<void>(decodeJob(bytes));
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -245,10 +245,10 @@
     world.isStoreUp = false;
     world.addJob(test::oneStepJob("a", test::shortStep(1)));
     world.run(2s);
-    EXPECT_TRUE(world.steward(steward).workerLoads().front().hasUnkeptEnds);
+    EXPECT_TRUE(world.steward(steward).workerLoad(test::workerName(0))->hasUnkeptEnds);
     world.isStoreUp = true;
     world.run(2s);
-    EXPECT_FALSE(world.steward(steward).workerLoads().front().hasUnkeptEnds);
+    EXPECT_FALSE(world.steward(steward).workerLoad(test::workerName(0))->hasUnkeptEnds);
 }
 
 TEST(Steward, ForgetsEndedJobsOnceTheyAreOldAndKept)
@@ -289,11 +289,12 @@
     single.step(steward_event::WorkerVacated{test::workerName(0), true});
     auto report = HostReport();
     report.state = HostState::Up;
-    const auto before = single.steward.workerLoads();
-    EXPECT_FALSE(viewOf(report, &before.front(), false).isIdle());
+    const auto before = single.steward.workerLoad(test::workerName(0));
+    ASSERT_TRUE(before.has_value());
+    EXPECT_FALSE(viewOf(report, before, false).isIdle());
     single.look({}, {});
-    const auto after = single.steward.workerLoads();
-    EXPECT_TRUE(viewOf(report, &after.front(), false).isIdle());
+    const auto after = single.steward.workerLoad(test::workerName(0));
+    EXPECT_TRUE(viewOf(report, after, false).isIdle());
 }
 
 TEST(Steward, MakesRoomForLastingTasksInAFullPool)
