Drop an open request with its connection instead of crashing

Cause of the hang of ProcessRequests.ACallerThatVanishesWhileItWaitsRunsNothing: it was a crash. TargetConnection's socket reports its close from its own destructor, after the parser and the callback are gone (gdb: handleDisconnect reads m_parser below ~QAbstractSocket). The test's processes lived on and kept ctest's pipe open until the limit of 300 s.

Now the destructor leaves the socket's signals first, and a test's processes end with the test.

--- a/packages/connection/include/shallotproxy/connection/target/target_connection.hpp
+++ b/packages/connection/include/shallotproxy/connection/target/target_connection.hpp
@@ -49,6 +49,10 @@
     using Guard = std::function<bool()>;
 
     TargetConnection(std::string endpoint, HttpBounds bounds, QObject *parent = nullptr);
+    /// Drops an open request; its callback isn't called.
+    ~TargetConnection() override;
+    TargetConnection(const TargetConnection &) = delete;
+    auto operator=(const TargetConnection &) -> TargetConnection & = delete;
 
     /// Sends the request once and hands the outcome to `callback`, exactly once. Ends with an error
     /// if the connection doesn't stand within its bound, if an answer that has begun makes no
--- a/packages/connection/src/target_connection.cpp
+++ b/packages/connection/src/target_connection.cpp
@@ -51,6 +51,12 @@
     connect(&m_progress, &QTimer::timeout, this, timeOut);
 }
 
+// The socket says that it closes while the members that handle this are gone already.
+TargetConnection::~TargetConnection()
+{
+    m_socket.disconnect(this);
+}
+
 auto TargetConnection::send(const HttpRequest &request, int timeoutMilliseconds, Callback callback,
                             Guard guard) -> void
 {
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <functional>
 
+#include <sys/prctl.h>
+
 #include <QDir>
 #include <QElapsedTimer>
 #include <QEventLoop>
@@ -140,6 +142,8 @@
 auto Fleet::start(const QString &program, const QStringList &arguments) -> std::unique_ptr<QProcess>
 {
     auto process = std::make_unique<QProcess>();
+    // Ends with the test, however that ends: a process left over keeps ctest waiting for output.
+    process->setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
     process->setProcessChannelMode(QProcess::ForwardedErrorChannel);
     process->start(program, arguments);
     process->waitForStarted();
--- a/tests/unit/unit-http-target.cpp
+++ b/tests/unit/unit-http-target.cpp
@@ -200,6 +200,18 @@
     EXPECT_EQ(target.requests(), 0);
 }
 
+TEST(TargetConnection, EndsWhileARequestIsOpenWithoutTellingItsCaller)
+{
+    auto target = FakeTarget([](QTcpSocket & /*socket*/, int) {});
+    auto connection = std::make_unique<TargetConnection>(target.endpoint(), shortBounds());
+    auto calls = 0;
+    connection->send(order(), 1'000, [&calls](const TargetReply & /*reply*/) { ++calls; });
+    runUntil([&target] { return target.requests() == 1; }, 1'000);
+    connection.reset();
+    runFor(20);
+    EXPECT_EQ(calls, 0);
+}
+
 TEST(TargetConnection, WaitsLongForAnAnswerThatHasNotBegun)
 {
     auto target = FakeTarget([](QTcpSocket &socket, int) {
