Start no request that can't be answered in time, count lost runs in full

Cause of the two old red tests (9 or 10 of team blue running, limit 8): blue asks for more than its limit, so its requests wait until shortly before their deadline and are then started with less time than the work of 400 ms takes. They time out, their unit is freed at the deadline, and the target works on. Seen in 3 of 48 runs of Process/Faults.BreakNoPromise/*Killed, 16 side by side beside 6 busy processes: targetMostRunning(blue) 9 or 10, and 30 to 37 callers told 'unknown'. The killed member has no part in it. Ruled out: units moved twice by the ledger (the time line of those runs is clean).

The dispatcher now knows the newest run times of each queue and team and refuses, as not run, what is too late (RunTimes); and a run without an answer counts until its queue's deadline has passed since its start. Two unit tests. Another finding of these runs: two tests side by side took the same ports (165 repeated bodies seen by one); a fleet now holds its block of ports.

--- a/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
+++ b/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "../admission/key_index.hpp"
 #include "../admission/refusal.hpp"
 #include "../retry/retry_budget.hpp"
+#include "run_times.hpp"
 #include "shallotproxy/process/base/boot_clock.hpp"
 #include "shallotproxy/version/configuration/configuration.hpp"
 
@@ -157,6 +158,7 @@
         TeamName team;
         KeyName key;
         BootTime deadline;
+        BootTime startedAt; // of the current or the last try
         bool isUrgent = false;
         bool isIdempotent = false;
         bool isRunning = false;
@@ -224,6 +226,8 @@
     auto startWaiting() -> void;
     auto startOne(const PoolName &name, PoolState &pool) -> bool;
     auto mayStart(const TeamName &name, const TeamQueue &team) const -> bool;
+    [[nodiscard]] auto isTooLate(const Request &request) const -> bool;
+    [[nodiscard]] auto lastsUntil(const Request &request) const -> BootTime;
     auto chooseTarget(const PoolName &pool, const HostName &avoided) const -> const Host *;
     [[nodiscard]] auto runningOn(const HostName &host) const -> std::uint32_t;
     [[nodiscard]] auto slotsOf(const Host &host) const -> std::uint32_t;
@@ -243,6 +247,7 @@
     std::multimap<BootTime, PoolTeam> m_uncertain; // tries that may still run, until this time
     std::set<TimedRequest> m_delayed; // by when they are tried again
     RetryBudget m_retries;
+    RunTimes m_runTimes;
     std::uint64_t m_rotation = 0;
     std::map<PoolName, PoolState> m_pools;
     std::map<PoolName, std::vector<HostName>> m_targetsOfPool;
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t FaultsToEject = 3; // in a row
 constexpr Duration EjectionTime = 5s;
 constexpr std::uint32_t MaxEjectionDoublings = 3;
+constexpr int LeastTriesInDeadline = 2; // of the longest run that a start has to leave time for
 constexpr std::size_t MaxEjectedFraction = 2; // at most one in two targets of a pool
 
 } // namespace
@@ -105,6 +106,7 @@
         target.faults = 0;
         target.ejections = 0;
         target.ejectedUntil = {};
+        m_runTimes.add(it->second.queue, it->second.team, m_now - it->second.startedAt);
     }
     release(it->second);
     m_requests.erase(it);
@@ -120,7 +122,7 @@
         noteFault(m_targets[request.host]);
     // The target may go on with it, so it counts for the team until it must have ended.
     releaseTarget(request);
-    m_uncertain.emplace(request.deadline, PoolTeam{request.pool, request.team});
+    m_uncertain.emplace(lastsUntil(request), PoolTeam{request.pool, request.team});
     request.mayHaveRun = true;
     const auto mayTryAgain = request.isIdempotent && !m_isDraining && m_now < request.deadline;
     if (mayTryAgain && m_retries.withdraw()) {
@@ -344,12 +346,17 @@
         auto &waiting = team.urgent.empty() ? team.normal : team.urgent;
         const auto number = waiting.front();
         auto &request = m_requests.at(number);
+        if (isTooLate(request)) {
+            end(number, Refusal::Kind::DeadlinePassed);
+            return true;
+        }
         const auto *host = chooseTarget(name, request.host);
         if (host == nullptr)
             return false;
         waiting.pop_front();
         m_deadlines.erase({request.deadline, number});
         request.isRunning = true;
+        request.startedAt = m_now;
         ++request.tries;
         ++m_rotation;
         request.host = host->name;
@@ -373,6 +380,30 @@
     return it != m_units.end() && runningOf(name) < it->second;
 }
 
+/// Whether too little time is left for an answer. A queue whose runs seem to need most of its
+/// deadline is served all the same.
+auto Dispatcher::isTooLate(const Request &request) const -> bool
+{
+    const auto queue = m_configuration->queues.find(request.queue);
+    if (queue == m_configuration->queues.end())
+        return false;
+    const Duration mostNeeded =
+        std::chrono::milliseconds(queue->second.deadlineMilliseconds) / LeastTriesInDeadline;
+    const auto needed = std::min(m_runTimes.longest(request.queue, request.team), mostNeeded);
+    return request.deadline - m_now < needed;
+}
+
+/// By when a try without an answer has ended at its target: a run takes no longer than its queue's
+/// deadline, but it may have begun shortly before that of its request.
+auto Dispatcher::lastsUntil(const Request &request) const -> BootTime
+{
+    const auto queue = m_configuration->queues.find(request.queue);
+    if (queue == m_configuration->queues.end())
+        return request.deadline;
+    const auto longestRun = std::chrono::milliseconds(queue->second.deadlineMilliseconds);
+    return std::max(request.deadline, request.startedAt + longestRun);
+}
+
 /// The target with the fewest requests running; `avoided`, where the last try failed, only if there
 /// is no other.
 auto Dispatcher::chooseTarget(const PoolName &pool, const HostName &avoided) const -> const Host *
--- /dev/null
+++ b/packages/request/src/run_times.cpp
@@ -0,0 +1,23 @@
+#include <algorithm>
+
+#include "shallotproxy/request/dispatch/run_times.hpp"
+
+namespace shallotproxy {
+
+auto RunTimes::add(const QueueName &queue, const TeamName &team, Duration time) -> void
+{
+    auto &times = m_times[{queue, team}];
+    times.push_back(time);
+    if (times.size() > Kept)
+        times.pop_front();
+}
+
+auto RunTimes::longest(const QueueName &queue, const TeamName &team) const -> Duration
+{
+    const auto it = m_times.find({queue, team});
+    if (it == m_times.end() || it->second.size() < Kept)
+        return Duration::zero();
+    return *std::ranges::max_element(it->second);
+}
+
+} // namespace shallotproxy
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -36,20 +36,22 @@
     return QStringLiteral(SHALLOTPROXY_BIN "/") + QString::fromLatin1(name);
 }
 
-/// First of `count` ports in a row that nobody listens on. The block is random, so that tests side
-/// by side seldom look at the same one.
-auto freePorts(int count) -> quint16
+/// Ports in a row for one fleet. The last one is listened on as long as the fleet lives, so that
+/// tests side by side never take the same block between looking at it and using it.
+auto claimPorts(QTcpServer &claim, int count) -> quint16
 {
     constexpr auto First = 10'000;
     constexpr auto Blocks = 200;
     constexpr auto BlockSize = 100;
     for (auto tries = 0; tries < Blocks; ++tries) {
         const auto first = First + BlockSize * QRandomGenerator::system()->bounded(Blocks);
-        auto isFree = true;
+        auto isFree =
+            claim.listen(QHostAddress::LocalHost, static_cast<quint16>(first + BlockSize - 1));
         for (auto i = 0; i < count && isFree; ++i)
             isFree = QTcpServer().listen(QHostAddress::LocalHost, static_cast<quint16>(first + i));
         if (isFree)
             return static_cast<quint16>(first);
+        claim.close();
     }
     return 0;
 }
@@ -72,7 +74,8 @@
 {
     constexpr auto PortsPerMember = 3;
     const auto first =
-        freePorts(3 + m_options.targets + m_options.workers + PortsPerMember * m_options.members);
+        claimPorts(m_portClaim,
+                   3 + m_options.targets + m_options.workers + PortsPerMember * m_options.members);
     m_storePort = first;
     m_controlPort = static_cast<quint16>(first + 1);
     m_firstTargetPort = static_cast<quint16>(first + 2);
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -8,6 +8,7 @@
 
 #include <QJsonObject>
 #include <QProcess>
+#include <QTcpServer>
 #include <QTemporaryDir>
 
 #include "relay.hpp"
@@ -123,6 +124,7 @@
 
     FleetOptions m_options;
     QTemporaryDir m_folder;
+    QTcpServer m_portClaim;
     quint16 m_storePort = 0;
     quint16 m_controlPort = 0;
     quint16 m_firstTargetPort = 0;
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -398,6 +398,39 @@
     EXPECT_TRUE(std::holds_alternative<AbandonRequest>(actions[0]));
 }
 
+TEST(Dispatcher, StartsNothingThatCannotBeAnsweredInTime)
+{
+    auto roomy = Roomy(makeConfiguration());
+    constexpr auto Work = 400ms;
+    for (std::size_t i = 0; i < RunTimes::Kept; ++i) {
+        ASSERT_TRUE(startedOn(roomy.arrive("orders", 8s)));
+        roomy.now += Work;
+        roomy.step(RequestFinished{roomy.last, false});
+    }
+    EXPECT_TRUE(startedOn(roomy.arrive("orders", Work)));
+    const auto actions = roomy.arrive("orders", Work - 1ms);
+    ASSERT_EQ(actions.size(), 1U);
+    const auto *refused = std::get_if<RefuseRequest>(&actions[0]);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->refusal.kind, Refusal::Kind::DeadlinePassed);
+}
+
+TEST(Dispatcher, CountsARunWithoutAnAnswerForAsLongAsItMayTakeFromItsStart)
+{
+    auto roomy = Roomy(makeConfiguration());
+    const auto longestRun = std::chrono::milliseconds(
+        makeConfiguration().queues.at(QueueName("orders")).deadlineMilliseconds);
+    ASSERT_TRUE(startedOn(roomy.arrive("orders", 100ms)));
+    roomy.now += 100ms;
+    roomy.step(RequestFailed{roomy.last, false});
+    roomy.now += longestRun - 101ms;
+    roomy.step(DispatchTick());
+    EXPECT_EQ(roomy.dispatcher.runningOf(red), 1U);
+    roomy.now += 1ms;
+    roomy.step(DispatchTick());
+    EXPECT_EQ(roomy.dispatcher.runningOf(red), 0U);
+}
+
 TEST(Dispatcher, HoldsRetriesToTheirBudgetWhenEverythingFails)
 {
     auto roomy = Roomy(makeConfiguration());
