Try submissions again, relay them through the steward, refuse while the store is away

A member went on writing to a store that reset every connection, and one lost answer left the outcome unknown, after which a caller has few ways on. The record's key makes repeats harmless, so: - a write without an answer is written again, three times in 1.9 s (it was read back, which can't tell that it won't come), - a member that the store refuses hands the job to the steward's member, which has just heard from the store, - after three failures in a row no write is tried: true refusal with Retry-After, or the relay.

--- a/packages/member/include/shallotproxy/member/caller_duty.hpp
+++ b/packages/member/include/shallotproxy/member/caller_duty.hpp
@@ -4,6 +4,7 @@
 
 #include "runtime_context.hpp"
 #include "steward_duty.hpp"
+#include "submission.hpp"
 
 namespace shallotproxy {
 
@@ -25,7 +26,14 @@
 
     auto receive(HttpRequest request, HttpResponder responder) -> void;
     auto submit(const CallPointer &call) -> void;
-    auto checkSubmission(const CallPointer &call) -> void;
+    auto moveSubmission(const CallPointer &call, SubmissionMove move) -> void;
+    auto writeJob(const CallPointer &call) -> void;
+    auto relayJob(const CallPointer &call) -> void;
+    auto submissionTried(const CallPointer &call, WriteOutcome outcome) -> void;
+    [[nodiscard]] auto submissionView(const Call &call) const -> SubmissionView;
+    [[nodiscard]] auto hasPeerSteward() const -> bool;
+    /// Stores a job for a member that the store doesn't answer.
+    auto receiveRelayed(const HttpRequest &request, HttpResponder responder) -> void;
     auto readJob(const CallPointer &call) -> void;
     auto askSteward(const CallPointer &call, std::function<void()> otherwise) -> void;
     auto readStoredJob(const CallPointer &call) -> void;
--- a/packages/member/include/shallotproxy/member/runtime_context.hpp
+++ b/packages/member/include/shallotproxy/member/runtime_context.hpp
@@ -3,6 +3,7 @@
 #include "event_log.hpp"
 #include "fleet_state.hpp"
 #include "ports.hpp"
+#include "store_health.hpp"
 
 namespace shallotproxy {
 
@@ -27,7 +28,7 @@
 struct RuntimeContext
 {
     RuntimeSettings settings;
-    RecordStore &store;
+    ObservedStore store;
     WorkerPort &workers;
     HostPort &hosts;
     const PlatformRecords &records;
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -1,4 +1,5 @@
 #include <QPointer>
+#include <QTimer>
 
 #include "shallotproxy/member/caller_duty.hpp"
 #include "shallotproxy/process/base/record_codec.hpp"
@@ -11,6 +12,8 @@
 constexpr int StewardTimeoutMilliseconds = 350; // then the store is asked: a caller waits up to 3 s
 constexpr std::size_t MostOpenCalls = 1'500; // of the member's descriptors, some 4,000
 constexpr std::size_t MostOpenSubmissions = 300; // each may hold a body of 256 KB
+constexpr int RelayTimeoutMilliseconds = 1'000; // the other member's write takes up to 900 ms
+constexpr std::chrono::milliseconds WriteAgainDelay{100}; // a connection that was cut is back
 constexpr int RetryAfterSeconds = 1; // an outage or a change of members usually lasts this long
 
 auto innerBounds() -> HttpBounds
@@ -33,6 +36,49 @@
 
 constexpr std::string_view InnerJobPath = "/jobs/";
 constexpr std::string_view InnerQueuePath = "/queues/";
+constexpr std::string_view InnerSubmissionPath = "/submissions";
+
+/// Creates the job's record, unless it was there before or the job has ended.
+auto creationOf(const std::string &job, std::string record) -> StoreCommit
+{
+    auto commit = StoreCommit();
+    commit.compares.push_back({store_keys::job(job), 0});
+    commit.compares.push_back({store_keys::progress(job), 0});
+    commit.puts.push_back({store_keys::job(job), std::move(record), 0});
+    return commit;
+}
+
+auto encodeOutcome(WriteOutcome outcome) -> HttpResponse
+{
+    switch (outcome) {
+    case WriteOutcome::Stored:
+        return {201, {}, {}};
+    case WriteOutcome::StoredBefore:
+        return {200, {}, {}};
+    case WriteOutcome::NotDone:
+        return {503, {}, {}};
+    case WriteOutcome::Unknown:
+        break;
+    }
+    return {504, {}, {}};
+}
+
+auto decodeOutcome(const TargetReply &reply) -> WriteOutcome
+{
+    if (!reply)
+        return reply.error().isNotRun() ? WriteOutcome::NotDone : WriteOutcome::Unknown;
+    switch (reply->status) {
+    case 201:
+        return WriteOutcome::Stored;
+    case 200:
+        return WriteOutcome::StoredBefore;
+    case 400:
+    case 503:
+        return WriteOutcome::NotDone;
+    default:
+        return WriteOutcome::Unknown;
+    }
+}
 
 auto encodeInner(const InnerAnswer &answer) -> HttpResponse
 {
@@ -57,6 +103,8 @@
     QueueName queue;
     PoolName pool;
     std::string body;
+    std::string record; // of a job that is being submitted
+    Submission submission;
     BootTime receivedAt;
     ConfigurationVersion version = 0;
     Duration configurationAge{};
@@ -182,49 +230,99 @@
     spec->pool = call->pool;
     spec->team = call->team;
     spec->submittedMilliseconds = wallMilliseconds();
-    auto commit = StoreCommit();
-    commit.compares.push_back({store_keys::job(spec->id), 0});
-    commit.compares.push_back({store_keys::progress(spec->id), 0});
-    commit.puts.push_back({store_keys::job(spec->id), encodeJob(*spec), 0});
+    call->record = encodeJob(*spec);
     ++m_openSubmissions;
-    m_context.store.commit(commit, [self = QPointer(this), call](auto reply) {
-        if (!self)
-            return;
-        --self->m_openSubmissions;
-        if (reply) {
-            self->answer(call, {200, {}, "{}"}, "accepted");
-            return;
-        }
-        switch (reply.error().kind) {
-        case StoreFailure::Kind::Conflict:
-            self->answer(call, {200, {}, "{}"}, "accepted-before");
-            return;
-        case StoreFailure::Kind::NotDone:
-        case StoreFailure::Kind::LeaseGone:
-        case StoreFailure::Kind::HistoryGone:
-            self->refuse(call, 503, reply.error().name());
-            return;
-        case StoreFailure::Kind::Unknown:
-            self->checkSubmission(call);
-            return;
-        }
-    });
+    moveSubmission(call, call->submission.begin(submissionView(*call)));
 }
 
-/// The write may have been done: if the record is there it was. If not, it may still come, so
-/// "not accepted" would be a guess.
-auto CallerDuty::checkSubmission(const CallPointer &call) -> void
+auto CallerDuty::hasPeerSteward() const -> bool
 {
-    const auto key = store_keys::job(call->asked.job);
-    m_context.store.read(key, [self = QPointer(this), call](auto reply) {
-        if (!self)
-            return;
-        if (reply && !reply->records.empty()) {
-            self->answer(call, {200, {}, "{}"}, "accepted-unanswered");
-        } else {
-            self->answer(call, {504, {}, "{}"}, "submission-unknown");
-        }
-    });
+    const auto &holder = m_steward.holderAddress();
+    return !holder.empty() && holder != m_context.settings.innerEndpoint;
+}
+
+auto CallerDuty::submissionView(const Call &call) const -> SubmissionView
+{
+    return {m_context.store.health().isAway(), hasPeerSteward(),
+            BootClock::now() - call.receivedAt};
+}
+
+auto CallerDuty::moveSubmission(const CallPointer &call, SubmissionMove move) -> void
+{
+    switch (move) {
+    case SubmissionMove::Write:
+        writeJob(call);
+        return;
+    case SubmissionMove::WriteLater:
+        QTimer::singleShot(WriteAgainDelay, this, [this, call] { writeJob(call); });
+        return;
+    case SubmissionMove::Relay:
+        relayJob(call);
+        return;
+    case SubmissionMove::Accept:
+        --m_openSubmissions;
+        answer(call, {200, {}, "{}"}, "accepted");
+        return;
+    case SubmissionMove::Refuse:
+        --m_openSubmissions;
+        refuse(call, 503, "store-away");
+        return;
+    case SubmissionMove::SayUnknown:
+        --m_openSubmissions;
+        answer(call, {504, {}, "{}"}, "submission-unknown");
+        return;
+    }
+}
+
+auto CallerDuty::writeJob(const CallPointer &call) -> void
+{
+    m_context.store.commit(creationOf(call->asked.job, call->record),
+                           [self = QPointer(this), call](const auto &reply) {
+                               if (self)
+                                   self->submissionTried(call, writeOutcomeOf(reply));
+                           });
+}
+
+auto CallerDuty::relayJob(const CallPointer &call) -> void
+{
+    m_context.metrics.count("shallotproxy_relayed_submissions_total");
+    auto request = HttpRequest();
+    request.method = "POST";
+    request.path = InnerSubmissionPath;
+    request.body = call->record;
+    m_peers.send(m_steward.holderAddress(), request, RelayTimeoutMilliseconds,
+                 [self = QPointer(this), call](const TargetReply &reply) {
+                     if (self)
+                         self->submissionTried(call, decodeOutcome(reply));
+                 });
+}
+
+auto CallerDuty::submissionTried(const CallPointer &call, WriteOutcome outcome) -> void
+{
+    moveSubmission(call, call->submission.step(outcome, submissionView(*call)));
+}
+
+auto CallerDuty::receiveRelayed(const HttpRequest &request, HttpResponder responder) -> void
+{
+    const auto spec = decodeJob(request.body);
+    if (!spec) {
+        m_context.log.warning("event=relayed-job-unreadable error=\"{}\"", spec.error().message());
+        responder.answer({400, {}, {}});
+        return;
+    }
+    // Only a steward has just heard from the store.
+    const auto isReached = m_steward.steward() != nullptr && !m_context.store.health().isAway();
+    m_context.log.info("event=job-relayed job={} queue={} taken={}", spec->id, spec->queue.value(),
+                       isReached);
+    if (!isReached) {
+        responder.answer(encodeOutcome(WriteOutcome::NotDone));
+        return;
+    }
+    m_context.store.commit(
+        creationOf(spec->id, request.body),
+        [responder = std::make_shared<HttpResponder>(std::move(responder))](const auto &reply) {
+            responder->answer(encodeOutcome(writeOutcomeOf(reply)));
+        });
 }
 
 auto CallerDuty::answerView(const CallPointer &call, const JobView &view) -> void
@@ -254,8 +352,7 @@
 
 auto CallerDuty::askSteward(const CallPointer &call, std::function<void()> otherwise) -> void
 {
-    const auto &holder = m_steward.holderAddress();
-    if (holder.empty() || holder == m_context.settings.innerEndpoint) {
+    if (!hasPeerSteward()) {
         otherwise();
         return;
     }
@@ -264,7 +361,7 @@
     request.method = "GET";
     request.path = isCount ? std::string(InnerQueuePath) + call->queue.value()
                            : std::string(InnerJobPath) + call->asked.job;
-    m_peers.send(holder, request, StewardTimeoutMilliseconds,
+    m_peers.send(m_steward.holderAddress(), request, StewardTimeoutMilliseconds,
                  [self = QPointer(this), call, isCount,
                   otherwise = std::move(otherwise)](const TargetReply &reply) {
                      if (!self)
@@ -286,8 +383,12 @@
 
 auto CallerDuty::receiveInner(const HttpRequest &request, HttpResponder responder) -> void
 {
-    auto told = InnerAnswer();
     const auto path = std::string_view(request.path);
+    if (path == InnerSubmissionPath) {
+        receiveRelayed(request, std::move(responder));
+        return;
+    }
+    auto told = InnerAnswer();
     if (const auto *steward = m_steward.steward()) {
         told.isSteward = true;
         if (path.starts_with(InnerJobPath)) {
