--- a/packages/job/include/shallotproxy/job/upkeep_planner.hpp
+++ b/packages/job/include/shallotproxy/job/upkeep_planner.hpp
@@ -19,6 +19,7 @@
 {
     HostName host;
     std::uint64_t wave = 0;
+    WorkerName worker; // ends with it; a later answer may find the host's next one up
 };
 
 /// What the planner wants done now.
--- a/packages/job/src/upkeep_planner.cpp
+++ b/packages/job/src/upkeep_planner.cpp
@@ -109,7 +109,7 @@
             --room;
             m_vacated.insert(host);
             orders.vacate.push_back(host);
-            orders.start.push_back({host, wave.order.number});
+            orders.start.push_back({host, wave.order.number, it->report.worker});
             continue;
         }
         if (vacated++ >= wave.order.mostAtOnce * VacatedPerDown)
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -250,9 +250,8 @@
         self->m_ordered.erase(start.host);
         if (outcome == HostOutcome::Accepted) {
             self->m_upkeep.startAccepted(start, BootClock::now());
-            const auto it = std::ranges::find(self->m_hosts, start.host, &HostReport::host);
-            if (it != self->m_hosts.end() && !it->worker.isEmpty())
-                self->m_steward.dispatch(steward_event::WorkerEnded{it->worker});
+            if (!start.worker.isEmpty())
+                self->m_steward.dispatch(steward_event::WorkerEnded{start.worker});
             self->writeStatus(start.wave, false);
             self->m_nextList = {};
             return;
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -115,6 +115,18 @@
     EXPECT_FALSE(planner.isDue(hostName(0)));
 }
 
+TEST(UpkeepPlanner, NamesTheWorkerThatEndsWithAnUpkeep)
+{
+    auto planner = UpkeepPlanner();
+    planner.waveDeclared(waveOf(1, 1), {});
+    auto hosts = std::vector{idleHost(0, "a")};
+    hosts[0].report.worker = WorkerName("before");
+    const auto now = BootTime(1h);
+    const auto orders = planner.step(hosts, now, now + 1ms);
+    ASSERT_EQ(orders.start.size(), 1U);
+    EXPECT_EQ(orders.start[0].worker, WorkerName("before"));
+}
+
 TEST(UpkeepPlanner, BeginsNoHostWithRunsOrWithEndsThatAreNotKept)
 {
     auto planner = UpkeepPlanner();
