--- a/packages/job/include/shallotproxy/job/upkeep_planner.hpp
+++ b/packages/job/include/shallotproxy/job/upkeep_planner.hpp
@@ -26,7 +26,6 @@
 struct UpkeepOrders
 {
     std::vector<HostName> vacate;
-    std::vector<HostName> release;
     std::vector<UpkeepStart> start;
     std::vector<std::uint64_t> completed; // waves
 };
--- a/packages/member/include/shallotproxy/member/submission.hpp
+++ b/packages/member/include/shallotproxy/member/submission.hpp
@@ -34,7 +34,7 @@
     auto step(WriteOutcome outcome, const SubmissionView &view) -> SubmissionMove;
 
 private:
-    auto giveUp() const -> SubmissionMove;
+    [[nodiscard]] auto giveUp() const -> SubmissionMove;
 
     int m_writes = 0;
     bool m_isRelayed = false;
