Leave the steward's key longer to members that can keep up

Such a member begins 380 ms later, but it had read the configuration 0.3 s before the others.

campaignDelay() is pure and grows with the square of what is lacking: 120 ms with a quarter of a core, as before, 1.2 s with 0.12. Test in unit-job-plans.

--- a/packages/job/include/shallotproxy/job/stewardship.hpp
+++ b/packages/job/include/shallotproxy/job/stewardship.hpp
@@ -39,6 +39,10 @@
     /// How long a member holds running work after its last renewal.
     static constexpr Milliseconds HoldOnTime{8'000};
 
+    /// How long a member with this part of a core leaves the free key to those with more. Answers a
+    /// large fleet on unequal members: a steward that can't keep up stops the work of all.
+    static auto campaignDelay(double processorShare) -> Milliseconds;
+
 private:
     std::optional<std::uint64_t> m_token;
     BootTime m_renewedAt;
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -20,11 +20,6 @@
 constexpr std::size_t ForgottenAtOnce = 20; // records of one write, of at most 32 entries
 constexpr std::int64_t KeptFactor = 2; // kept for twice as long as promised
 constexpr milliseconds CampaignSpread{80}; // members begin this far apart, so few calls are lost
-// Half a core serves the largest fleet; below it a member waits longer the less it has: 120 ms with
-// a quarter, 380 ms with 0.12, more than members start apart.
-constexpr double EnoughShare = 0.5;
-constexpr double LeastShare = 0.05; // bounds the wait
-constexpr milliseconds ShareHandicap{60};
 constexpr milliseconds UnsureRetry{50}; // costs no call
 constexpr milliseconds CampaignRetry{250}; // after a campaign that failed
 constexpr milliseconds ClaimCheckDelay{100}; // before the outcome of a lost answer is read
@@ -107,12 +102,10 @@
 /// Members with more processor time go first: the steward does most of the work.
 auto StewardDuty::campaignLater() -> void
 {
-    const auto share = std::clamp(m_context.settings.processorShare, LeastShare, EnoughShare);
-    const auto handicap = static_cast<int>((1 / share - 1 / EnoughShare)
-                                           * static_cast<double>(ShareHandicap.count()));
     const auto spread = static_cast<int>(CampaignSpread.count());
-    QTimer::singleShot(handicap + QRandomGenerator::global()->bounded(spread), this,
-                       [this] { campaign(); });
+    const auto delay = Stewardship::campaignDelay(m_context.settings.processorShare)
+        + milliseconds(QRandomGenerator::global()->bounded(spread));
+    QTimer::singleShot(delay, this, [this] { campaign(); });
 }
 
 auto StewardDuty::campaign() -> void
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -246,6 +246,17 @@
     EXPECT_EQ(writer.next(now, source)->front().revision, 17U);
 }
 
+// Found on grown blyglass, trouble-1: a member with 0.12 of a core was first to the key, as it had
+// started 0.3 s ahead of those with half a core.
+TEST(Stewardship, LeavesTheKeyToMembersThatCanKeepUp)
+{
+    EXPECT_EQ(Stewardship::campaignDelay(0.5), 0ms);
+    EXPECT_EQ(Stewardship::campaignDelay(1), 0ms);
+    EXPECT_LE(Stewardship::campaignDelay(0.25), 150ms);
+    EXPECT_GE(Stewardship::campaignDelay(0.12), 1'000ms);
+    EXPECT_LE(Stewardship::campaignDelay(0.01), Stewardship::LeaseTime);
+}
+
 TEST(Stewardship, EndsBeforeAnotherMemberCanBegin)
 {
     auto stewardship = Stewardship();
