Take no worker for silent that the steward had no time to look at

A lease now only counts as ended for a worker that failed to answer a look; any other tells itself what became of its runs. Test failed before.

--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -509,7 +509,10 @@
 
 auto Steward::tickWorker(Worker &worker) -> void
 {
-    if (!worker.runs.empty() && m_now >= worker.leaseEnds)
+    // A worker that answers tells what became of its runs. One that this steward was too busy to
+    // look at may have ended them well before the lease was over.
+    const auto isSilent = worker.failedLooks > 0;
+    if (!worker.runs.empty() && m_now >= worker.leaseEnds && isSilent)
         releaseAll(worker);
     const auto runs = worker.runs;
     for (auto *task : runs) {
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -187,6 +187,24 @@
     EXPECT_EQ(single.steward.record("job")->progress.state(), JobOutcome::Completed);
 }
 
+// Found on grown blyglass trouble-1, seed 581850572145: a steward without the time to look at its
+// workers took their leases for ended, and began what had ended done 5 s before.
+TEST(Steward, DoesNotTakeAWorkerThatItCouldNotLookAtForSilent)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    single.steward.expectWorkers({test::workerName(0)});
+    const auto begun = single.look({}, {});
+    const auto *start = firstOf<steward_action::StartRun>(begun);
+    ASSERT_NE(start, nullptr);
+    const auto run = start->run;
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Accepted, 5'000});
+    for (auto n = 0; n < 10; ++n)
+        EXPECT_EQ(firstOf<steward_action::StartRun>(single.tick(1s)), nullptr);
+    single.look({}, {{1, single.task, run, RunEnd::Done, {}}});
+    EXPECT_EQ(single.steward.record("job")->progress.state(), JobOutcome::Completed);
+}
+
 // Found on kragenwerk hunt-cfb8-7: each look at a silent worker was taken to renew its lease.
 TEST(Steward, RunsALastingTaskElsewhereOnceItsSilentWorkersLeaseHasEnded)
 {
