--- a/packages/member/src/submission.cpp
+++ b/packages/member/src/submission.cpp
@@ -38,8 +38,8 @@
     m_mayBeStored = m_mayBeStored || outcome == WriteOutcome::Unknown;
     if (view.elapsed > LatestWrite)
         return giveUp();
-    const auto isRefused = outcome == WriteOutcome::NotDone || view.isStoreAway;
-    if (isRefused && view.hasPeer && !m_isRelayed) {
+    const auto needsPeer = outcome == WriteOutcome::NotDone || view.isStoreAway;
+    if (needsPeer && view.hasPeer && !m_isRelayed) {
         m_isRelayed = true;
         return SubmissionMove::Relay;
     }
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint32_t FaultsToEject = 3; // in a row
 constexpr Duration EjectionTime = 5s;
 constexpr std::uint32_t MaxEjectionDoublings = 3;
-constexpr int LeastTriesInDeadline = 2; // of the longest run that a start has to leave time for
+constexpr int MostNeededFraction = 2; // a start leaves a run at most half of the queue's deadline
 constexpr std::size_t MaxEjectedFraction = 2; // at most one in two targets of a pool
 
 } // namespace
@@ -388,7 +388,7 @@
     if (queue == m_configuration->queues.end())
         return false;
     const Duration mostNeeded =
-        std::chrono::milliseconds(queue->second.deadlineMilliseconds) / LeastTriesInDeadline;
+        std::chrono::milliseconds(queue->second.deadlineMilliseconds) / MostNeededFraction;
     const auto needed = std::min(m_runTimes.longest(request.queue, request.team), mostNeeded);
     return request.deadline - m_now < needed;
 }
