Say once what the members' duties said several times

Behaviour stays as it is: - StewardDuty: answers that outlived their stewardship were dropped by the same two lines in seven places; inThisLife() does it.

tests/run-tests.sh build: 319 passed, 0 failed. Unit tests under both sanitizers: 261 passed.

--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -76,7 +76,6 @@
     std::int64_t intervalMilliseconds = 0;
     std::int64_t submittedMilliseconds = 0; // Unix time
 
-    [[nodiscard]] auto isLasting() const -> bool;
     [[nodiscard]] auto isScheduled() const -> bool { return firstDueMilliseconds > 0; }
     /// The work of one occurrence's longest chain of steps, by the submitter's estimates.
     [[nodiscard]] auto chainMilliseconds() const -> std::int64_t;
--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -54,11 +54,6 @@
     return reserved;
 }
 
-auto JobSpec::isLasting() const -> bool
-{
-    return std::ranges::any_of(steps, [](const auto &it) { return it.isLasting; });
-}
-
 auto JobSpec::chainMilliseconds() const -> std::int64_t
 {
     auto ends = std::vector<std::int64_t>();
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -311,8 +311,9 @@
             || (task->phase == TaskPhase::Stopping && task->isStopConfirmed);
         if (!isConfirmed || task->answeredAt >= look.sentAt)
             continue;
-        const auto isActive = std::ranges::any_of(look.active, [task](const ActiveRun &it) {
-            return it.run == task->run && it.task == task->id();
+        const auto id = task->id();
+        const auto isActive = std::ranges::any_of(look.active, [task, &id](const ActiveRun &it) {
+            return it.run == task->run && it.task == id;
         });
         if (!isActive)
             release(*task);
--- a/packages/member/include/shallotproxy/member/caller_duty.hpp
+++ b/packages/member/include/shallotproxy/member/caller_duty.hpp
@@ -36,6 +36,10 @@
     auto receiveRelayed(const HttpRequest &request, HttpResponder responder) -> void;
     auto readJob(const CallPointer &call) -> void;
     auto askSteward(const CallPointer &call, std::function<void()> otherwise) -> void;
+    /// Hands over a record of the store, or null if it isn't there; refuses the call if the store
+    /// doesn't tell.
+    auto readRecord(const CallPointer &call, const std::string &key,
+                    std::function<void(const VersionedRecord *)> function) -> void;
     auto readStoredJob(const CallPointer &call) -> void;
     auto cancelJob(const CallPointer &call) -> void;
     auto writeCancellation(const CallPointer &call, const VersionedRecord &job) -> void;
--- a/packages/member/include/shallotproxy/member/record_watch.hpp
+++ b/packages/member/include/shallotproxy/member/record_watch.hpp
@@ -31,6 +31,8 @@
 private:
     auto load() -> void;
     auto watch() -> void;
+    /// Whether the reply holds anything; if not, the same is tried again later.
+    auto isAnswered(const Expected<StoreRead, StoreFailure> &reply) -> bool;
     auto retry(const StoreFailure &ec) -> void;
     auto setReached(bool isReached) -> void;
 
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -28,11 +28,17 @@
     /// The operators' declarations have changed.
     auto declarationsChanged() -> void;
     auto dispatch(StewardEvent event) -> void;
+    /// A commit that does nothing once another member has the key. Only while this one holds it.
+    [[nodiscard]] auto fencedCommit() const -> StoreCommit;
     [[nodiscard]] auto workerReport(const WorkerName &name) const -> const WorkerReport *;
 
 private:
     struct Loading;
 
+    /// The function, for as long as this duty lives and holds the key that it holds now.
+    template <typename Function>
+    [[nodiscard]] auto inThisLife(Function function);
+
     auto holderChanged(const VersionedRecord *record) -> void;
     auto campaign() -> void;
     auto campaignLater() -> void;
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -403,55 +403,54 @@
     responder.answer(encodeInner(told));
 }
 
+auto CallerDuty::readRecord(const CallPointer &call, const std::string &key,
+                            std::function<void(const VersionedRecord *)> function) -> void
+{
+    m_context.store.read(
+        key, [self = QPointer(this), call, function = std::move(function)](const auto &reply) {
+            if (!self)
+                return;
+            if (reply) {
+                function(reply->records.empty() ? nullptr : &reply->records.front());
+            } else {
+                self->refuse(call, 503, reply.error().name());
+            }
+        });
+}
+
 /// Without a steward the records tell: the job as handed in goes when its outcome is written.
 auto CallerDuty::readStoredJob(const CallPointer &call) -> void
 {
-    const auto id = call->asked.job;
-    m_context.store.read(store_keys::job(id), [self = QPointer(this), call, id](auto job) {
-        if (!self)
-            return;
-        if (!job) {
-            self->refuse(call, 503, job.error().name());
+    const auto takeProgress = [this, call](const VersionedRecord *progress) {
+        if (progress == nullptr) {
+            answerView(call, {});
             return;
         }
-        if (!job->records.empty()) {
-            const auto spec = decodeJob(job->records.front().value);
-            self->answerView(call, {JobState::Running, spec ? spec->team : TeamName()});
-            return;
+        const auto record = decodeProgress(progress->value);
+        if (record) {
+            answerView(call, {stateOf(record->state(), JobState::Running), record->team});
+        } else {
+            refuse(call, 503, record.error().name());
         }
-        self->m_context.store.read(store_keys::progress(id), [self, call](auto progress) {
-            if (!self)
-                return;
-            if (!progress) {
-                self->refuse(call, 503, progress.error().name());
-                return;
-            }
-            if (progress->records.empty()) {
-                self->answerView(call, {});
-                return;
-            }
-            const auto record = decodeProgress(progress->records.front().value);
-            if (!record) {
-                self->refuse(call, 503, record.error().name());
-                return;
-            }
-            self->answerView(call, {stateOf(record->state(), JobState::Running), record->team});
-        });
-    });
+    };
+    readRecord(call, store_keys::job(call->asked.job),
+               [this, call, takeProgress](const VersionedRecord *job) {
+                   if (job == nullptr) {
+                       readRecord(call, store_keys::progress(call->asked.job), takeProgress);
+                       return;
+                   }
+                   const auto spec = decodeJob(job->value);
+                   answerView(call, {JobState::Running, spec ? spec->team : TeamName()});
+               });
 }
 
 auto CallerDuty::cancelJob(const CallPointer &call) -> void
 {
-    const auto key = store_keys::job(call->asked.job);
-    m_context.store.read(key, [self = QPointer(this), call](auto job) {
-        if (!self)
-            return;
-        if (!job) {
-            self->refuse(call, 503, job.error().name());
-        } else if (job->records.empty()) {
-            self->cancelEndedJob(call);
+    readRecord(call, store_keys::job(call->asked.job), [this, call](const VersionedRecord *job) {
+        if (job == nullptr) {
+            cancelEndedJob(call);
         } else {
-            self->writeCancellation(call, job->records.front());
+            writeCancellation(call, *job);
         }
     });
 }
@@ -485,20 +484,14 @@
 
 auto CallerDuty::cancelEndedJob(const CallPointer &call) -> void
 {
-    const auto key = store_keys::progress(call->asked.job);
-    m_context.store.read(key, [self = QPointer(this), call](auto progress) {
-        if (!self)
-            return;
-        if (!progress) {
-            self->refuse(call, 503, progress.error().name());
-            return;
-        }
-        const auto isKnown = !progress->records.empty();
-        self->answer(call,
-                     isKnown ? HttpResponse{200, {}, "{}"}
-                             : self->m_context.codec.encodeState(JobState::Unknown),
-                     isKnown ? "ended-before" : "no-such-job");
-    });
+    readRecord(call, store_keys::progress(call->asked.job),
+               [this, call](const VersionedRecord *progress) {
+                   if (progress != nullptr) {
+                       answer(call, {200, {}, "{}"}, "ended-before");
+                   } else {
+                       answer(call, m_context.codec.encodeState(JobState::Unknown), "no-such-job");
+                   }
+               });
 }
 
 auto CallerDuty::countPending(const CallPointer &call) -> void
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -309,12 +309,9 @@
 
 auto HostDuty::writeStatus(std::uint64_t wave, bool isCompleted) -> void
 {
-    const auto token = m_steward.stewardship().token();
-    if (!token)
+    if (!m_steward.stewardship().token())
         return;
-    auto commit = StoreCommit();
-    commit.compares.push_back(
-        {std::string(store_keys::Steward), static_cast<StoreRevision>(*token)});
+    auto commit = m_steward.fencedCommit();
     commit.puts.push_back(m_context.records.waveStatus(wave, isCompleted));
     commit.puts.push_back({store_keys::upkeep(wave), packRecord(m_upkeep.begun(wave)), 0});
     m_context.store.commit(commit, [self = QPointer(this), wave, isCompleted](auto reply) {
--- a/packages/member/src/record_watch.cpp
+++ b/packages/member/src/record_watch.cpp
@@ -30,13 +30,8 @@
 {
     const auto sentAt = BootClock::now();
     m_store.readAll(m_prefix, [self = QPointer(this), sentAt](auto reply) {
-        if (!self)
-            return;
-        if (!reply) {
-            self->retry(reply.error());
+        if (!self || !self->isAnswered(reply))
             return;
-        }
-        self->setReached(true);
         self->m_revision = reply->revision;
         self->m_isLoaded = true;
         self->m_handlers.reset(reply->records);
@@ -52,13 +47,8 @@
 {
     const auto sentAt = BootClock::now();
     m_store.watch(m_prefix, m_revision, m_wait, [self = QPointer(this), sentAt](auto reply) {
-        if (!self)
-            return;
-        if (!reply) {
-            self->retry(reply.error());
+        if (!self || !self->isAnswered(reply))
             return;
-        }
-        self->setReached(true);
         for (const auto &record : reply->records) {
             self->m_handlers.changed(record);
             if (!self)
@@ -72,6 +62,16 @@
     });
 }
 
+auto RecordWatch::isAnswered(const Expected<StoreRead, StoreFailure> &reply) -> bool
+{
+    if (reply) {
+        setReached(true);
+    } else {
+        retry(reply.error());
+    }
+    return reply.has_value();
+}
+
 auto RecordWatch::retry(const StoreFailure &ec) -> void
 {
     if (ec.kind == StoreFailure::Kind::HistoryGone) {
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+template <typename Function>
+auto StewardDuty::inThisLife(Function function)
+{
+    return [self = QPointer(this), life = m_life,
+            function = std::move(function)]<typename... Arguments>(Arguments &&...arguments) {
+        if (self && life == self->m_life)
+            function(std::forward<Arguments>(arguments)...);
+    };
+}
+
 struct StewardDuty::Loading
 {
     std::vector<VersionedRecord> jobs;
@@ -203,15 +213,13 @@
         stepDown("lease-not-renewed");
         return;
     }
-    m_context.store.renewLease(m_lease, [self = QPointer(this), sentAt, life = m_life](auto reply) {
-        if (!self || life != self->m_life || !self->m_stewardship.token())
-            return;
-        if (reply) {
-            self->m_stewardship.renewed(sentAt);
-        } else if (reply.error().kind == StoreFailure::Kind::LeaseGone) {
-            self->stepDown("lease-gone");
-        }
-    });
+    m_context.store.renewLease(m_lease, inThisLife([this, sentAt](const auto &reply) {
+                                   if (reply) {
+                                       m_stewardship.renewed(sentAt);
+                                   } else if (reply.error().kind == StoreFailure::Kind::LeaseGone) {
+                                       stepDown("lease-gone");
+                                   }
+                               }));
 }
 
 auto StewardDuty::stepDown(std::string_view reason) -> void
@@ -249,37 +257,29 @@
 
 auto StewardDuty::load() -> void
 {
-    const auto life = m_life;
     auto loading = std::make_shared<Loading>();
-    const auto again = [self = QPointer(this), life] {
-        QTimer::singleShot(CampaignRetry, self, [self, life] {
-            if (life == self->m_life)
-                self->load();
-        });
+    const auto again = [this] {
+        QTimer::singleShot(CampaignRetry, this, inThisLife([this] { load(); }));
     };
+    const auto takeProgress = inThisLife([this, loading, again](auto progress) {
+        if (!progress) {
+            again();
+            return;
+        }
+        loading->progress = std::move(progress->records);
+        begin(*loading);
+    });
     // Jobs first: one that ends between the two reads then shows in its progress.
     m_context.store.readAll(std::string(store_keys::JobPrefix),
-                            [self = QPointer(this), life, loading, again](auto jobs) {
-                                if (!self || life != self->m_life)
-                                    return;
+                            inThisLife([this, loading, again, takeProgress](auto jobs) {
                                 if (!jobs) {
                                     again();
                                     return;
                                 }
                                 loading->jobs = std::move(jobs->records);
-                                self->m_context.store.readAll(
-                                    std::string(store_keys::ProgressPrefix),
-                                    [self, life, loading, again](auto progress) {
-                                        if (!self || life != self->m_life)
-                                            return;
-                                        if (!progress) {
-                                            again();
-                                            return;
-                                        }
-                                        loading->progress = std::move(progress->records);
-                                        self->begin(*loading);
-                                    });
-                            });
+                                m_context.store.readAll(std::string(store_keys::ProgressPrefix),
+                                                        takeProgress);
+                            }));
 }
 
 auto StewardDuty::begin(const Loading &loading) -> void
@@ -429,6 +429,14 @@
         m_hosts->declarationsChanged();
 }
 
+auto StewardDuty::fencedCommit() const -> StoreCommit
+{
+    auto commit = StoreCommit();
+    commit.compares.push_back(
+        {std::string(store_keys::Steward), static_cast<StoreRevision>(*m_stewardship.token())});
+    return commit;
+}
+
 auto StewardDuty::tick() -> void
 {
     const auto now = BootClock::now();
@@ -453,9 +461,7 @@
     const auto jobs = m_steward->forgetEnded(before, ForgottenAtOnce);
     if (jobs.empty())
         return;
-    auto commit = StoreCommit();
-    commit.compares.push_back(
-        {std::string(store_keys::Steward), static_cast<StoreRevision>(*m_stewardship.token())});
+    auto commit = fencedCommit();
     for (const auto &job : jobs) {
         commit.removes.push_back(store_keys::progress(job));
         m_writer.forgotten(job);
@@ -500,23 +506,20 @@
     m_context.metrics.count("shallotproxy_run_starts_total");
     m_context.workers.start(
         *report, *m_stewardship.token(), action,
-        [self = QPointer(this), life = m_life, action, now](const OrderReply &reply) {
-            if (!self || life != self->m_life)
-                return;
-            self->m_context.metrics.sample(
-                "shallotproxy_run_start_seconds", {},
-                std::chrono::duration<double>(BootClock::now() - now).count());
+        inThisLife([this, action, now](const OrderReply &reply) {
+            m_context.metrics.sample("shallotproxy_run_start_seconds", {},
+                                     std::chrono::duration<double>(BootClock::now() - now).count());
             if (reply.outcome != OrderOutcome::Accepted) {
-                self->m_context.log.info("event=start-not-accepted job={} occurrence={} step={} "
-                                         "task={} run={} worker={} "
-                                         "outcome={}",
-                                         action.task.job, action.task.occurrence, action.task.step,
-                                         action.task.index, action.run, action.worker.value(),
-                                         static_cast<int>(reply.outcome));
+                m_context.log.info("event=start-not-accepted job={} occurrence={} step={} "
+                                   "task={} run={} worker={} "
+                                   "outcome={}",
+                                   action.task.job, action.task.occurrence, action.task.step,
+                                   action.task.index, action.run, action.worker.value(),
+                                   static_cast<int>(reply.outcome));
             }
-            self->dispatch(steward_event::StartAnswered{action.worker, action.task, action.run,
-                                                        reply.outcome, reply.clockMilliseconds});
-        });
+            dispatch(steward_event::StartAnswered{action.worker, action.task, action.run,
+                                                  reply.outcome, reply.clockMilliseconds});
+        }));
 }
 
 auto StewardDuty::perform(const steward_action::StopRun &action) -> void
@@ -531,12 +534,10 @@
                        action.task.job, action.task.occurrence, action.task.step, action.task.index,
                        action.run, action.worker.value());
     m_context.workers.stop(*report, *m_stewardship.token(), action,
-                           [self = QPointer(this), life = m_life, action](const OrderReply &reply) {
-                               if (!self || life != self->m_life)
-                                   return;
-                               self->dispatch(steward_event::StopAnswered{
-                                   action.worker, action.task, action.run, reply.outcome});
-                           });
+                           inThisLife([this, action](const OrderReply &reply) {
+                               dispatch(steward_event::StopAnswered{action.worker, action.task,
+                                                                    action.run, reply.outcome});
+                           }));
 }
 
 auto StewardDuty::perform(const steward_action::LookAtWorker &action) -> void
@@ -549,24 +550,21 @@
     }
     m_context.workers.look(
         *report, *m_stewardship.token(), action,
-        [self = QPointer(this), life = m_life, worker = action.worker, now](const OrderReply &reply,
-                                                                            auto look) {
-            if (!self || life != self->m_life)
-                return;
+        inThisLife([this, worker = action.worker, now](const OrderReply &reply, auto look) {
             if (!look) {
-                self->m_context.log.info("event=look-failed worker={} outcome={}", worker.value(),
-                                         static_cast<int>(reply.outcome));
-                self->dispatch(steward_event::LookFailed{worker, now, reply.outcome});
+                m_context.log.info("event=look-failed worker={} outcome={}", worker.value(),
+                                   static_cast<int>(reply.outcome));
+                dispatch(steward_event::LookFailed{worker, now, reply.outcome});
                 return;
             }
             look->sentAt = now;
-            if (self->m_steward->isRecovering()) {
-                self->m_context.log.info("event=worker-asked worker={} active={} ended={} clock={}",
-                                         worker.value(), look->active.size(), look->ended.size(),
-                                         look->clockMilliseconds);
+            if (m_steward->isRecovering()) {
+                m_context.log.info("event=worker-asked worker={} active={} ended={} clock={}",
+                                   worker.value(), look->active.size(), look->ended.size(),
+                                   look->clockMilliseconds);
             }
-            self->dispatch(std::move(*look));
-        });
+            dispatch(std::move(*look));
+        }));
 }
 
 auto StewardDuty::perform(const steward_action::PaceRun &action) -> void
@@ -616,10 +614,7 @@
         }
         return;
     }
-    auto commit = StoreCommit();
-    // A steward that was succeeded writes nothing any more.
-    commit.compares.push_back(
-        {std::string(store_keys::Steward), static_cast<StoreRevision>(*m_stewardship.token())});
+    auto commit = fencedCommit();
     for (const auto &it : *batch) {
         const auto key = store_keys::progress(it.job);
         commit.compares.push_back({key, static_cast<StoreRevision>(it.revision)});
@@ -629,10 +624,8 @@
             commit.removes.push_back(store_keys::cancel(it.job));
         }
     }
-    m_context.store.commit(commit, [self = QPointer(this), life = m_life](auto reply) {
-        if (self && life == self->m_life)
-            self->progressStored(std::move(reply));
-    });
+    m_context.store.commit(commit,
+                           inThisLife([this](auto reply) { progressStored(std::move(reply)); }));
 }
 
 auto StewardDuty::progressStored(Expected<std::uint64_t, StoreFailure> reply) -> void
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -201,49 +201,46 @@
     }
 }
 
+auto emptyRecord(const std::string &job) -> std::optional<ProgressWriter::Entry>
+{
+    auto entry = ProgressWriter::Entry();
+    entry.job = job;
+    return entry;
+}
+
 TEST(ProgressWriter, WritesOneBatchAtATimeAndUrgentJobsFirst)
 {
     auto writer = ProgressWriter();
     auto now = BootTime(1h);
-    const auto source = [](const std::string &job) {
-        auto entry = ProgressWriter::Entry();
-        entry.job = job;
-        return std::optional(entry);
-    };
     for (auto n = 0; n < 20; ++n)
         writer.changed("slow-" + std::to_string(n), false, now);
     writer.changed("urgent", true, now);
-    EXPECT_FALSE(writer.next(now, source).has_value());
+    EXPECT_FALSE(writer.next(now, emptyRecord).has_value());
     now += ProgressWriter::UrgentDelay;
-    const auto first = writer.next(now, source);
+    const auto first = writer.next(now, emptyRecord);
     ASSERT_TRUE(first.has_value());
     EXPECT_EQ(first->front().job, "urgent");
     EXPECT_EQ(first->size(), ProgressWriter::JobsPerWrite);
     now += 1s;
-    EXPECT_FALSE(writer.next(now, source).has_value());
+    EXPECT_FALSE(writer.next(now, emptyRecord).has_value());
     writer.stored(50);
-    EXPECT_TRUE(writer.next(now, source).has_value());
+    EXPECT_TRUE(writer.next(now, emptyRecord).has_value());
 }
 
 TEST(ProgressWriter, WritesAgainUnderTheRevisionThatAConflictTold)
 {
     auto writer = ProgressWriter();
     auto now = BootTime(1h);
-    const auto source = [](const std::string &job) {
-        auto entry = ProgressWriter::Entry();
-        entry.job = job;
-        return std::optional(entry);
-    };
     writer.loaded("a", 10);
     writer.changed("a", true, now);
     now += 1s;
-    EXPECT_EQ(writer.next(now, source)->front().revision, 10U);
+    EXPECT_EQ(writer.next(now, emptyRecord)->front().revision, 10U);
     // The write was carried out without an answer, and is refused when it is sent again.
     writer.failed(now);
     now += ProgressWriter::RetryDelay;
-    EXPECT_EQ(writer.next(now, source)->front().revision, 10U);
+    EXPECT_EQ(writer.next(now, emptyRecord)->front().revision, 10U);
     writer.conflicted({{"a", 17}}, now);
-    EXPECT_EQ(writer.next(now, source)->front().revision, 17U);
+    EXPECT_EQ(writer.next(now, emptyRecord)->front().revision, 17U);
 }
 
 // Found on grown blyglass, trouble-1: a member with 0.12 of a core was first to the key, as it had
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -57,6 +57,15 @@
         return step(event);
     }
 
+    /// The first look, and the number of the run that begins then; 0 if none does.
+    auto beginRun() -> std::uint64_t
+    {
+        steward.expectWorkers({test::workerName(0)});
+        const auto actions = look({}, {});
+        const auto *start = firstOf<steward_action::StartRun>(actions);
+        return start == nullptr ? 0 : start->run;
+    }
+
     /// The event, and the placement that it asks for.
     auto step(const StewardEvent &event) -> Steward::Actions
     {
@@ -167,11 +176,8 @@
 TEST(Steward, WaitsForTheEndOfARunThatIsRefusedAsOld)
 {
     auto single = SingleWorker(test::shortStep(1));
-    single.steward.expectWorkers({test::workerName(0)});
-    const auto begun = single.look({}, {});
-    const auto *start = firstOf<steward_action::StartRun>(begun);
-    ASSERT_NE(start, nullptr);
-    const auto run = start->run;
+    const auto run = single.beginRun();
+    ASSERT_NE(run, 0U);
     const auto answer = [&single, run](OrderOutcome outcome) {
         return single.step(
             steward_event::StartAnswered{test::workerName(0), single.task, run, outcome, 0});
@@ -192,11 +198,8 @@
 TEST(Steward, DoesNotTakeAWorkerThatItCouldNotLookAtForSilent)
 {
     auto single = SingleWorker(test::shortStep(1));
-    single.steward.expectWorkers({test::workerName(0)});
-    const auto begun = single.look({}, {});
-    const auto *start = firstOf<steward_action::StartRun>(begun);
-    ASSERT_NE(start, nullptr);
-    const auto run = start->run;
+    const auto run = single.beginRun();
+    ASSERT_NE(run, 0U);
     single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
                                              OrderOutcome::Accepted, 5'000});
     for (auto n = 0; n < 10; ++n)
