Parse the head of a message in one call

Cause: the library's parser tries a head as soon as bytes arrive and afterwards waits for the end of the head, so a malformed second request was an error or an incomplete one depending on how its bytes were split. Ruled out: bodies, whose lengths are read alike. Change: a head is passed to the parser once all of it has arrived; its size is bounded before that.

--- a/packages/connection/src/http_parser.cpp
+++ b/packages/connection/src/http_parser.cpp
@@ -46,11 +46,43 @@
     return headers;
 }
 
+/// Feeds the head of a message to the parser as soon as the whole head is in the buffer. The parser
+/// reports a malformed line early or late depending on how the bytes were split; a head that is
+/// parsed in one call has the same result however it arrived.
+template <typename Parser>
+auto feedHead(Parser &parser, QByteArray &buf, const HttpBounds &bounds)
+    -> Expected<void, HttpError>
+{
+    const auto terminator = QByteArrayView("\r\n\r\n");
+    const auto position = buf.indexOf(terminator);
+    const auto size =
+        static_cast<std::size_t>(position < 0 ? buf.size() : position + terminator.size());
+    if (size > bounds.headerBytes)
+        return tl::unexpected(HttpError{HttpError::Kind::HeaderTooLong});
+    if (position < 0)
+        return {};
+    auto ec = boost::system::error_code();
+    const auto n = parser.put(boost::asio::buffer(buf.constData(), size), ec);
+    if (ec && ec != http::error::need_more)
+        return tl::unexpected(toError(ec));
+    if (n != size || !parser.is_header_done())
+        return tl::unexpected(HttpError{HttpError::Kind::Malformed});
+    buf.remove(0, static_cast<qsizetype>(size));
+    return {};
+}
+
 /// Feeds the buffer to the parser until the message is complete, malformed or needs more bytes.
 /// Returns whether it is complete.
 template <typename Parser>
-auto feed(Parser &parser, QByteArray &buf) -> Expected<bool, HttpError>
+auto feed(Parser &parser, QByteArray &buf, const HttpBounds &bounds) -> Expected<bool, HttpError>
 {
+    if (!parser.is_header_done()) {
+        const auto head = feedHead(parser, buf, bounds);
+        if (!head)
+            return tl::unexpected(head.error());
+        if (!parser.is_header_done())
+            return false;
+    }
     while (!parser.is_done() && !buf.isEmpty()) {
         auto ec = boost::system::error_code();
         const auto n = parser.put(
@@ -112,7 +144,7 @@
 
 auto HttpRequestParser::next() -> Expected<std::optional<Parsed>, HttpError>
 {
-    const auto isComplete = feed(*m_state->parser, m_state->buf);
+    const auto isComplete = feed(*m_state->parser, m_state->buf, m_state->bounds);
     if (!isComplete)
         return tl::unexpected(isComplete.error());
     if (m_state->parser->is_header_done() && hasAmbiguousLength(m_state->parser->get()))
@@ -198,7 +230,7 @@
 
 auto HttpResponseParser::hasStarted() const -> bool
 {
-    return m_state->parser->got_some();
+    return m_state->parser->got_some() || !m_state->buf.isEmpty();
 }
 
 auto HttpResponseParser::append(const QByteArray &bytes) -> void
@@ -209,7 +241,7 @@
 auto HttpResponseParser::next() -> Expected<std::optional<Parsed>, HttpError>
 {
     while (true) {
-        const auto isComplete = feed(*m_state->parser, m_state->buf);
+        const auto isComplete = feed(*m_state->parser, m_state->buf, m_state->bounds);
         if (!isComplete)
             return tl::unexpected(isComplete.error());
         if (m_state->parser->is_header_done() && hasAmbiguousLength(m_state->parser->get()))
