Deliver units and freshness to the modelled front in order

Cause of 21 running of 20: the test, not the product. After a pause the model renewed the front's freshness at once while the withdrawn units were still on their way; in the daemon both pass through one ring in order, and the tick that withdraws expired units precedes every message. Traced with the units, loads and accounts of all members at the violation: the three requests too many had started in the step of the resume. Change: the model delivers both through one queue; every assertion is as before. The traced schedule is a test of its own.

--- a/tests/unit/unit-limits.cpp
+++ b/tests/unit/unit-limits.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <deque>
+#include <optional>
 #include <random>
 
 #include <fmt/format.h>
@@ -73,6 +74,15 @@
     bool losesAnswers = false;
 };
 
+/// An update that reaches the front at `at`: new units, or how long it may start requests. The
+/// daemon sends both through one ring.
+struct FrontUpdate
+{
+    BootTime at;
+    std::optional<SetUnits> units;
+    BootTime freshUntil;
+};
+
 /// One member: the class under test and a front that applies updates with a delay.
 struct ModelMember
 {
@@ -82,7 +92,7 @@
     BootTime pausedUntil;
     BootTime cutFromStoreUntil;
     BootTime cutFromPeersUntil;
-    std::deque<std::pair<BootTime, SetUnits>> updates; // In flight to the front.
+    std::deque<FrontUpdate> updates; // In flight to the front, which applies them in this order.
     std::uint32_t units = 0; // In force at the front.
     std::uint64_t generation = 0;
     std::vector<BootTime> running; // End times of the running requests.
@@ -278,7 +288,7 @@
         if (seesStore)
             perform(index, MembersListed{processes});
         perform(index, LimitsDeclared{m_version, {{redTeam, m_limit}}, MaxRunTime});
-        it.freshUntil = m_now + MemberUnits::FrontUpdateValidity;
+        sendToFront(index, {{}, {}, m_now + MemberUnits::FrontUpdateValidity});
         if (it.isLeaving)
             perform(index, LeaveStarted());
         it.queued = index < m_demand.size() && !it.isLeaving ? m_demand[index] : 0;
@@ -290,12 +300,16 @@
     auto stepFront(std::size_t index) -> void
     {
         auto &it = m_members[index];
-        while (!it.updates.empty() && it.updates.front().first <= m_now) {
-            it.units = it.updates.front().second.units.contains(redTeam)
-                ? it.updates.front().second.units.at(redTeam)
-                : 0;
-            it.generation = it.updates.front().second.generation;
+        while (!it.updates.empty() && it.updates.front().at <= m_now) {
+            const auto update = std::move(it.updates.front());
             it.updates.pop_front();
+            if (!update.units) {
+                it.freshUntil = update.freshUntil;
+                continue;
+            }
+            const auto units = update.units->units.find(redTeam);
+            it.units = units == update.units->units.end() ? 0 : units->second;
+            it.generation = update.units->generation;
         }
         auto started = std::uint32_t{0};
         while (it.running.size() < it.units && started < it.queued && m_now < it.freshUntil) {
@@ -364,9 +378,15 @@
 
     auto act(std::size_t index, const SetUnits &action) -> void
     {
-        auto &it = m_members[index];
-        const auto last = it.updates.empty() ? m_now : it.updates.back().first;
-        it.updates.emplace_back(std::max(last, m_now + delay(60)), action);
+        sendToFront(index, {{}, action, {}});
+    }
+
+    auto sendToFront(std::size_t index, FrontUpdate update) -> void
+    {
+        auto &updates = m_members[index].updates;
+        const auto last = updates.empty() ? m_now : updates.back().at;
+        update.at = std::max(last, m_now + delay(60));
+        updates.push_back(std::move(update));
     }
 
     auto act(std::size_t index, const SendUnitMessage &action) -> void
@@ -448,6 +468,14 @@
     RC_ASSERT(fleet.ledger().charged(redTeam) == 12);
 }
 
+// The front still has the units from before the pause when the process resumes.
+TEST(Limits, AreNotExceededByAFrontThatResumesWithOldUnits)
+{
+    auto fleet = Fleet(2'638);
+    injectAndHeal(fleet, {{FaultKind::Pause, 0, 101, 16'301, 0}});
+    EXPECT_GE(fleet.running(), 11U);
+}
+
 TEST(Limits, KeepOtherMembersWritesAfterLostAnswer)
 {
     auto fleet = Fleet(964'473);
