Keep the hosts that run requests in the control duty

Cause: handleLoads() moved the set of busy hosts twice, the second time an empty one, so a target counted as drained while requests ran on it. No other member is moved twice in one function. Result: ProcessMaintenance.RebootsNoTargetWhileARequestRunsOnIt failed, now passes.

--- a/packages/daemon/src/control_duty.cpp
+++ b/packages/daemon/src/control_duty.cpp
@@ -113,8 +113,6 @@
     m_context.servedVersion = report.version;
     m_context.busyHosts = std::move(report.busyHosts);
     m_context.unitsGeneration = report.unitsGeneration;
-    m_context.servedVersion = report.version;
-    m_context.busyHosts = std::move(report.busyHosts);
     m_context.usage = std::move(report.usage);
     m_limits.loadsChanged(BootClock::now());
 }
--- a/tests/process/process-maintenance.cpp
+++ b/tests/process/process-maintenance.cpp
@@ -78,6 +78,39 @@
     EXPECT_EQ(fleet.workerCount("reboots"), 2);
 }
 
+TEST(ProcessMaintenance, RebootsNoTargetWhileARequestRunsOnIt)
+{
+    constexpr auto WorkMilliseconds = 7'500; // longer than an idle target takes to drain
+    constexpr auto TimeoutMilliseconds = 10'000;
+    constexpr auto Targets = 2; // each gets one of the requests
+    auto fleet = Fleet({1, Targets});
+    const auto key = fleet.createKey("red");
+    auto answered = 0;
+    auto connections = std::vector<std::unique_ptr<TargetConnection>>();
+    for (auto n = 0; n < Targets; ++n) {
+        connections.push_back(
+            std::make_unique<TargetConnection>(fleet.callersEndpoint(0), HttpBounds()));
+        connections.back()->send(Fleet::queueRequest("orders", key, WorkMilliseconds, "pane"),
+                                 TimeoutMilliseconds, [&answered](const TargetReply &reply) {
+                                     EXPECT_TRUE(reply.has_value() && reply->status == 200);
+                                     ++answered;
+                                 });
+    }
+    EXPECT_TRUE(
+        waitUntil([&fleet] { return fleet.targetCount("runs") == Targets; }, TimeoutMilliseconds));
+    reboot(fleet);
+    auto rebootsBeforeReply = std::int64_t{-1};
+    EXPECT_TRUE(waitUntil(
+        [&] {
+            if (answered == 0)
+                rebootsBeforeReply = fleet.workerCount("reboots");
+            return answered == Targets;
+        },
+        TimeoutMilliseconds));
+    EXPECT_EQ(rebootsBeforeReply, 0);
+    EXPECT_TRUE(waitForReboots(fleet, Targets));
+}
+
 TEST(ProcessMaintenance, RefusesADrainThatBreaksABudgetAndNamesThePool)
 {
     auto fleet = Fleet({3, 1, 0, declarations(4, 1)});
