Count every listed run, and trust no refusal of a listed one

Change: Steward counts detached runs, waits for the reported end of a stopped run, places nothing on a worker whose registration is of another life; HostOutcome::Superseded ends the term.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -89,6 +89,8 @@
     Milliseconds checkpointGracePeriod{2'500};
     /// The same for runs that don't save progress.
     Milliseconds drainGracePeriod{5'500};
+    /// Longest time that a worker takes to stop a run; set by the platform.
+    Milliseconds stopTimeout{900};
     /// Time after which stop orders of the previous steward have taken effect (0.9 s) and a poll
     /// has shown it.
     Milliseconds takeoverSettleTime{1'500};
@@ -175,6 +177,8 @@
     // Runs and workers: steward_workers.cpp
     auto attach(Task &task, Worker &worker) -> void;
     auto detach(Task &task) -> void;
+    auto addDetachedRun(Worker &worker, const Task *task) -> void;
+    auto clearDetachedRuns(Worker &worker) -> void;
     auto requeue(Task &task) -> void;
     auto requeueAll(Worker &worker) -> void;
     auto handleRestart(Worker &worker) -> void;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -214,7 +214,7 @@
 {
     const auto isReserved = m_now < worker.reservedUntil && !task.spec().isLongRunning;
     return worker.freeResources().covers(task.spec().reservedResources()) && !isReserved
-        && mayRunOn(worker, task);
+        && worker.unknownRuns == 0 && mayRunOn(worker, task);
 }
 
 /// Whether the task may run on the worker, resources aside.
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -86,12 +86,24 @@
         std::uint64_t change = 0;
     };
 
+    /// A listed run that no task is attached to: it was not needed any more when it was listed.
+    struct DetachedRun
+    {
+        TeamName team;
+        Resources reserved;
+        Resources resources;
+    };
+
     WorkerReport report;
     bool isRegistered = true;
     /// This steward has polled the worker successfully, so that the worker knows its token.
     bool isPolled = false;
     Resources used;
     std::vector<Task *> runs;
+    /// Runs of the last poll that are being stopped; `used` includes them.
+    std::vector<DetachedRun> detachedRuns;
+    /// The same for runs of forgotten jobs, whose resources are unknown.
+    std::size_t unknownRuns = 0;
     /// All runs of the worker have ended by this time unless the lease is renewed.
     BootTime leaseEndsAt;
     /// The worker's clock as of `clockReadAt`.
@@ -122,6 +134,17 @@
     BootTime reservedUntil;
 
     [[nodiscard]] auto freeResources() const -> Resources { return report.capacity - used; }
+    [[nodiscard]] auto hasDetachedRuns() const -> bool
+    {
+        return !detachedRuns.empty() || unknownRuns > 0;
+    }
+    /// Whether the registration describes the incarnation that was polled. A worker that restarted
+    /// under its name may have another capacity.
+    [[nodiscard]] auto isReportCurrent() const -> bool
+    {
+        return startedMilliseconds == 0 || report.startedMilliseconds == 0
+            || startedMilliseconds == report.startedMilliseconds;
+    }
 };
 
 } // namespace shallotproxy
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -113,6 +113,31 @@
     markDirty(worker.report.pool);
 }
 
+/// Counts the resources of a listed run that is being stopped and that no task is attached to.
+auto Steward::addDetachedRun(Worker &worker, const Task *task) -> void
+{
+    if (task == nullptr) {
+        ++worker.unknownRuns;
+        return;
+    }
+    const auto &team = task->job->spec.team;
+    worker.detachedRuns.push_back({team, task->spec().reservedResources(), task->spec().resources});
+    worker.used += task->spec().reservedResources();
+    m_teamUsage[team] += task->spec().resources;
+}
+
+auto Steward::clearDetachedRuns(Worker &worker) -> void
+{
+    if (worker.hasDetachedRuns())
+        markDirty(worker.report.pool);
+    for (const auto &it : worker.detachedRuns) {
+        worker.used -= it.reserved;
+        m_teamUsage[it.team] -= it.resources;
+    }
+    worker.detachedRuns.clear();
+    worker.unknownRuns = 0;
+}
+
 /// Returns the task to the waiting ones after a run that neither completed nor failed it.
 auto Steward::requeue(Task &task) -> void
 {
@@ -132,6 +157,7 @@
     const auto runs = worker.runs;
     for (auto *task : runs)
         requeue(*task);
+    clearDetachedRuns(worker);
     worker.leaseEndsAt = m_now;
 }
 
@@ -151,6 +177,7 @@
         task->isStopConfirmed = false;
         sendStop(*task);
     }
+    clearDetachedRuns(worker);
     worker.lastReceivedEnd = 0;
     worker.lastPersistedEnd = 0;
     worker.acknowledged = 0;
@@ -196,6 +223,7 @@
 
 auto Steward::applyActiveRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void
 {
+    clearDetachedRuns(worker);
     for (const auto &run : event.active) {
         auto *task = findTask(run.task);
         const auto isAssigned = task != nullptr && task->worker == &worker && task->run == run.run;
@@ -248,6 +276,7 @@
         && task->phase == TaskPhase::Waiting && run.run >= task->run && task->worker == nullptr;
     if (!isNeeded) {
         m_actions.emplace_back(steward_action::StopRun{worker.report.name, run.task, run.run});
+        addDetachedRun(worker, task);
         return;
     }
     --task->job->waitingTasks;
@@ -318,7 +347,12 @@
     for (auto *task : runs) {
         const auto isConfirmed = task->phase == TaskPhase::Running
             || (task->phase == TaskPhase::Stopping && task->isStopConfirmed);
-        if (!isConfirmed || task->confirmedAt >= event.sentAt)
+        // A run that is being stopped occupies its resources until its end is reported; a run that
+        // had not begun reports none.
+        const auto settledAt = task->phase == TaskPhase::Stopping
+            ? task->confirmedAt + m_settings.stopTimeout
+            : task->confirmedAt;
+        if (!isConfirmed || settledAt >= event.sentAt)
             continue;
         const auto id = task->id();
         const auto isActive = std::ranges::any_of(event.active, [task, &id](const ActiveRun &it) {
@@ -376,18 +410,18 @@
     case OrderOutcome::Unanswered:
         return; // tickWorker() sends the order again or stops the task
     case OrderOutcome::StaleRun:
-        if (wasStarting && task->wasStartResent) {
-            // An earlier start order for this run was carried out, and the run has ended. The next
-            // poll reports how.
+        if (wasStarting && !task->wasStartResent)
+            break;
+        // An earlier start order for this run was carried out, and the run has ended. The next poll
+        // reports how.
+        if (wasStarting) {
             task->phase = TaskPhase::Running;
             task->phaseSince = m_now;
             task->confirmedAt = m_now;
-            worker->nextPoll = m_now;
-            pollIfDue(*worker);
-            return;
         }
-        task->run += 1;
-        break;
+        worker->nextPoll = m_now;
+        pollIfDue(*worker);
+        return;
     case OrderOutcome::Unhealthy:
     case OrderOutcome::NotSent:
     case OrderOutcome::InsufficientResources:
@@ -500,7 +534,7 @@
     if (worker.isPolling || m_now < worker.nextPoll)
         return;
     const auto acknowledged = highestAcknowledgeable(worker);
-    const auto isNeeded = !worker.isPolled || !worker.runs.empty()
+    const auto isNeeded = !worker.isPolled || !worker.runs.empty() || worker.hasDetachedRuns()
         || acknowledged > worker.acknowledged || worker.failedPolls > 0;
     if (!isNeeded || (!worker.isRegistered && worker.runs.empty()))
         return;
@@ -593,8 +627,8 @@
 auto Steward::isUsable(const Worker &worker) const -> bool
 {
     return worker.isRegistered && worker.isPolled && worker.hasClock && !worker.report.isLeaving
-        && worker.failedPolls < MaxFailedPolls && m_now >= worker.backoffUntil
-        && !m_closedDataCentres.contains(worker.report.dataCentre)
+        && worker.isReportCurrent() && worker.failedPolls < MaxFailedPolls
+        && m_now >= worker.backoffUntil && !m_closedDataCentres.contains(worker.report.dataCentre)
         && (worker.runs.empty()
             || m_now
                 < std::max(worker.lastAnswerAt, worker.busySince) + m_settings.responseTimeout);
@@ -639,6 +673,7 @@
     load.isUsable = isUsable(worker);
     for (const auto *task : worker.runs)
         ++(task->spec().isLongRunning ? load.longRunningRuns : load.otherRuns);
+    load.otherRuns += worker.detachedRuns.size() + worker.unknownRuns;
     return load;
 }
 
--- a/packages/member/include/shallotproxy/member/ports.hpp
+++ b/packages/member/include/shallotproxy/member/ports.hpp
@@ -118,8 +118,9 @@
     virtual auto closeIdle(BootTime now) -> void = 0;
 };
 
-/// Outcome of an order about a host.
-enum class HostOutcome { Accepted, Refused, Busy, Unanswered };
+/// Outcome of an order about a host. `Superseded`: the platform has received an order with a higher
+/// fencing token.
+enum class HostOutcome { Accepted, Refused, Busy, Unanswered, Superseded };
 
 /// Lists the platform's hosts and sends orders about them.
 class HostPort
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -28,6 +28,8 @@
     /// Passes changed declarations of the operators to the steward.
     auto declarationsChanged() -> void;
     auto dispatch(StewardEvent event) -> void;
+    /// Steps down because this worker or host has accepted an order with a higher fencing token.
+    auto superseded(std::string_view receiver) -> void;
     /// Returns a commit that fails once another member holds the key. Call it only while this
     /// member holds it.
     [[nodiscard]] auto fencedCommit() const -> StoreCommit;
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -262,6 +262,10 @@
         }
         self->m_context.log.info("event=upkeep-not-accepted host={} wave={} outcome={}",
                                  start.host.value(), start.wave, static_cast<int>(outcome));
+        if (outcome == HostOutcome::Superseded) {
+            self->m_steward.superseded(start.host.value());
+            return;
+        }
         if (outcome != HostOutcome::Unanswered) {
             self->m_upkeep.startRefused(start);
             return;
@@ -303,6 +307,10 @@
         }
         self->m_context.log.info("event=move-not-accepted host={} outcome={}", move.host.value(),
                                  static_cast<int>(outcome));
+        if (outcome == HostOutcome::Superseded) {
+            self->m_steward.superseded(move.host.value());
+            return;
+        }
         if (outcome == HostOutcome::Unanswered) {
             self->m_unansweredOrders[move.host] = now + LateOrderPeriod;
         } else if (!worker.isEmpty()) {
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -296,6 +296,7 @@
 {
     auto settings = StewardSettings();
     settings.maxRunLease = m_context.settings.maxRunLease;
+    settings.stopTimeout = m_context.settings.runStopTimeout;
     const auto now = BootClock::now();
     m_steward = std::make_unique<Steward>(*m_stewardship.token(), settings, now);
     dispatch(steward_event::Ticked{wallMilliseconds()});
@@ -585,7 +586,10 @@
     if (report == nullptr || !m_stewardship.mayOrder(BootClock::now()))
         return; // the next poll decides again
     m_context.workers.setRunSpeed(*report, *m_stewardship.token(), action,
-                                  [](const OrderReply &) {});
+                                  ifSameTerm([this, action](const OrderReply &reply) {
+                                      if (reply.outcome == OrderOutcome::Superseded)
+                                          superseded(action.worker.value());
+                                  }));
 }
 
 auto StewardDuty::perform(const steward_action::PersistProgress &action) -> void
@@ -595,7 +599,12 @@
 
 auto StewardDuty::perform(const steward_action::StepDown &action) -> void
 {
-    m_context.log.info("event=steward-superseded worker={}", action.worker.value());
+    superseded(action.worker.value());
+}
+
+auto StewardDuty::superseded(std::string_view receiver) -> void
+{
+    m_context.log.info("event=steward-superseded receiver={}", receiver);
     stepDown("superseded");
 }
 
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -377,8 +377,11 @@
     if (ended != worker.highestEnded.end() && order.run <= ended->second)
         return OrderOutcome::StaleRun;
     const auto &spec = m_jobs.at(order.task.job).steps[order.task.step];
-    if (!worker.report.capacity.covers(worker.used + spec.resources))
-        return OrderOutcome::InsufficientResources;
+    if (!worker.report.capacity.covers(worker.used + spec.resources)) {
+        if (isCapacityGuarded)
+            return OrderOutcome::InsufficientResources;
+        violations.push_back("exceeds the capacity: " + describe(order.task));
+    }
     checkStart(order);
     worker.leaseEndsAt = std::max(worker.leaseEndsAt, m_now + left);
     worker.used += spec.resources;
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -50,6 +50,9 @@
     /// How the next orders are delivered. Later ones are delivered normally.
     std::deque<Delivery> deliveries;
     bool isStoreUp = true;
+    /// Whether workers refuse runs that exceed their capacity. Otherwise such a start is a
+    /// violation.
+    bool isCapacityGuarded = true;
     /// Duration of the runs of tasks that aren't long-running.
     Duration runTime = 400ms;
     std::function<bool(const JobTaskId &)> fails = [](const auto &) { return false; };
--- a/tests/unit/unit-platform-clients.cpp
+++ b/tests/unit/unit-platform-clients.cpp
@@ -167,8 +167,8 @@
     EXPECT_EQ(read->at(0).state, HostState::InUpkeep);
     EXPECT_EQ(read->at(1).worker, WorkerName("i-2"));
 
-    const auto outcomeOf = [](const char *status) {
-        auto target = FakeTarget(respondingWith(status, "{}"));
+    const auto outcomeOf = [](const char *status, const char *body = "{}") {
+        auto target = FakeTarget(respondingWith(status, body));
         auto client = HostClient(target.endpoint(), "member");
         auto outcome = std::optional<HostOutcome>();
         client.move({HostName("m1"), PoolName("s2")}, 3, [&outcome](auto it) { outcome = it; });
@@ -177,6 +177,8 @@
     };
     EXPECT_EQ(outcomeOf("200"), HostOutcome::Accepted);
     EXPECT_EQ(outcomeOf("409"), HostOutcome::Busy);
+    EXPECT_EQ(outcomeOf("409", R"({"reason":"busy"})"), HostOutcome::Busy);
+    EXPECT_EQ(outcomeOf("409", R"({"reason":"fence"})"), HostOutcome::Superseded);
     EXPECT_EQ(outcomeOf("429"), HostOutcome::Refused);
     EXPECT_EQ(outcomeOf(""), HostOutcome::Unanswered);
 }
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -195,6 +195,83 @@
     EXPECT_EQ(single.steward.record("job")->progress.state(), JobOutcome::Completed);
 }
 
+// The repeated start order arrives after the run, which a poll has listed meanwhile, has ended.
+TEST(Steward, WaitsForTheEndOfAListedRunRefusedAsStale)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    ASSERT_NE(run, 0U);
+    const auto answer = [&single, run](OrderOutcome outcome) {
+        return single.step(
+            steward_event::StartAnswered{test::workerName(0), single.task, run, outcome, 0});
+    };
+    answer(OrderOutcome::Unanswered);
+    ASSERT_NE(firstOf<steward_action::StartRun>(single.tick(400ms)), nullptr);
+    single.now += 10ms;
+    single.poll({{single.task, run, {}, 50, 0}}, {});
+    answer(OrderOutcome::StaleRun);
+    single.now += 20ms;
+    const auto actions = single.poll({}, {{1, single.task, run, RunEnd::Done, {}}});
+    EXPECT_EQ(firstOf<steward_action::StartRun>(actions), nullptr);
+    EXPECT_EQ(single.steward.record("job")->progress.state(), JobOutcome::Completed);
+}
+
+// The tasks fill the worker, which still runs a job of an earlier steward that has ended since.
+TEST(Steward, StartsNothingInPlaceOfAListedRunUntilItHasEnded)
+{
+    auto step = test::shortStep(1);
+    step.resources.milliCores = 8'000;
+    for (const auto *job : {"known", "forgotten"}) {
+        auto single = SingleWorker(step);
+        auto earlier = test::oneStepJob("known", step);
+        single.step(steward_event::JobAccepted{earlier, {}, true});
+        single.step(steward_event::JobCancelled{"known"});
+        single.steward.expectWorkers({test::workerName(0)});
+        const auto listed = JobTaskId{job, 0, 0, 0};
+        auto actions = single.poll({{listed, 5, {}, 50, 0}}, {});
+        EXPECT_NE(firstOf<steward_action::StopRun>(actions), nullptr);
+        EXPECT_EQ(firstOf<steward_action::StartRun>(actions), nullptr) << job;
+        EXPECT_EQ(firstOf<steward_action::StartRun>(single.tick(100ms)), nullptr) << job;
+        actions = single.poll({}, {{1, listed, 5, RunEnd::Stopped, {}}});
+        EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr) << job;
+    }
+}
+
+// A poll between a stop order and the end of the run may list the run neither as active nor as
+// ended.
+TEST(Steward, StartsNothingInPlaceOfAStoppedRunUntilItHasEnded)
+{
+    auto step = test::shortStep(1);
+    step.resources.milliCores = 8'000;
+    auto single = SingleWorker(step);
+    const auto run = single.startRun();
+    ASSERT_NE(run, 0U);
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Accepted, 5'000});
+    single.step(steward_event::JobCancelled{"job"});
+    single.step(
+        steward_event::StopAnswered{test::workerName(0), single.task, run, OrderOutcome::Accepted});
+    single.step(steward_event::JobAccepted{test::oneStepJob("next", step), {}, false});
+    single.now += 50ms;
+    EXPECT_EQ(firstOf<steward_action::StartRun>(single.poll({}, {})), nullptr);
+    single.now += 50ms;
+    const auto actions = single.poll({}, {{1, single.task, run, RunEnd::Stopped, {}}});
+    EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr);
+}
+
+// A worker that restarted under its name may have become smaller; its registration lags behind.
+TEST(Steward, StartsNothingOnARestartedWorkerUntilItIsRegisteredAgain)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    auto report = test::workerReport(0);
+    report.startedMilliseconds = 9;
+    single.step(steward_event::WorkerReported{report});
+    EXPECT_EQ(single.startRun(), 0U);
+    report.startedMilliseconds = 1;
+    const auto actions = single.step(steward_event::WorkerReported{report});
+    EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr);
+}
+
 // A steward that is too busy to poll its workers must not treat their leases as expired: it would
 // start tasks again that completed seconds before.
 TEST(Steward, DoesNotTreatAnUnpolledWorkerAsUnresponsive)
@@ -429,6 +506,33 @@
     RC_ASSERT(fleet.activeRuns("c") == 2U);
 }
 
+// Workers that start whatever they are told to, and more tasks than fit on them. Jobs are cancelled
+// while their runs start, and stewards replace each other.
+RC_GTEST_PROP(StewardUnderFaults, NeverExceedsTheCapacityOfWorkersThatDoNotGuardIt,
+              (const std::vector<std::uint8_t> &numbers, std::uint8_t change, std::uint8_t worker,
+               bool isKilled))
+{
+    auto fleet = FakeFleet(3);
+    fleet.isCapacityGuarded = false;
+    const auto first = fleet.addSteward();
+    fleet.deliveries = toDeliveries(numbers);
+    fleet.addJob(test::oneStepJob("a", test::shortStep(60)));
+    auto large = test::shortStep(6);
+    large.resources = {6'000, 9'000, 0};
+    fleet.addJob(test::oneStepJob("b", large));
+    fleet.addJob(test::oneStepJob("c", test::longRunningStep(2)));
+    fleet.run(std::chrono::milliseconds(50 * (change % 32)));
+    fleet.makeUnresponsive(worker % 3, std::chrono::milliseconds(100 * (worker / 3 % 30)));
+    fleet.send(first, steward_event::JobCancelled{"a"});
+    if (isKilled)
+        fleet.killSteward(first);
+    fleet.send(fleet.addSteward(), steward_event::JobCancelled{"a"});
+    fleet.run(40s);
+    RC_ASSERT(fleet.violations == std::vector<std::string>());
+    RC_ASSERT(fleet.outcome("b") == JobOutcome::Completed);
+    RC_ASSERT(fleet.activeRuns("c") == 2U);
+}
+
 } // namespace
 
 } // namespace shallotproxy
