Size pools by accepted work, spread upkeep, avoid workers that don't answer

Change: PoolSizer follows the rate of accepted work in the scarcest resource and keeps pools whose demand is unknown; UpkeepPlanner spreads a wave over 60 % of its time and claims hosts only when they are drained; a worker with an order unanswered for 250 ms gets nothing new. A placement checks each worker once and keeps only minimal resources that fit nowhere.

--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <deque>
+#include <optional>
 #include <span>
 
 #include "host_view.hpp"
@@ -15,9 +17,11 @@
 
 /// Moves idle hosts between pools.
 ///
-/// The queues have their peaks in turn: for some seconds a queue requests several times its mean,
-/// more than its own pool provides, and next to nothing in between. A pool at its peak gets idle
-/// hosts of other pools first and standby hosts next. Hosts that stay idle for long go to standby.
+/// Expected load: the queues have their peaks in turn. For some seconds a queue requests several
+/// times its mean, more than its own pool provides, and next to nothing in between. A pool is sized
+/// for the work that its queues accept per second, because the tasks that wait show a peak only
+/// after a part of it. A pool at its peak gets idle hosts of other pools first and standby hosts
+/// next. Hosts that stay idle for long go to standby.
 class PoolSizer
 {
 public:
@@ -26,13 +30,19 @@
     /// A host goes to standby after this idle time: a move costs as much as about 1.2 s of a host
     /// in a pool, and takes 1.5 s each way.
     static constexpr Milliseconds IdleBeforeStandby{2'500};
+    /// A pool that has had no work yet keeps its hosts for this long after the first step: its
+    /// demand is unknown.
+    static constexpr Milliseconds UnknownDemandHold{20'000};
     /// A host moves to another pool after this idle time; gaps between two jobs are shorter.
     static constexpr Milliseconds IdleBeforeMove{200};
     /// Time constant at which falling demand is followed. Rising demand counts immediately.
     static constexpr Milliseconds SmoothingTime{700};
+    /// The rate of accepted work is measured over this time, and over no less than the minimum.
+    static constexpr Milliseconds RateWindow{600};
+    static constexpr Milliseconds MinRateWindow{100};
     /// At most one in this many hosts moves at the same time: a peak lasts 4 s, a move 1.5 s.
     static constexpr std::size_t HostsPerMove = 2;
-    /// Target for the use of a pool's cores; the remainder is lost to fragmentation.
+    /// Target for the use of a pool's resources; the remainder is lost to fragmentation.
     static constexpr double TargetUtilization = 0.85;
     /// Additional hosts in each pool for the next tasks.
     static constexpr std::size_t SpareHosts = 1;
@@ -53,10 +63,21 @@
         std::vector<HostName> idle;
     };
 
-    auto smoothDemand(const PoolName &pool, double cores, BootTime now) -> double;
+    /// What a pool requested lately, in hosts.
+    struct Demand
+    {
+        double smoothed = 0;
+        bool hasHadWork = false;
+        /// Accepted work by the time of the step that saw it, the newest at the back.
+        std::deque<std::pair<BootTime, Resources>> accepted;
+    };
+
+    auto updateDemand(Demand &demand, const PoolLoad &load, const Resources &host, BootTime now)
+        -> void;
 
     std::map<HostName, BootTime> m_idleSince;
-    std::map<PoolName, double> m_demand;
+    std::map<PoolName, Demand> m_demand;
+    std::optional<BootTime> m_firstStepAt;
     BootTime m_lastStepAt;
 };
 
--- a/packages/job/include/shallotproxy/job/quarantine.hpp
+++ b/packages/job/include/shallotproxy/job/quarantine.hpp
@@ -26,6 +26,8 @@
     { }
 
     auto workersChanged(const std::set<HostName> &workers) -> void;
+    auto workerAdded(const HostName &worker) -> void { m_workers.try_emplace(worker); }
+    auto workerRemoved(const HostName &worker) -> void { m_workers.erase(worker); }
     auto runSucceeded(const HostName &host, const TaskId &task) -> void;
     /// Records a failed run. A task that fails on several workers counts against none of them.
     auto runFailed(const HostName &host, const TaskId &task, BootTime now) -> void;
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 
 #include "quarantine.hpp"
@@ -37,6 +38,8 @@
     Resources used;
     /// Requested by waiting tasks whose earlier steps are done.
     Resources waiting;
+    /// Resources times estimated milliseconds of the finite tasks that this steward has accepted.
+    Resources acceptedWork;
     /// Number of workers that long-running tasks need because of their limit per worker.
     std::size_t minWorkers = 0;
 };
@@ -78,9 +81,12 @@
     Milliseconds responseTimeout{2'200};
     /// Shortest time between two start orders or two stop orders for one run.
     Milliseconds resendInterval{350};
+    /// A worker with an order that has had no answer for this long gets no new work. Workers answer
+    /// within milliseconds.
+    Milliseconds orderResponseTime{250};
     /// Length of a worker's first quarantine.
     Milliseconds quarantine{6'000};
-    /// A worker that refused an order gets no new work for this long.
+    /// A worker that refused an order, or left one unanswered, gets no new work for this long.
     Milliseconds unhealthyBackoff{1'000};
     /// A long-running task that has waited for this long may preempt other runs.
     Milliseconds preemptionDelay{800};
@@ -161,6 +167,7 @@
     auto handle(const steward_event::PlacementDue &event) -> void;
 
     // Jobs: steward_jobs.cpp
+    auto countAcceptedWork(const Job &job) -> void;
     auto openOccurrence(Job &job, std::uint32_t number) -> Occurrence &;
     auto restore(Job &job, const JobProgress &progress) -> void;
     auto openDueOccurrences(Job &job) -> void;
@@ -198,6 +205,7 @@
     auto highestAcknowledgeable(Worker &worker) -> std::uint64_t;
     auto endRecoveryIfDone() -> void;
     [[nodiscard]] auto isUsable(const Worker &worker) const -> bool;
+    [[nodiscard]] auto isReachable(const Worker &worker) const -> bool;
     [[nodiscard]] auto mayStopLongRunning(const Task &task) const -> bool;
     [[nodiscard]] auto isAvailable(const Task &task) const -> bool;
     auto findWorker(const WorkerName &name) -> Worker *;
@@ -205,12 +213,15 @@
     // Placement: steward_placing.cpp
     auto placeDirtyPools() -> void;
     auto place(const PoolName &pool) -> void;
-    auto placeStep(const PoolName &pool, const Candidate &candidate) -> bool;
-    auto chooseWorker(const PoolName &pool, const Task &task) -> Worker *;
+    auto placeStep(std::span<Worker *const> workers, const Candidate &candidate) -> bool;
+    [[nodiscard]] auto workersToPlaceOn(const PoolName &pool) const -> std::vector<Worker *>;
+    [[nodiscard]] auto chooseWorker(std::span<Worker *const> workers, const Task &task) const
+        -> Worker *;
     auto preemptFor(const PoolName &pool, const Task &task) -> void;
     auto startTask(Task &task, Worker &worker) -> void;
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
-    [[nodiscard]] auto mayRunOn(const Worker &worker, const Task &task) const -> bool;
+    [[nodiscard]] auto takesNewWork(const Worker &worker) const -> bool;
+    [[nodiscard]] auto isAllowedOn(const Worker &worker, const Task &task) const -> bool;
     [[nodiscard]] auto isWithinTeamLimit(const Job &job, const Resources &resources) const -> bool;
     [[nodiscard]] auto mayPlace(const Task &task) const -> bool;
     [[nodiscard]] auto teamShare(const TeamName &team) const -> double;
@@ -229,6 +240,7 @@
     std::map<WorkerName, std::unique_ptr<Worker>> m_workers;
     std::map<PoolName, std::vector<Worker *>> m_poolWorkers;
     std::map<TeamName, Resources> m_teamUsage;
+    std::map<PoolName, Resources> m_acceptedWork;
     std::set<PoolName> m_dirtyPools;
     std::set<WorkerName> m_expectedWorkers;
     Quarantine m_quarantine;
--- a/packages/job/include/shallotproxy/job/upkeep_planner.hpp
+++ b/packages/job/include/shallotproxy/job/upkeep_planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <span>
 
 #include "host_view.hpp"
@@ -37,14 +38,24 @@
 
 /// Plans the upkeep of the hosts of all waves.
 ///
-/// Starts idle hosts first and no host that still has runs. Never has more hosts of a wave down
-/// than the wave allows; a host whose start order has no answer counts as down.
+/// Expected load: a wave of half of the fleet is declared while one pool is at its peak. The wave
+/// is spread over its time, so that most of its hosts can serve the peak. Starts idle hosts first
+/// and no host that still has runs. Never has more hosts of a wave down than the wave allows; a
+/// host whose start order has no answer counts as down.
 class UpkeepPlanner
 {
 public:
+    using Milliseconds = std::chrono::milliseconds;
+
     /// Hosts of a wave that are drained at the same time, as a multiple of those that may be down,
     /// so that the next hosts are idle when the first ones come back.
     static constexpr std::size_t DrainingPerDown = 2;
+    /// Time for which a host is away, with the orders before and after its upkeep: the platform
+    /// takes 2 s.
+    static constexpr Milliseconds HostUpkeepTime{2'600};
+    /// The part of a wave's duration after which all of its hosts should have started. The rest is
+    /// for hosts that take long to drain, for takeovers and for platform outages.
+    static constexpr double PlannedPart = 0.6;
 
     /// Adds a wave. `startedHosts` have had their upkeep started by earlier stewards.
     auto waveDeclared(UpkeepWave wave, const std::set<HostName> &startedHosts) -> void;
@@ -62,6 +73,8 @@
     [[nodiscard]] auto hasWork() const -> bool;
     /// Whether a wave includes the host and hasn't started its upkeep yet.
     [[nodiscard]] auto isDue(const HostName &host) const -> bool;
+    /// Whether the host is being drained for its upkeep, or its start order was sent.
+    [[nodiscard]] auto isClaimed(const HostName &host) const -> bool;
 
 private:
     struct Wave
@@ -73,8 +86,15 @@
         /// Started hosts that haven't been listed as up again, with the time of the answer.
         std::map<HostName, BootTime> down;
         bool isCompleted = false;
+        /// Time at which the first step saw the wave.
+        std::optional<BootTime> firstStepAt;
+        /// An earlier steward began the wave, so that the time left is unknown.
+        bool isInherited = false;
     };
 
+    /// Returns how many hosts of the wave may be down now to spread it over its time.
+    static auto paceOf(const Wave &wave, std::size_t remaining, BootTime now) -> std::size_t;
+
     auto stepWave(Wave &wave, std::span<const HostView> hosts, BootTime listedAt, BootTime now,
                   UpkeepOrders &orders) -> void;
 
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -9,15 +9,47 @@
 
 using Seconds = std::chrono::duration<double>;
 
+/// Returns how many hosts provide these resources, by the scarcest kind.
+auto hostsFor(const Resources &resources, const Resources &host) -> double
+{
+    const auto part = [](std::int64_t requested, std::int64_t provided) {
+        return provided == 0 ? 0.0 : static_cast<double>(requested) / static_cast<double>(provided);
+    };
+    return std::max({part(resources.milliCores, host.milliCores),
+                     part(resources.memoryMegabytes, host.memoryMegabytes),
+                     part(resources.accelerators, host.accelerators)});
+}
+
+/// Returns the largest amount of each kind of resource.
+auto largestOf(const Resources &left, const Resources &right) -> Resources
+{
+    return {std::max(left.milliCores, right.milliCores),
+            std::max(left.memoryMegabytes, right.memoryMegabytes),
+            std::max(left.accelerators, right.accelerators)};
+}
+
 } // namespace
 
-auto PoolSizer::smoothDemand(const PoolName &pool, double cores, BootTime now) -> double
+auto PoolSizer::updateDemand(Demand &demand, const PoolLoad &load, const Resources &host,
+                             BootTime now) -> void
 {
-    auto &demand = m_demand[pool];
+    const auto current = hostsFor(load.used + load.waiting, host);
+    demand.hasHadWork = demand.hasHadWork || load.acceptedWork != Resources();
+    auto &accepted = demand.accepted;
+    accepted.emplace_back(now, load.acceptedWork);
+    while (accepted.size() > 2 && accepted[1].first + RateWindow <= now)
+        accepted.pop_front();
+    const auto &[since, before] = accepted.front();
+    auto arriving = 0.0;
+    if (now >= since + MinRateWindow) {
+        const auto window = std::chrono::duration<double, std::milli>(now - since).count();
+        arriving = hostsFor(load.acceptedWork - before, host) / window;
+    }
+    const auto hosts = std::max(current, arriving);
     const auto elapsed = Seconds(now - m_lastStepAt).count();
     const auto weight = std::min(1.0, elapsed / Seconds(SmoothingTime).count());
-    demand = cores > demand ? cores : demand + (cores - demand) * weight;
-    return demand;
+    demand.smoothed =
+        hosts > demand.smoothed ? hosts : demand.smoothed + (hosts - demand.smoothed) * weight;
 }
 
 auto PoolSizer::step(std::span<const HostView> hosts, const std::map<PoolName, PoolLoad> &loads,
@@ -26,11 +58,11 @@
 {
     auto pools = std::map<PoolName, Pool>();
     auto standby = std::vector<HostName>();
-    auto hostCores = 1.0;
+    auto largestHost = Resources();
     auto moving = std::size_t{0};
     for (const auto &it : hosts) {
         const auto &report = it.report;
-        hostCores = std::max(hostCores, static_cast<double>(report.capacity.milliCores));
+        largestHost = largestOf(largestHost, report.capacity);
         const auto rule = rules.pools.find(report.pool);
         if (rule == rules.pools.end())
             continue;
@@ -57,18 +89,18 @@
             pool.idle.push_back(report.host);
     }
     for (auto &[name, pool] : pools) {
-        const auto load = loads.find(name);
-        const auto cores = load == loads.end()
-            ? 0.0
-            : static_cast<double>(load->second.used.milliCores + load->second.waiting.milliCores);
-        const auto demand = smoothDemand(name, cores, now);
-        const auto needed = std::ceil(demand / (hostCores * TargetUtilization));
-        pool.needed = static_cast<std::size_t>(needed) + SpareHosts;
-        if (load != loads.end())
-            pool.needed = std::max(pool.needed, load->second.minWorkers + SpareHosts);
+        const auto entry = loads.find(name);
+        const auto load = entry == loads.end() ? PoolLoad() : entry->second;
+        auto &demand = m_demand[name];
+        updateDemand(demand, load, largestHost, now);
+        const auto needed =
+            static_cast<std::size_t>(std::ceil(demand.smoothed / TargetUtilization));
+        pool.needed = std::max(needed, load.minWorkers) + SpareHosts;
         std::ranges::sort(pool.idle, {}, [this](const auto &it) { return m_idleSince.at(it); });
     }
     m_lastStepAt = now;
+    if (!m_firstStepAt)
+        m_firstStepAt = now;
 
     auto moves = std::vector<HostMove>();
     const auto maxMoves = (hosts.size() + HostsPerMove - 1) / HostsPerMove;
@@ -99,6 +131,8 @@
     if (standbyPool == rules.pools.end())
         return moves;
     for (auto &[name, pool] : pools) {
+        if (!m_demand[name].hasHadWork && now < *m_firstStepAt + UnknownDemandHold)
+            continue;
         for (const auto &host : pool.idle) {
             if (pool.hosts <= pool.needed || !mayAddMove())
                 break;
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -8,6 +8,8 @@
 
 using std::chrono::milliseconds;
 
+// Bounds a task's estimate in the forecast of demand; longer tasks show in the load of their pool.
+constexpr std::int64_t MaxForecastMilliseconds = 10'000;
 // Bounds the computed age of a job, so that a wrong wall clock can't make a job older than this.
 constexpr std::int64_t MaxJobAgeMilliseconds = 3'600'000;
 
@@ -38,6 +40,21 @@
     return job->spec.steps[step];
 }
 
+auto Steward::countAcceptedWork(const Job &job) -> void
+{
+    auto &work = m_acceptedWork[poolOf(job)];
+    for (const auto &step : job.spec.steps) {
+        if (step.isLongRunning)
+            continue;
+        const auto time =
+            std::clamp(step.estimatedMilliseconds, std::int64_t{0}, MaxForecastMilliseconds)
+            * step.taskCount;
+        const auto task = step.reservedResources();
+        work += Resources{task.milliCores * time, task.memoryMegabytes * time,
+                          task.accelerators * time};
+    }
+}
+
 auto Steward::openOccurrence(Job &job, std::uint32_t number) -> Occurrence &
 {
     const auto [it, isNew] = job.occurrences.try_emplace(number);
@@ -103,6 +120,8 @@
     if (job.outcome != JobOutcome::Open)
         return;
     m_openJobs[poolOf(job)].push_back(&job);
+    if (!event.mayRunAlready && !job.spec.isScheduled())
+        countAcceptedWork(job);
     restore(job, event.progress);
     openDueOccurrences(job);
     markDirty(poolOf(job));
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -15,6 +15,28 @@
     return label.empty() || std::ranges::find(report.labels, label) != report.labels.end();
 }
 
+/// The smallest resources that fitted on no worker in one placement.
+class UnplaceableResources
+{
+public:
+    /// Whether `resources` can't fit either.
+    [[nodiscard]] auto covers(const Resources &resources) const -> bool
+    {
+        return std::ranges::any_of(
+            m_minima, [&resources](const Resources &it) { return resources.covers(it); });
+    }
+
+    auto add(const Resources &resources) -> void
+    {
+        std::erase_if(m_minima, [&resources](const Resources &it) { return it.covers(resources); });
+        m_minima.push_back(resources);
+    }
+
+private:
+    /// None of them covers another one.
+    std::vector<Resources> m_minima;
+};
+
 /// Whether a task of the step may fail to fit although its resources are free.
 auto hasPlacementConstraints(const StepSpec &step) -> bool
 {
@@ -131,21 +153,20 @@
             }
         }
     }
+    if (waitingSteps.empty())
+        return;
     sortWaiting(waitingSteps, m_now);
-    auto unplaceable = std::vector<Resources>();
+    const auto workers = workersToPlaceOn(pool);
+    auto unplaceable = UnplaceableResources();
     for (const auto &it : waitingSteps) {
         const auto &step = candidates[it.index].job->spec.steps[candidates[it.index].step];
         const auto resources = step.reservedResources();
-        const auto cannotFit = !it.isLongRunning
-            && std::ranges::any_of(unplaceable, [&resources](const Resources &other) {
-                   return resources.covers(other);
-               });
-        if (cannotFit)
+        if (!it.isLongRunning && unplaceable.covers(resources))
             continue;
-        if (placeStep(pool, candidates[it.index]))
+        if (placeStep(workers, candidates[it.index]))
             continue;
         if (!hasPlacementConstraints(step))
-            unplaceable.push_back(resources);
+            unplaceable.add(resources);
         if (it.isLongRunning) {
             auto &tasks = candidates[it.index].occurrence->steps[candidates[it.index].step];
             const auto waiting =
@@ -180,14 +201,14 @@
 
 /// Places waiting tasks of a step until one fits on no worker; the tasks of a step are alike.
 /// Returns whether all of them fitted, or the limit of the team was reached.
-auto Steward::placeStep(const PoolName &pool, const Candidate &candidate) -> bool
+auto Steward::placeStep(std::span<Worker *const> workers, const Candidate &candidate) -> bool
 {
     for (auto &task : candidate.occurrence->steps[candidate.step]) {
         if (!mayPlace(task))
             continue;
         if (!isWithinTeamLimit(*task.job, task.spec().resources))
             return true;
-        auto *worker = chooseWorker(pool, task);
+        auto *worker = chooseWorker(workers, task);
         if (worker == nullptr)
             return false;
         startTask(task, *worker);
@@ -210,21 +231,39 @@
         && (limit.accelerators == 0 || used.accelerators <= limit.accelerators);
 }
 
+/// Returns the workers of a pool that take new work, so that the checks that hold for all tasks are
+/// made once in a placement.
+auto Steward::workersToPlaceOn(const PoolName &pool) const -> std::vector<Worker *>
+{
+    auto workers = std::vector<Worker *>();
+    const auto all = m_poolWorkers.find(pool);
+    if (all == m_poolWorkers.end())
+        return workers;
+    std::ranges::copy_if(all->second, std::back_inserter(workers),
+                         [this](const Worker *it) { return takesNewWork(*it); });
+    return workers;
+}
+
+auto Steward::takesNewWork(const Worker &worker) const -> bool
+{
+    return isUsable(worker) && !worker.isDraining && worker.unknownRuns == 0
+        && !m_quarantine.isQuarantined(HostName(worker.report.name.value()), m_now);
+}
+
+/// Whether a task fits on a worker that takes new work.
 auto Steward::fits(const Worker &worker, const Task &task) const -> bool
 {
     const auto isReserved = m_now < worker.reservedUntil && !task.spec().isLongRunning;
     return worker.freeResources().covers(task.spec().reservedResources()) && !isReserved
-        && worker.unknownRuns == 0 && mayRunOn(worker, task);
+        && isAllowedOn(worker, task);
 }
 
-/// Whether the task may run on the worker, resources aside.
-auto Steward::mayRunOn(const Worker &worker, const Task &task) const -> bool
+/// Whether the constraints of the task's step allow the worker.
+auto Steward::isAllowedOn(const Worker &worker, const Task &task) const -> bool
 {
     const auto &spec = task.spec();
-    if (!isUsable(worker) || worker.isDraining || !hasLabel(worker.report, spec.requiredLabel)
-        || m_quarantine.isQuarantined(HostName(worker.report.name.value()), m_now)) {
+    if (!hasLabel(worker.report, spec.requiredLabel))
         return false;
-    }
     const auto isSibling = [&task](const Task *it) {
         return it->job == task.job && it->step == task.step && it->occurrence == task.occurrence;
     };
@@ -238,7 +277,7 @@
 /// keeps tasks on spare cores apart from tasks with a latency target, then takes the worker with
 /// the fewest free cores, so that other workers become idle and their hosts can move to other
 /// pools.
-auto Steward::chooseWorker(const PoolName &pool, const Task &task) -> Worker *
+auto Steward::chooseWorker(std::span<Worker *const> workers, const Task &task) const -> Worker *
 {
     struct Score
     {
@@ -252,7 +291,7 @@
     const auto &spec = task.spec();
     Worker *best = nullptr;
     auto bestScore = Score();
-    for (auto *worker : m_poolWorkers[pool]) {
+    for (auto *worker : workers) {
         if (!fits(*worker, task))
             continue;
         const auto hasLatencyTarget = [](const Task *it) {
@@ -284,7 +323,7 @@
     for (auto *worker : m_poolWorkers[pool]) {
         if (m_now < worker->reservedUntil)
             return; // a preemption is already under way
-        if (!mayRunOn(*worker, task))
+        if (!takesNewWork(*worker) || !isAllowedOn(*worker, task))
             continue;
         auto runs = std::vector<Task *>();
         std::ranges::copy_if(worker->runs, std::back_inserter(runs), [](const Task *it) {
@@ -313,6 +352,8 @@
 auto Steward::poolLoads() const -> std::map<PoolName, PoolLoad>
 {
     auto loads = std::map<PoolName, PoolLoad>();
+    for (const auto &[pool, work] : m_acceptedWork)
+        loads[pool].acceptedWork = work;
     for (const auto &[pool, workers] : m_poolWorkers) {
         for (const auto *worker : workers)
             loads[pool].used += worker->used;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -52,12 +52,8 @@
     if (isMoved)
         m_poolWorkers[worker.report.pool].push_back(&worker);
     markDirty(worker.report.pool);
-    if (isNew) {
-        auto names = std::set<HostName>();
-        for (const auto &[name, it] : m_workers)
-            names.emplace(name.value());
-        m_quarantine.workersChanged(names);
-    }
+    if (isNew)
+        m_quarantine.workerAdded(HostName(event.report.name.value()));
     pollIfDue(worker);
 }
 
@@ -76,6 +72,7 @@
     requeueAll(*worker);
     std::erase(m_poolWorkers[worker->report.pool], worker);
     m_workers.erase(event.worker);
+    m_quarantine.workerRemoved(HostName(event.worker.value()));
     endRecoveryIfDone();
 }
 
@@ -408,7 +405,9 @@
         m_actions.emplace_back(steward_action::StepDown{event.worker});
         return;
     case OrderOutcome::Unanswered:
-        return; // tickWorker() sends the order again or stops the task
+        // tickWorker() sends the order again or stops the task.
+        worker->backoffUntil = m_now + m_settings.unhealthyBackoff;
+        return;
     case OrderOutcome::StaleRun:
         if (wasStarting && !task->wasStartResent)
             break;
@@ -570,7 +569,7 @@
         if (task->phase != TaskPhase::Starting)
             continue;
         // Sending the same order again is idempotent: the worker starts a run number only once.
-        if (isUsable(worker) && !worker.isDraining && task->job->outcome == JobOutcome::Open) {
+        if (isReachable(worker) && !worker.isDraining && task->job->outcome == JobOutcome::Open) {
             task->wasStartResent = true;
             sendStart(*task);
         } else
@@ -624,16 +623,27 @@
     }
 }
 
-auto Steward::isUsable(const Worker &worker) const -> bool
+/// Whether runs may start on the worker: it is registered, serves, and has answered lately.
+auto Steward::isReachable(const Worker &worker) const -> bool
 {
     return worker.isRegistered && worker.isPolled && worker.hasClock && !worker.report.isLeaving
         && worker.isReportCurrent() && worker.failedPolls < MaxFailedPolls
-        && m_now >= worker.backoffUntil && !m_closedDataCentres.contains(worker.report.dataCentre)
+        && !m_closedDataCentres.contains(worker.report.dataCentre)
         && (worker.runs.empty()
             || m_now
                 < std::max(worker.lastAnswerAt, worker.busySince) + m_settings.responseTimeout);
 }
 
+/// Whether the worker is reachable and shows no sign that it leaves orders unanswered.
+auto Steward::isUsable(const Worker &worker) const -> bool
+{
+    const auto isOverdue = [this](const Task *it) {
+        return it->isOrderPending && m_now >= it->orderedAt + m_settings.orderResponseTime;
+    };
+    return isReachable(worker) && m_now >= worker.backoffUntil
+        && std::ranges::none_of(worker.runs, isOverdue);
+}
+
 auto Steward::expectWorkers(std::set<WorkerName> workers) -> void
 {
     m_expectedWorkers = std::move(workers);
--- a/packages/job/src/upkeep_planner.cpp
+++ b/packages/job/src/upkeep_planner.cpp
@@ -8,6 +8,7 @@
 {
     auto &entry = m_waves[wave.number];
     entry.declaration = std::move(wave);
+    entry.isInherited = entry.isInherited || (!entry.firstStepAt && !startedHosts.empty());
     entry.startedHosts.insert(startedHosts.begin(), startedHosts.end());
 }
 
@@ -57,6 +58,11 @@
     });
 }
 
+auto UpkeepPlanner::isClaimed(const HostName &host) const -> bool
+{
+    return isDue(host) && m_draining.contains(host);
+}
+
 auto UpkeepPlanner::step(std::span<const HostView> hosts, BootTime listedAt, BootTime now)
     -> UpkeepOrders
 {
@@ -68,6 +74,18 @@
     return orders;
 }
 
+auto UpkeepPlanner::paceOf(const Wave &wave, std::size_t remaining, BootTime now) -> std::size_t
+{
+    const auto maximum = std::size_t{wave.declaration.maxConcurrent};
+    const auto planned =
+        std::chrono::duration_cast<Duration>(wave.declaration.duration * PlannedPart);
+    const auto left = *wave.firstStepAt + planned - now;
+    if (wave.isInherited || left <= HostUpkeepTime)
+        return maximum;
+    const auto rounds = static_cast<std::size_t>(left / HostUpkeepTime);
+    return std::min(maximum, (remaining + rounds - 1) / rounds);
+}
+
 auto UpkeepPlanner::stepWave(Wave &wave, std::span<const HostView> hosts, BootTime listedAt,
                              BootTime now, UpkeepOrders &orders) -> void
 {
@@ -96,13 +114,17 @@
         orders.completed.push_back(wave.declaration.number);
         return;
     }
-    // Idle hosts come first, then hosts that are draining, then hosts with the fewest runs.
+    // Idle hosts come first, then hosts that are draining, then hosts with long-running tasks,
+    // which never become idle by themselves, then those with the fewest runs.
     std::ranges::sort(pending, {}, [this](const HostView *it) {
-        return std::tuple(!it->isIdle(), !m_draining.contains(it->report.host), it->longRunningRuns,
-                          it->otherRuns, it->report.host);
+        return std::tuple(!it->isIdle(), !m_draining.contains(it->report.host),
+                          it->longRunningRuns == 0, it->longRunningRuns + it->otherRuns,
+                          it->report.host);
     });
-    auto freeSlots = wave.declaration.maxConcurrent
-        - std::min<std::size_t>(down.size(), wave.declaration.maxConcurrent);
+    if (!wave.firstStepAt)
+        wave.firstStepAt = now;
+    const auto pace = paceOf(wave, pending.size() + down.size(), now);
+    auto freeSlots = pace - std::min(down.size(), pace);
     auto drained = std::size_t{0};
     for (const auto *it : pending) {
         const auto &host = it->report.host;
@@ -113,7 +135,7 @@
             orders.start.push_back({host, wave.declaration.number, it->report.worker});
             continue;
         }
-        if (drained++ >= wave.declaration.maxConcurrent * DrainingPerDown)
+        if (drained++ >= pace * DrainingPerDown)
             break;
         if (m_draining.insert(host).second)
             orders.drain.push_back(host);
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -224,7 +224,7 @@
     for (const auto &[host, until] : m_unansweredOrders)
         blocked.insert(host);
     for (const auto &it : hosts) {
-        if (m_upkeep.isDue(it.report.host))
+        if (m_upkeep.isClaimed(it.report.host))
             blocked.insert(it.report.host);
     }
     const auto moves = m_sizer.step(hosts, m_steward.steward()->poolLoads(), declaration->rules,
