Size pools by a certain rate of arrivals, hold them until a peak, poll listed workers first

Change: a rate counts one standard deviation of its arrivals less, over 0.2 and 0.6 s; a pool without a peak is held for 20 s; no moves during recovery; unlisted workers aren't polled.

--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -15,6 +15,13 @@
     PoolName to;
 };
 
+/// Hosts that a pool has, and those that its demand needs.
+struct PoolSize
+{
+    std::size_t hosts = 0;
+    std::size_t needed = 0;
+};
+
 /// Moves idle hosts between pools.
 ///
 /// Expected load: the queues have their peaks in turn. For some seconds a queue requests several
@@ -30,16 +37,19 @@
     /// A host goes to standby after this idle time: a move costs as much as about 1.2 s of a host
     /// in a pool, and takes 1.5 s each way.
     static constexpr Milliseconds IdleBeforeStandby{2'500};
-    /// A pool that has had no work yet keeps its hosts for this long after the first step: its
+    /// A pool that has had no peak yet keeps its hosts for this long after the first step: its
     /// demand is unknown.
     static constexpr Milliseconds UnknownDemandHold{20'000};
+    /// A pool has had a peak once its demand reached this part of its hosts.
+    static constexpr double PeakPart = 0.5;
     /// A host moves to another pool after this idle time; gaps between two jobs are shorter.
     static constexpr Milliseconds IdleBeforeMove{200};
     /// Time constant at which falling demand is followed. Rising demand counts immediately.
     static constexpr Milliseconds SmoothingTime{700};
-    /// The rate of accepted work is measured over this time, and over no less than the minimum.
+    /// The rate of accepted work is measured over these times: the short one shows the begin of a
+    /// peak, the long one evens out the arrivals within it.
+    static constexpr Milliseconds ShortRateWindow{200};
     static constexpr Milliseconds RateWindow{600};
-    static constexpr Milliseconds MinRateWindow{100};
     /// At most one in this many hosts moves at the same time: a peak lasts 4 s, a move 1.5 s.
     static constexpr std::size_t HostsPerMove = 2;
     /// Target for the use of a pool's resources; the remainder is lost to fragmentation.
@@ -53,30 +63,42 @@
               const SchedulingRules &rules, const std::set<HostName> &blocked, BootTime now)
         -> std::vector<HostMove>;
 
+    /// Returns the sizes that the last step computed, before its moves.
+    [[nodiscard]] auto sizes() const -> const std::map<PoolName, PoolSize> & { return m_sizes; }
+
 private:
-    struct Pool
+    /// `hosts` counts those that are up or are moving to the pool.
+    struct Pool : PoolSize
     {
-        /// Hosts that are up or are moving to the pool.
-        std::size_t hosts = 0;
-        std::size_t needed = 0;
         /// Hosts that may be moved away, the longest idle first.
         std::vector<HostName> idle;
     };
 
-    /// What a pool requested lately, in hosts.
+    /// The work that a pool had accepted at the time of a step.
+    struct Sample
+    {
+        BootTime at;
+        std::uint64_t jobs = 0;
+        Resources work;
+    };
+
+    /// What a pool requested lately.
     struct Demand
     {
+        /// In hosts.
         double smoothed = 0;
-        bool hasHadWork = false;
-        /// Accepted work by the time of the step that saw it, the newest at the back.
-        std::deque<std::pair<BootTime, Resources>> accepted;
+        bool hasPeaked = false;
+        /// Of the rate window, the newest at the back.
+        std::deque<Sample> samples;
     };
 
+    static auto arrivingHosts(const Demand &demand, const Resources &host) -> double;
     auto updateDemand(Demand &demand, const PoolLoad &load, const Resources &host, BootTime now)
         -> void;
 
     std::map<HostName, BootTime> m_idleSince;
     std::map<PoolName, Demand> m_demand;
+    std::map<PoolName, PoolSize> m_sizes;
     std::optional<BootTime> m_firstStepAt;
     BootTime m_lastStepAt;
 };
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -38,7 +38,9 @@
     Resources used;
     /// Requested by waiting tasks whose earlier steps are done.
     Resources waiting;
-    /// Resources times estimated milliseconds of the finite tasks that this steward has accepted.
+    /// Jobs with finite tasks that this steward has accepted.
+    std::uint64_t acceptedJobs = 0;
+    /// Resources times estimated milliseconds of the finite tasks of these jobs.
     Resources acceptedWork;
     /// Number of workers that long-running tasks need because of their limit per worker.
     std::size_t minWorkers = 0;
@@ -95,6 +97,9 @@
     Milliseconds checkpointGracePeriod{2'500};
     /// The same for runs that don't save progress.
     Milliseconds drainGracePeriod{5'500};
+    /// How long a new steward waits for the list of hosts before it polls all registered workers,
+    /// and how late the list may show a new worker.
+    Milliseconds hostListDelay{500};
     /// Longest time that a worker takes to stop a run; set by the platform.
     Milliseconds stopTimeout{900};
     /// Time after which stop orders of the previous steward have taken effect (0.9 s) and a poll
@@ -150,6 +155,13 @@
     struct Worker;
     struct Candidate;
 
+    /// See PoolLoad.
+    struct AcceptedWork
+    {
+        std::uint64_t jobs = 0;
+        Resources work;
+    };
+
     auto handle(const steward_event::RulesChanged &event) -> void;
     auto handle(const steward_event::DataCentresClosed &event) -> void;
     auto handle(const steward_event::WorkerReported &event) -> void;
@@ -200,6 +212,7 @@
     auto sendStart(Task &task) -> void;
     auto pollIfDue(Worker &worker) -> void;
     auto renewLease(Worker &worker) -> std::int64_t;
+    [[nodiscard]] auto mayExist(const Worker &worker) const -> bool;
     auto tickWorker(Worker &worker) -> void;
     auto drain(Worker &worker) -> void;
     auto highestAcknowledgeable(Worker &worker) -> std::uint64_t;
@@ -240,7 +253,7 @@
     std::map<WorkerName, std::unique_ptr<Worker>> m_workers;
     std::map<PoolName, std::vector<Worker *>> m_poolWorkers;
     std::map<TeamName, Resources> m_teamUsage;
-    std::map<PoolName, Resources> m_acceptedWork;
+    std::map<PoolName, AcceptedWork> m_acceptedWork;
     std::set<PoolName> m_dirtyPools;
     std::set<WorkerName> m_expectedWorkers;
     Quarantine m_quarantine;
@@ -248,7 +261,8 @@
     BootTime m_startedAt;
     BootTime m_recoveryDeadline;
     bool m_isRecovering = true;
-    bool m_hasHostList = false;
+    /// When the workers of the hosts were set last.
+    std::optional<BootTime> m_hostListAt;
 };
 
 } // namespace shallotproxy
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -30,22 +30,38 @@
 
 } // namespace
 
+/// Returns how many hosts the arriving work occupies, by the window with the higher rate.
+///
+/// A few large jobs in a window show no rate: each window counts one standard deviation of the
+/// number of its arrivals less.
+auto PoolSizer::arrivingHosts(const Demand &demand, const Resources &host) -> double
+{
+    const auto &now = demand.samples.back();
+    const auto rateSince = [&now, &host](const Sample &before) {
+        const auto jobs = static_cast<double>(now.jobs - before.jobs);
+        const auto window =
+            Milliseconds::rep{std::chrono::duration_cast<Milliseconds>(now.at - before.at).count()};
+        if (jobs < 1 || window == 0)
+            return 0.0;
+        const auto certainPart = 1 - 1 / std::sqrt(jobs);
+        return certainPart * hostsFor(now.work - before.work, host) / static_cast<double>(window);
+    };
+    const auto isOldEnough = [&now](const Sample &it) { return it.at + ShortRateWindow <= now.at; };
+    const auto recent =
+        std::ranges::find_if(demand.samples.rbegin(), demand.samples.rend(), isOldEnough);
+    const auto recentRate = recent == demand.samples.rend() ? 0.0 : rateSince(*recent);
+    return std::max(recentRate, rateSince(demand.samples.front()));
+}
+
 auto PoolSizer::updateDemand(Demand &demand, const PoolLoad &load, const Resources &host,
                              BootTime now) -> void
 {
-    const auto current = hostsFor(load.used + load.waiting, host);
-    demand.hasHadWork = demand.hasHadWork || load.acceptedWork != Resources();
-    auto &accepted = demand.accepted;
-    accepted.emplace_back(now, load.acceptedWork);
-    while (accepted.size() > 2 && accepted[1].first + RateWindow <= now)
-        accepted.pop_front();
-    const auto &[since, before] = accepted.front();
-    auto arriving = 0.0;
-    if (now >= since + MinRateWindow) {
-        const auto window = std::chrono::duration<double, std::milli>(now - since).count();
-        arriving = hostsFor(load.acceptedWork - before, host) / window;
-    }
-    const auto hosts = std::max(current, arriving);
+    auto &samples = demand.samples;
+    samples.push_back({now, load.acceptedJobs, load.acceptedWork});
+    while (samples.size() > 2 && samples[1].at + RateWindow <= now)
+        samples.pop_front();
+    const auto hosts =
+        std::max(hostsFor(load.used + load.waiting, host), arrivingHosts(demand, host));
     const auto elapsed = Seconds(now - m_lastStepAt).count();
     const auto weight = std::min(1.0, elapsed / Seconds(SmoothingTime).count());
     demand.smoothed =
@@ -96,6 +112,9 @@
         const auto needed =
             static_cast<std::size_t>(std::ceil(demand.smoothed / TargetUtilization));
         pool.needed = std::max(needed, load.minWorkers) + SpareHosts;
+        demand.hasPeaked =
+            demand.hasPeaked || demand.smoothed >= PeakPart * static_cast<double>(pool.hosts);
+        m_sizes[name] = pool;
         std::ranges::sort(pool.idle, {}, [this](const auto &it) { return m_idleSince.at(it); });
     }
     m_lastStepAt = now;
@@ -131,7 +150,7 @@
     if (standbyPool == rules.pools.end())
         return moves;
     for (auto &[name, pool] : pools) {
-        if (!m_demand[name].hasHadWork && now < *m_firstStepAt + UnknownDemandHold)
+        if (!m_demand[name].hasPeaked && now < *m_firstStepAt + UnknownDemandHold)
             continue;
         for (const auto &host : pool.idle) {
             if (pool.hosts <= pool.needed || !mayAddMove())
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -42,16 +42,20 @@
 
 auto Steward::countAcceptedWork(const Job &job) -> void
 {
-    auto &work = m_acceptedWork[poolOf(job)];
+    const auto isFinite = [](const StepSpec &it) { return !it.isLongRunning; };
+    if (std::ranges::none_of(job.spec.steps, isFinite))
+        return;
+    auto &accepted = m_acceptedWork[poolOf(job)];
+    ++accepted.jobs;
     for (const auto &step : job.spec.steps) {
-        if (step.isLongRunning)
+        if (!isFinite(step))
             continue;
-        const auto time =
-            std::clamp(step.estimatedMilliseconds, std::int64_t{0}, MaxForecastMilliseconds)
-            * step.taskCount;
+        const auto estimate =
+            std::clamp(step.estimatedMilliseconds, std::int64_t{0}, MaxForecastMilliseconds);
+        const auto time = estimate * step.taskCount;
         const auto task = step.reservedResources();
-        work += Resources{task.milliCores * time, task.memoryMegabytes * time,
-                          task.accelerators * time};
+        accepted.work += Resources{task.milliCores * time, task.memoryMegabytes * time,
+                                   task.accelerators * time};
     }
 }
 
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -352,8 +352,10 @@
 auto Steward::poolLoads() const -> std::map<PoolName, PoolLoad>
 {
     auto loads = std::map<PoolName, PoolLoad>();
-    for (const auto &[pool, work] : m_acceptedWork)
-        loads[pool].acceptedWork = work;
+    for (const auto &[pool, accepted] : m_acceptedWork) {
+        loads[pool].acceptedJobs = accepted.jobs;
+        loads[pool].acceptedWork = accepted.work;
+    }
     for (const auto &[pool, workers] : m_poolWorkers) {
         for (const auto *worker : workers)
             loads[pool].used += worker->used;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -96,6 +96,8 @@
 
     WorkerReport report;
     bool isRegistered = true;
+    /// When this steward first saw the registration.
+    BootTime registeredAt;
     /// This steward has polled the worker successfully, so that the worker knows its token.
     bool isPolled = false;
     Resources used;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -52,8 +52,10 @@
     if (isMoved)
         m_poolWorkers[worker.report.pool].push_back(&worker);
     markDirty(worker.report.pool);
-    if (isNew)
+    if (isNew) {
+        worker.registeredAt = m_now;
         m_quarantine.workerAdded(HostName(event.report.name.value()));
+    }
     pollIfDue(worker);
 }
 
@@ -537,6 +539,8 @@
         || acknowledged > worker.acknowledged || worker.failedPolls > 0;
     if (!isNeeded || (!worker.isRegistered && worker.runs.empty()))
         return;
+    if (!worker.isPolled && !mayExist(worker))
+        return;
     worker.isPolling = true;
     const auto mayWait = worker.isPolled && !worker.runs.empty() && worker.failedPolls == 0
         && worker.unpersistedEnds.empty();
@@ -553,6 +557,16 @@
                                    acknowledged, mayWait ? static_cast<int>(wait.count()) : 0});
 }
 
+/// Whether a worker that was never polled may exist. The registration of a worker whose host was
+/// moved stays for seconds, and a new worker may be missing from the list of hosts.
+auto Steward::mayExist(const Worker &worker) const -> bool
+{
+    if (!m_hostListAt)
+        return m_now >= m_startedAt + m_settings.hostListDelay;
+    return m_expectedWorkers.contains(worker.report.name)
+        || worker.registeredAt + m_settings.hostListDelay > *m_hostListAt;
+}
+
 auto Steward::tickWorker(Worker &worker) -> void
 {
     // A worker that answers reports what became of its runs. A worker that this steward was too
@@ -647,7 +661,7 @@
 auto Steward::expectWorkers(std::set<WorkerName> workers) -> void
 {
     m_expectedWorkers = std::move(workers);
-    m_hasHostList = true;
+    m_hostListAt = m_now;
     endRecoveryIfDone();
 }
 
@@ -662,7 +676,7 @@
         return it != m_workers.end() && it->second->isPolled;
     };
     // A registered worker that belongs to no host any more has ended.
-    const auto isAllPolled = m_hasHostList && std::ranges::all_of(m_expectedWorkers, isPolled);
+    const auto isAllPolled = m_hostListAt && std::ranges::all_of(m_expectedWorkers, isPolled);
     if (!isAllPolled && m_now < m_recoveryDeadline)
         return;
     m_isRecovering = false;
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -128,6 +128,8 @@
         const auto count = expected.size();
         steward->expectWorkers(std::move(expected));
         if (wasRecovering) {
+            // Polls the workers that the list shows.
+            m_steward.dispatch(steward_event::Ticked{wallMilliseconds()});
             m_context.log.info("event=hosts-listed hosts={} workers={} recovering={}",
                                m_hosts.size(), count, steward->isRecovering());
         }
@@ -196,7 +198,8 @@
         return;
     const auto hosts = views();
     planUpkeep(hosts);
-    if (m_steward.steward() != nullptr)
+    // Tasks of an earlier steward count as waiting until their workers have been polled.
+    if (m_steward.steward() != nullptr && !m_steward.steward()->isRecovering())
         planMoves(views());
 }
 
@@ -229,6 +232,12 @@
     }
     const auto moves = m_sizer.step(hosts, m_steward.steward()->poolLoads(), declaration->rules,
                                     blocked, BootClock::now());
+    if (!moves.empty()) {
+        for (const auto &[pool, size] : m_sizer.sizes()) {
+            m_context.log.info("event=pool-sized pool={} hosts={} needed={}", pool.value(),
+                               size.hosts, size.needed);
+        }
+    }
     for (const auto &it : moves)
         move(it);
 }
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -161,6 +161,28 @@
     EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr);
 }
 
+// After a takeover most registrations may be of workers whose hosts have moved: connecting to all
+// of them delays the polls that end the recovery.
+TEST(Steward, PollsOnlyWorkersOfListedHosts)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    auto actions = single.step(steward_event::WorkerReported{test::workerReport(1)});
+    EXPECT_EQ(firstOf<steward_action::PollWorker>(actions), nullptr);
+    single.now += StewardSettings().hostListDelay;
+    single.steward.step(steward_event::RulesChanged{test::testRules(2)}, single.now);
+    single.steward.expectWorkers({test::workerName(0)});
+    actions = single.tick(1ms);
+    ASSERT_NE(firstOf<steward_action::PollWorker>(actions), nullptr);
+    EXPECT_EQ(
+        std::ranges::count_if(
+            actions,
+            [](const auto &it) { return std::holds_alternative<steward_action::PollWorker>(it); }),
+        1);
+    // A worker that registers now may be newer than the list.
+    actions = single.step(steward_event::WorkerReported{test::workerReport(2)});
+    EXPECT_NE(firstOf<steward_action::PollWorker>(actions), nullptr);
+}
+
 // A worker may report the end of an older run after the end of a newer one.
 TEST(Steward, CountsFailuresReportedOutOfOrder)
 {
