Size for arrivals beside long-running tasks; keep ended jobs by the boot clock

Steward::evictEnded went by the time of day, so a jump of an hour made it forget jobs that callers still ask for; ages of new jobs compared the clocks of two hosts. The hold test failed before; KeepsEndedJobsWhenTheTimeOfDayJumps needs the new interface.

--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -92,7 +92,7 @@
         std::deque<Sample> samples;
     };
 
-    static auto arrivingHosts(const Demand &demand, const Resources &host) -> double;
+    static auto arrivingResources(const Demand &demand) -> Resources;
     auto updateDemand(Demand &demand, const PoolLoad &load, const Resources &host, BootTime now)
         -> void;
 
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -38,6 +38,8 @@
     Resources used;
     /// Requested by waiting tasks whose earlier steps are done.
     Resources waiting;
+    /// The part of `used` and `waiting` that belongs to long-running tasks.
+    Resources longRunning;
     /// Jobs with finite tasks that this steward has accepted.
     std::uint64_t acceptedJobs = 0;
     /// Resources times estimated milliseconds of the finite tasks of these jobs.
@@ -140,10 +142,10 @@
     [[nodiscard]] auto workerLoad(const WorkerName &name) const -> std::optional<WorkerLoad>;
     /// Whether runs of an earlier steward may still be unknown.
     [[nodiscard]] auto isRecovering() const -> bool { return m_isRecovering; }
-    /// Evicts up to `maxCount` jobs that ended before this Unix time, whose end is persisted and
-    /// that have no runs left. Returns their ids.
-    auto evictEnded(std::int64_t wallMilliseconds, std::size_t maxCount)
-        -> std::vector<std::string>;
+    /// Evicts up to `maxCount` jobs that ended before `endedBefore`, whose end is persisted and
+    /// that have no runs left. Jobs that had ended when this steward loaded them count from then.
+    /// Returns their ids.
+    auto evictEnded(BootTime endedBefore, std::size_t maxCount) -> std::vector<std::string>;
     /// Sets the workers of all hosts that are up. Recovery lasts until each of them has been
     /// polled.
     auto expectWorkers(std::set<WorkerName> workers) -> void;
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -30,27 +30,31 @@
 
 } // namespace
 
-/// Returns how many hosts the arriving work occupies, by the window with the higher rate.
+/// Returns the resources that the arriving work occupies, by the window with the higher rate.
 ///
 /// A few large jobs in a window show no rate: each window counts one standard deviation of the
 /// number of its arrivals less.
-auto PoolSizer::arrivingHosts(const Demand &demand, const Resources &host) -> double
+auto PoolSizer::arrivingResources(const Demand &demand) -> Resources
 {
     const auto &now = demand.samples.back();
-    const auto rateSince = [&now, &host](const Sample &before) {
+    const auto rateSince = [&now](const Sample &before) {
         const auto jobs = static_cast<double>(now.jobs - before.jobs);
-        const auto window =
-            Milliseconds::rep{std::chrono::duration_cast<Milliseconds>(now.at - before.at).count()};
-        if (jobs < 1 || window == 0)
-            return 0.0;
-        const auto certainPart = 1 - 1 / std::sqrt(jobs);
-        return certainPart * hostsFor(now.work - before.work, host) / static_cast<double>(window);
+        const auto window = std::chrono::duration<double, std::milli>(now.at - before.at).count();
+        if (jobs < 1 || window <= 0)
+            return Resources();
+        const auto factor = (1 - 1 / std::sqrt(jobs)) / window;
+        const auto scaled = [factor](std::int64_t amount) {
+            return static_cast<std::int64_t>(static_cast<double>(amount) * factor);
+        };
+        const auto work = now.work - before.work;
+        return Resources{scaled(work.milliCores), scaled(work.memoryMegabytes),
+                         scaled(work.accelerators)};
     };
     const auto isOldEnough = [&now](const Sample &it) { return it.at + ShortRateWindow <= now.at; };
     const auto recent =
         std::ranges::find_if(demand.samples.rbegin(), demand.samples.rend(), isOldEnough);
-    const auto recentRate = recent == demand.samples.rend() ? 0.0 : rateSince(*recent);
-    return std::max(recentRate, rateSince(demand.samples.front()));
+    const auto longRate = rateSince(demand.samples.front());
+    return recent == demand.samples.rend() ? longRate : largestOf(rateSince(*recent), longRate);
 }
 
 auto PoolSizer::updateDemand(Demand &demand, const PoolLoad &load, const Resources &host,
@@ -60,8 +64,8 @@
     samples.push_back({now, load.acceptedJobs, load.acceptedWork});
     while (samples.size() > 2 && samples[1].at + RateWindow <= now)
         samples.pop_front();
-    const auto hosts =
-        std::max(hostsFor(load.used + load.waiting, host), arrivingHosts(demand, host));
+    const auto hosts = std::max(hostsFor(load.used + load.waiting, host),
+                                hostsFor(load.longRunning + arrivingResources(demand), host));
     const auto elapsed = Seconds(now - m_lastStepAt).count();
     const auto weight = std::min(1.0, elapsed / Seconds(SmoothingTime).count());
     demand.smoothed =
@@ -112,8 +116,8 @@
         const auto needed =
             static_cast<std::size_t>(std::ceil(demand.smoothed / TargetUtilization));
         pool.needed = std::max(needed, load.minWorkers) + SpareHosts;
-        demand.hasPeaked =
-            demand.hasPeaked || demand.smoothed >= PeakPart * static_cast<double>(pool.hosts);
+        const auto peak = std::max(1.0, PeakPart * static_cast<double>(pool.hosts));
+        demand.hasPeaked = demand.hasPeaked || demand.smoothed >= peak;
         m_sizes[name] = pool;
         std::ranges::sort(pool.idle, {}, [this](const auto &it) { return m_idleSince.at(it); });
     }
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -108,9 +108,12 @@
     job.spec = event.spec;
     job.mayRunAlready = event.mayRunAlready && m_isRecovering;
     job.remainingWork = milliseconds(job.spec.criticalPathMilliseconds());
-    const auto age =
-        std::clamp(m_wallMilliseconds - job.spec.submittedMilliseconds, std::int64_t{0},
-                   m_wallMilliseconds == 0 ? 0 : MaxJobAgeMilliseconds);
+    // The clock of the member that accepted the job may differ from this one: the age of a job that
+    // arrives now is known without them.
+    const auto isNew = !event.mayRunAlready || m_wallMilliseconds == 0;
+    const auto age = isNew ? 0
+                           : std::clamp(m_wallMilliseconds - job.spec.submittedMilliseconds,
+                                        std::int64_t{0}, MaxJobAgeMilliseconds);
     job.submittedAt = m_now - milliseconds(age);
     m_jobs.emplace(job.spec.id, std::move(owned));
     const auto *rules = rulesOf(job);
@@ -121,6 +124,7 @@
     job.outcome = event.progress.state();
     job.persistedOutcome = job.outcome;
     job.endedMilliseconds = event.progress.endedMilliseconds;
+    job.endedAt = m_now;
     if (job.outcome != JobOutcome::Open)
         return;
     m_openJobs[poolOf(job)].push_back(&job);
@@ -205,6 +209,7 @@
 {
     job.outcome = outcome;
     job.endedMilliseconds = m_wallMilliseconds;
+    job.endedAt = m_now;
     auto &open = m_openJobs[poolOf(job)];
     std::erase(open, &job);
     markChanged(job, true);
@@ -264,14 +269,15 @@
     return result;
 }
 
-auto Steward::evictEnded(std::int64_t wallMilliseconds, std::size_t maxCount)
-    -> std::vector<std::string>
+// Goes by the boot clock: a time of day that jumps must not make the steward forget jobs that
+// callers still ask for, as a repeated submission would run them again.
+auto Steward::evictEnded(BootTime endedBefore, std::size_t maxCount) -> std::vector<std::string>
 {
     auto evicted = std::vector<std::string>();
     for (auto it = m_jobs.begin(); it != m_jobs.end() && evicted.size() < maxCount;) {
         const auto &job = *it->second;
         const auto isExpired = job.persistedOutcome != JobOutcome::Open
-            && job.persistedChange == job.change && job.endedMilliseconds < wallMilliseconds;
+            && job.persistedChange == job.change && job.endedAt < endedBefore;
         const auto hasRuns = std::ranges::any_of(job.occurrences, [](const auto &occurrence) {
             return std::ranges::any_of(occurrence.second.steps, [](const auto &step) {
                 return std::ranges::any_of(step,
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -357,8 +357,13 @@
         loads[pool].acceptedWork = accepted.work;
     }
     for (const auto &[pool, workers] : m_poolWorkers) {
-        for (const auto *worker : workers)
+        for (const auto *worker : workers) {
             loads[pool].used += worker->used;
+            for (const auto *task : worker->runs) {
+                if (task->spec().isLongRunning)
+                    loads[pool].longRunning += task->spec().reservedResources();
+            }
+        }
     }
     for (const auto &[pool, jobs] : m_openJobs) {
         auto &load = loads[pool];
@@ -374,8 +379,11 @@
                     if (!isReady(*job, occurrence, step))
                         continue;
                     for (const auto &task : occurrence.steps[step]) {
-                        if (task.phase == TaskPhase::Waiting)
-                            load.waiting += spec.reservedResources();
+                        if (task.phase != TaskPhase::Waiting)
+                            continue;
+                        load.waiting += spec.reservedResources();
+                        if (spec.isLongRunning)
+                            load.longRunning += spec.reservedResources();
                     }
                 }
             }
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -55,7 +55,10 @@
 {
     JobSpec spec;
     JobOutcome outcome = JobOutcome::Open;
+    /// Unix time of the end, for the record.
     std::int64_t endedMilliseconds = 0;
+    /// When this steward saw the end.
+    BootTime endedAt;
     /// The opened occurrences by number.
     std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t completedOccurrences = 0;
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -19,7 +19,7 @@
 // With 20 jobs per cleanup, a steward removes up to four ended jobs a second.
 constexpr milliseconds CleanupInterval{5'000};
 constexpr std::size_t MaxJobsPerCleanup = 20; // a write of the store has at most 32 entries
-constexpr std::int64_t RetentionFactor = 2; // ended jobs stay twice as long as the settings promise
+constexpr int RetentionFactor = 2; // ended jobs stay twice as long as the settings promise
 // Spreads the campaigns of the members, so that few calls are wasted on a key that is taken.
 constexpr milliseconds CampaignJitter{80};
 constexpr milliseconds FreshnessRetryDelay{50}; // the check makes no call
@@ -468,8 +468,7 @@
 /// Removes jobs that ended long ago. Until then a repeated submission finds the ended job.
 auto StewardDuty::removeEndedJobs() -> void
 {
-    const auto before =
-        wallMilliseconds() - m_context.settings.jobStateRetention.count() * RetentionFactor;
+    const auto before = BootClock::now() - m_context.settings.jobStateRetention * RetentionFactor;
     const auto jobs = m_steward->evictEnded(before, MaxJobsPerCleanup);
     if (jobs.empty())
         return;
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -98,7 +98,7 @@
     m_stewards.push_back({});
     auto &instance = m_stewards.back();
     instance.steward = std::make_unique<Steward>(++m_revision, StewardSettings(), m_now);
-    send(number, steward_event::Ticked{1'000'000});
+    send(number, steward_event::Ticked{wallMilliseconds});
     send(number, steward_event::RulesChanged{testRules(m_attempts)});
     for (const auto &[id, job] : m_jobs) {
         const auto persisted = m_persisted.find(id);
@@ -151,7 +151,7 @@
         for (auto &worker : m_workers)
             tickWorker(worker);
         for (std::size_t n = 0; n < m_stewards.size(); ++n) {
-            send(n, steward_event::Ticked{1'000'000});
+            send(n, steward_event::Ticked{wallMilliseconds});
             write(n);
         }
     }
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -213,6 +213,10 @@
     for (std::size_t n = 0; n < 5; ++n)
         hosts.push_back(idleHost(n, "a"));
     auto now = BootTime(1h);
+    auto starting = hosts;
+    for (auto &it : starting)
+        it.report.state = HostState::Down;
+    sizer.step(starting, {}, poolRules(), {}, now);
     sizer.step(hosts, {}, poolRules(), {}, now);
     now += PoolSizer::UnknownDemandHold - 1ms;
     EXPECT_TRUE(sizer.step(hosts, {}, poolRules(), {}, now).empty());
@@ -234,12 +238,15 @@
     sizer.step(hosts, loads, poolRules(), {}, now);
     now += 300ms; // 12 jobs later
     load.waiting = {12 * 5'000, 0, 0};
+    load.used = {40'000, 0, 0};
+    load.longRunning = {40'000, 0, 0};
     load.acceptedJobs = 12;
     load.acceptedWork = {12 * 5'000 * 1'000, 0, 0};
     const auto moves = sizer.step(hosts, loads, poolRules(), {}, now);
-    // 40 jobs/s times 1 s times 5 cores, over 10 cores a host: 20 hosts, of which 14.2 are certain.
-    // At the target utilization these are 16.7, and the waiting tasks alone would need 7.1.
-    EXPECT_EQ(moves.size(), 17U);
+    // 40 jobs/s times 1 s times 5 cores, over 10 cores a host: 20 hosts, of which 14.2 are certain,
+    // and 4 for long-running tasks. At the target utilization these are 21.5, and the tasks that
+    // wait or run would need 11.8.
+    EXPECT_EQ(moves.size(), 22U);
 }
 
 // One job of many wide tasks arrives at a quiet pool: it uses the hosts that its tasks need.
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -378,15 +378,41 @@
 {
     auto fleet = FakeFleet(1);
     const auto steward = fleet.addSteward();
+    const auto start = fleet.now();
     fleet.addJob(test::oneStepJob("a", test::shortStep(1)));
     fleet.addJob(test::oneStepJob("b", test::longRunningStep(1)));
     fleet.run(3s);
-    EXPECT_TRUE(fleet.steward(steward).evictEnded(999'999, 10).empty());
-    EXPECT_EQ(fleet.steward(steward).evictEnded(1'000'001, 10), std::vector<std::string>{"a"});
+    EXPECT_TRUE(fleet.steward(steward).evictEnded(start, 10).empty());
+    EXPECT_EQ(fleet.steward(steward).evictEnded(fleet.now(), 10), std::vector<std::string>{"a"});
     EXPECT_EQ(fleet.steward(steward).view("a").state, JobState::Unknown);
     EXPECT_EQ(fleet.steward(steward).view("b").state, JobState::Running);
 }
 
+// The time of day jumps by an hour between the end of a job and the cleanup, and a successor has
+// another time of day than the steward that saw the end.
+TEST(Steward, KeepsEndedJobsWhenTheTimeOfDayJumps)
+{
+    constexpr std::int64_t HourMilliseconds = 3'600'000;
+    for (const auto jump : {-HourMilliseconds, HourMilliseconds}) {
+        auto fleet = FakeFleet(1);
+        fleet.wallMilliseconds = 2 * HourMilliseconds;
+        auto steward = fleet.addSteward();
+        fleet.addJob(test::oneStepJob("a", test::shortStep(1)));
+        fleet.run(3s);
+        fleet.wallMilliseconds += jump;
+        fleet.run(1s);
+        EXPECT_TRUE(fleet.steward(steward).evictEnded(fleet.now() - 60s, 10).empty());
+        fleet.killSteward(steward);
+        fleet.wallMilliseconds += jump;
+        steward = fleet.addSteward();
+        fleet.run(1s);
+        EXPECT_TRUE(fleet.steward(steward).evictEnded(fleet.now() - 60s, 10).empty());
+        EXPECT_EQ(fleet.steward(steward).view("a").state, JobState::Completed);
+        fleet.run(61s);
+        EXPECT_EQ(fleet.steward(steward).evictEnded(fleet.now() - 60s, 10).size(), 1U);
+    }
+}
+
 // A task exceeds its latency target while a task on spare cores runs on the same worker.
 TEST(Steward, SlowsSpareCoreTasksNearALatencyTarget)
 {
