--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -237,11 +237,11 @@
     auto now = BootTime(1h);
     sizer.step(hosts, loads, poolRules(), {}, now);
     now += 300ms; // 12 jobs later
-    load.waiting = {12 * 5'000, 0, 0};
+    load.waiting = {60'000, 0, 0};
     load.used = {40'000, 0, 0};
     load.longRunning = {40'000, 0, 0};
     load.acceptedJobs = 12;
-    load.acceptedWork = {12 * 5'000 * 1'000, 0, 0};
+    load.acceptedWork = {60'000'000, 0, 0};
     const auto moves = sizer.step(hosts, loads, poolRules(), {}, now);
     // 40 jobs/s times 1 s times 5 cores, over 10 cores a host: 20 hosts, of which 14.2 are certain,
     // and 4 for long-running tasks. At the target utilization these are 21.5, and the tasks that
@@ -263,7 +263,7 @@
     now += 300ms;
     load.waiting = {17'000, 0, 0};
     load.acceptedJobs = 1;
-    load.acceptedWork = {17'000 * 10'000, 0, 0};
+    load.acceptedWork = {170'000'000, 0, 0};
     EXPECT_EQ(sizer.step(hosts, loads, poolRules(), {}, now).size(), 2U);
 }
 
