--- a/packages/member/include/shallotproxy/member/runtime_context.hpp
+++ b/packages/member/include/shallotproxy/member/runtime_context.hpp
@@ -21,8 +21,8 @@
     /// long a withdrawn API key works.
     std::chrono::milliseconds freshnessPeriod{4'000};
     std::chrono::milliseconds maxRunLease{10'000}; // the longest lease of runs that workers accept
-    std::chrono::milliseconds runStopTimeout{
-        900}; // the longest time that workers take to stop a run
+    /// The longest time that workers take to stop a run.
+    std::chrono::milliseconds runStopTimeout{900};
     std::chrono::milliseconds shutdownGracePeriod{6'000}; // from SIGTERM until the process exits
     /// Minimum time between orders about hosts from two successive stewards: a new one waits this
     /// long before its first order.
--- a/tests/unit/unit-platform-wire.cpp
+++ b/tests/unit/unit-platform-wire.cpp
@@ -152,7 +152,40 @@
     EXPECT_EQ(pollResult->ended.at(0).end, RunEnd::LeaseExpired);
     EXPECT_EQ(pollResult->ended.at(0).checkpoint, "s");
     EXPECT_EQ(pollResult->ended.size(), 2U);
-    EXPECT_FALSE(decodePollReply(WorkerName("w"), R"({"clock_ms":9,"active":[[]],"finished":[]})"));
+    EXPECT_EQ(pollResult->clockMilliseconds, 9);
+    EXPECT_EQ(pollResult->startedMilliseconds, 3);
+}
+
+TEST(PlatformWire, RejectsMalformedPollReplies)
+{
+    const auto isDecoded = [](std::string_view body) {
+        return decodePollReply(WorkerName("w"), body).has_value();
+    };
+    EXPECT_TRUE(isDecoded(R"({"clock_ms":9,"active":[],"finished":[]})"));
+    EXPECT_FALSE(isDecoded(R"({"clock_ms":9,"active":[[]],"finished":[]})"));
+    EXPECT_FALSE(isDecoded(R"({"clock_ms":9,"active":[7],"finished":[]})"));
+    EXPECT_FALSE(isDecoded(R"({"clock_ms":9,"active":{},"finished":[]})"));
+    EXPECT_FALSE(isDecoded(R"({"clock_ms":"9","active":[],"finished":[]})"));
+    EXPECT_FALSE(isDecoded(R"({"clock_ms":9,"born":"3","active":[],"finished":[]})"));
+    EXPECT_FALSE(isDecoded(R"({"clock_ms":9,"active":[]})"));
+    EXPECT_FALSE(isDecoded(
+        R"({"clock_ms":9,"active":[["0123456789abcdef.0.1.17",-2,"",1]],"finished":[]})"));
+    EXPECT_FALSE(isDecoded(R"([1])"));
+    EXPECT_FALSE(isDecoded(R"({"clock_ms":9,"active":[],"finished":[])"));
+    EXPECT_FALSE(isDecoded(""));
+}
+
+TEST(PlatformWire, RoundsAndBoundsFiguresOfAPollReply)
+{
+    const auto poll =
+        decodePollReply(WorkerName("w"),
+                        R"({"clock_ms":9,"active":[["0123456789abcdef.0.1.17",2,"",1e3,7.9],
+            ["0123456789abcdef.0.1.18",2,"",-4,1e300]],"finished":[]})");
+    ASSERT_TRUE(poll.has_value());
+    EXPECT_EQ(poll->active.at(0).progressPercent, 100);
+    EXPECT_EQ(poll->active.at(0).latencyOrUsage, 7);
+    EXPECT_EQ(poll->active.at(1).progressPercent, 0);
+    EXPECT_EQ(poll->active.at(1).latencyOrUsage, 1'000'000'000'000'000);
 }
 
 TEST(DeclarationCache, AdmitsByTheLongestPrefixAndTheApiKey)
