--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -224,14 +224,21 @@
     EXPECT_FALSE(sizer.step(hosts, {}, poolRules(), {}, now).empty());
 }
 
+/// Returns one host in pool a and the others in standby, all idle.
+auto hostsWithStandby(std::size_t count) -> std::vector<HostView>
+{
+    auto hosts = std::vector<HostView>{idleHost(0, "a")};
+    for (std::size_t n = 1; n < count; ++n)
+        hosts.push_back(idleHost(n, "spare"));
+    return hosts;
+}
+
 // A peak begins: 40 jobs a second, of two dependent steps of 500 ms that each need half a host.
 // Only the first step of each job is waiting or running when the moves are ordered.
 TEST(PoolSizer, SizesAPoolForTheRateOfAcceptedWork)
 {
     auto sizer = PoolSizer();
-    auto hosts = std::vector<HostView>{idleHost(0, "a")};
-    for (std::size_t n = 1; n < 60; ++n)
-        hosts.push_back(idleHost(n, "spare"));
+    const auto hosts = hostsWithStandby(60);
     auto loads = std::map<PoolName, PoolLoad>();
     auto &load = loads[PoolName("a")];
     auto now = BootTime(1h);
@@ -253,9 +260,7 @@
 TEST(PoolSizer, TakesNoSingleLargeJobForARate)
 {
     auto sizer = PoolSizer();
-    auto hosts = std::vector<HostView>{idleHost(0, "a")};
-    for (std::size_t n = 1; n < 60; ++n)
-        hosts.push_back(idleHost(n, "spare"));
+    const auto hosts = hostsWithStandby(60);
     auto loads = std::map<PoolName, PoolLoad>();
     auto &load = loads[PoolName("a")];
     auto now = BootTime(1h);
@@ -271,9 +276,7 @@
 TEST(PoolSizer, ForgetsTheRateOfAPeakThatIsOver)
 {
     auto sizer = PoolSizer();
-    auto hosts = std::vector<HostView>{idleHost(0, "a")};
-    for (std::size_t n = 1; n < 20; ++n)
-        hosts.push_back(idleHost(n, "spare"));
+    const auto hosts = hostsWithStandby(20);
     auto loads = std::map<PoolName, PoolLoad>();
     auto now = BootTime(1h);
     sizer.step(hosts, loads, poolRules(), {}, now);
