--- a/packages/connection/src/http_parser.cpp
+++ b/packages/connection/src/http_parser.cpp
@@ -46,6 +46,16 @@
     return headers;
 }
 
+/// Returns whether a line of the head ends without a carriage return.
+auto hasBareLineFeed(QByteArrayView head) -> bool
+{
+    for (auto at = head.indexOf('\n'); at >= 0; at = head.indexOf('\n', at + 1)) {
+        if (at == 0 || head[at - 1] != '\r')
+            return true;
+    }
+    return false;
+}
+
 /// Feeds the head of a message to the parser as soon as the whole head is in the buffer. The parser
 /// reports a malformed line early or late depending on how the bytes were split; a head that is
 /// parsed in one call has the same result however it arrived.
@@ -57,6 +67,9 @@
     const auto position = buf.indexOf(terminator);
     const auto size =
         static_cast<std::size_t>(position < 0 ? buf.size() : position + terminator.size());
+    // Known before the end of the head, and the same for every part of it that has arrived.
+    if (hasBareLineFeed(QByteArrayView(buf).first(static_cast<qsizetype>(size))))
+        return tl::unexpected(HttpError{HttpError::Kind::Malformed});
     if (size > bounds.headerBytes)
         return tl::unexpected(HttpError{HttpError::Kind::HeaderTooLong});
     if (position < 0)
--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <deque>
-#include <optional>
 #include <span>
 
 #include "host_view.hpp"
@@ -37,8 +36,8 @@
     /// A host goes to standby after this idle time: a move costs as much as about 1.2 s of a host
     /// in a pool, and takes 1.5 s each way.
     static constexpr Milliseconds IdleBeforeStandby{2'500};
-    /// A pool that has had no peak yet keeps its hosts for this long after the first step: its
-    /// demand is unknown.
+    /// After the first start of the system, a pool that has had no peak yet keeps its hosts for
+    /// this long: its demand is unknown. A later steward finds pools that have been sized.
     static constexpr Milliseconds UnknownDemandHold{20'000};
     /// A pool has had a peak once its demand reached this part of its hosts.
     static constexpr double PeakPart = 0.5;
@@ -57,6 +56,11 @@
     /// Additional hosts in each pool for the next tasks.
     static constexpr std::size_t SpareHosts = 1;
 
+    /// Pools without a peak keep their hosts until `holdUntil`.
+    explicit PoolSizer(BootTime holdUntil = {})
+        : m_holdUntil(holdUntil)
+    { }
+
     /// Returns the moves to be ordered now. Only hosts that are idle are moved; hosts in `blocked`,
     /// such as those with an unanswered order, stay where they are.
     auto step(std::span<const HostView> hosts, const std::map<PoolName, PoolLoad> &loads,
@@ -99,7 +103,7 @@
     std::map<HostName, BootTime> m_idleSince;
     std::map<PoolName, Demand> m_demand;
     std::map<PoolName, PoolSize> m_sizes;
-    std::optional<BootTime> m_firstStepAt;
+    BootTime m_holdUntil;
     BootTime m_lastStepAt;
 };
 
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -99,14 +99,13 @@
     Milliseconds checkpointGracePeriod{2'500};
     /// The same for runs that don't save progress.
     Milliseconds drainGracePeriod{5'500};
-    /// How long a new steward waits for the list of hosts before it polls all registered workers,
-    /// and how late the list may show a new worker.
-    Milliseconds hostListDelay{500};
+    /// Shortest time between two polls of a worker that never answered and that is on no listed
+    /// host. Most of them ended when their hosts moved, but one may still have runs.
+    Milliseconds unlistedRetryInterval{2'000};
     /// Longest time that a worker takes to stop a run; set by the platform.
     Milliseconds stopTimeout{900};
-    /// Time after which stop orders of the previous steward have taken effect (0.9 s) and a poll
-    /// has shown it.
-    Milliseconds takeoverSettleTime{1'500};
+    /// Time from the end of the longest stop until a poll has shown it.
+    Milliseconds stopReportTime{600};
     /// Runs that an earlier steward started on workers that can't be polled have ended after this
     /// time.
     Milliseconds recoveryTimeout{14'000};
@@ -137,7 +136,9 @@
     /// scheduled jobs.
     [[nodiscard]] auto pendingJobs(const QueueName &queue) const -> std::size_t;
     [[nodiscard]] auto record(const std::string &job) const -> std::optional<JobRecord>;
-    [[nodiscard]] auto poolLoads() const -> std::map<PoolName, PoolLoad>;
+    /// Returns the loads of all pools; no value during recovery, as tasks of an earlier steward
+    /// count as waiting until their workers have been polled.
+    [[nodiscard]] auto poolLoads() const -> std::optional<std::map<PoolName, PoolLoad>>;
     /// Returns the load of a worker; no value if the worker is unknown.
     [[nodiscard]] auto workerLoad(const WorkerName &name) const -> std::optional<WorkerLoad>;
     /// Whether runs of an earlier steward may still be unknown.
@@ -146,9 +147,10 @@
     /// that have no runs left. Jobs that had ended when this steward loaded them count from then.
     /// Returns their ids.
     auto evictEnded(BootTime endedBefore, std::size_t maxCount) -> std::vector<std::string>;
-    /// Sets the workers of all hosts that are up. Recovery lasts until each of them has been
-    /// polled.
-    auto expectWorkers(std::set<WorkerName> workers) -> void;
+    /// Sets the workers of all hosts that are up, and the capacities of all hosts of the fleet; no
+    /// capacities if they aren't known. Recovery lasts until each of the workers has been polled.
+    auto expectWorkers(std::set<WorkerName> workers, std::vector<Resources> hostCapacities = {})
+        -> void;
 
 private:
     struct Job;
@@ -192,32 +194,36 @@
     auto findTask(const JobTaskId &id) -> Task *;
     [[nodiscard]] auto rulesOf(const Job &job) const -> const QueueRules *;
     [[nodiscard]] auto poolOf(const Job &job) const -> const PoolName &;
+    [[nodiscard]] auto mayFitAnyHost(const StepSpec &step) const -> bool;
     [[nodiscard]] auto isReady(const Job &job, const Occurrence &occurrence,
                                std::uint32_t step) const -> bool;
 
-    // Runs and workers: steward_workers.cpp
-    auto attach(Task &task, Worker &worker) -> void;
-    auto detach(Task &task) -> void;
-    auto addDetachedRun(Worker &worker, const Task *task) -> void;
-    auto clearDetachedRuns(Worker &worker) -> void;
-    auto requeue(Task &task) -> void;
-    auto requeueAll(Worker &worker) -> void;
-    auto handleRestart(Worker &worker) -> void;
+    // What polls report: steward_polls.cpp
     auto applyActiveRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void;
     auto adjustRunSpeeds(Worker &worker) -> void;
     auto adopt(Worker &worker, const ActiveRun &run) -> void;
+    auto addDetachedRun(Worker &worker, const Task *task) -> void;
+    auto clearDetachedRuns(Worker &worker) -> void;
     auto applyEndedRun(Worker &worker, const EndedRun &end) -> void;
     auto applyRunEnd(Task &task, Worker &worker, const EndedRun &end, bool isAssigned) -> void;
     auto requeueMissingRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void;
+    auto highestAcknowledgeable(Worker &worker) -> std::uint64_t;
+    auto pollIfDue(Worker &worker) -> void;
+    [[nodiscard]] auto isUnlisted(const Worker &worker) const -> bool;
+
+    // Runs and workers: steward_workers.cpp
+    auto attach(Task &task, Worker &worker) -> void;
+    auto detach(Task &task) -> void;
+    auto requeue(Task &task) -> void;
+    auto requeueAll(Worker &worker) -> void;
+    auto handleRestart(Worker &worker) -> void;
     auto stopTask(Task &task) -> void;
     auto sendStop(Task &task) -> void;
     auto sendStart(Task &task) -> void;
-    auto pollIfDue(Worker &worker) -> void;
     auto renewLease(Worker &worker) -> std::int64_t;
-    [[nodiscard]] auto mayExist(const Worker &worker) const -> bool;
+    [[nodiscard]] auto latestLeaseEnd(Duration lease, Duration clockAge) const -> BootTime;
     auto tickWorker(Worker &worker) -> void;
     auto drain(Worker &worker) -> void;
-    auto highestAcknowledgeable(Worker &worker) -> std::uint64_t;
     auto endRecoveryIfDone() -> void;
     [[nodiscard]] auto isUsable(const Worker &worker) const -> bool;
     [[nodiscard]] auto isReachable(const Worker &worker) const -> bool;
@@ -252,6 +258,8 @@
     std::set<DataCentreName> m_closedDataCentres;
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<PoolName, std::vector<Job *>> m_openJobs;
+    /// Jobs that ended, in the order in which this steward saw their ends.
+    std::deque<const Job *> m_endedJobs;
     std::map<WorkerName, std::unique_ptr<Worker>> m_workers;
     std::map<PoolName, std::vector<Worker *>> m_poolWorkers;
     std::map<TeamName, Resources> m_teamUsage;
@@ -263,8 +271,8 @@
     BootTime m_startedAt;
     BootTime m_recoveryDeadline;
     bool m_isRecovering = true;
-    /// When the workers of the hosts were set last.
-    std::optional<BootTime> m_hostListAt;
+    bool m_hasHostList = false;
+    std::vector<Resources> m_hostCapacities;
 };
 
 } // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/upkeep_planner.hpp
+++ b/packages/job/include/shallotproxy/job/upkeep_planner.hpp
@@ -50,13 +50,17 @@
     /// Hosts of a wave that are drained at the same time, as a multiple of those that may be down,
     /// so that the next hosts are idle when the first ones come back.
     static constexpr std::size_t DrainingPerDown = 2;
-    /// Time for which a host is away, with the orders before and after its upkeep: the platform
-    /// takes 2 s.
-    static constexpr Milliseconds HostUpkeepTime{2'600};
+    /// Time for the orders before and after the upkeep of a host, added to that of the platform.
+    static constexpr Milliseconds OrderTime{600};
     /// The part of a wave's duration after which all of its hosts should have started. The rest is
     /// for hosts that take long to drain, for takeovers and for platform outages.
     static constexpr double PlannedPart = 0.6;
 
+    /// The platform takes `hostUpkeepTime` for the upkeep of a host.
+    explicit UpkeepPlanner(Milliseconds hostUpkeepTime = Milliseconds(2'000))
+        : m_hostTime(hostUpkeepTime + OrderTime)
+    { }
+
     /// Adds a wave. `startedHosts` have had their upkeep started by earlier stewards.
     auto waveDeclared(UpkeepWave wave, const std::set<HostName> &startedHosts) -> void;
     auto waveWithdrawn(std::uint64_t number) -> void;
@@ -65,8 +69,10 @@
     auto startAccepted(const UpkeepStart &start, BootTime now) -> void;
     /// The start order is known to have had no effect.
     auto startRefused(const UpkeepStart &start) -> void;
-    /// Returns the orders that are due, given the hosts as listed at `listedAt`.
-    auto step(std::span<const HostView> hosts, BootTime listedAt, BootTime now) -> UpkeepOrders;
+    /// Returns the orders that are due, given the hosts as listed at `listedAt`. Hosts in
+    /// `blocked`, such as those with an unanswered move, are neither drained nor started.
+    auto step(std::span<const HostView> hosts, const std::set<HostName> &blocked, BootTime listedAt,
+              BootTime now) -> UpkeepOrders;
     /// Returns the hosts of a wave whose upkeep has started or is over.
     [[nodiscard]] auto startedHosts(std::uint64_t wave) const -> std::set<HostName>;
     /// Whether a wave isn't completed yet.
@@ -93,11 +99,13 @@
     };
 
     /// Returns how many hosts of the wave may be down now to spread it over its time.
-    static auto paceOf(const Wave &wave, std::size_t remaining, BootTime now) -> std::size_t;
+    [[nodiscard]] auto paceOf(const Wave &wave, std::size_t remaining, BootTime now) const
+        -> std::size_t;
 
-    auto stepWave(Wave &wave, std::span<const HostView> hosts, BootTime listedAt, BootTime now,
-                  UpkeepOrders &orders) -> void;
+    auto stepWave(Wave &wave, std::span<const HostView> hosts, const std::set<HostName> &blocked,
+                  BootTime listedAt, BootTime now, UpkeepOrders &orders) -> void;
 
+    Milliseconds m_hostTime; // for which a host of a wave is away
     std::map<std::uint64_t, Wave> m_waves;
     std::set<HostName> m_draining;
 };
--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t MaxSteps = 64;
 constexpr std::uint32_t MaxTasksPerStep = 1'000;
 constexpr std::uint32_t MaxOccurrences = 10'000;
+// No task is larger or longer. The bounds keep sums over all tasks within 64 bits.
+constexpr Resources MaxTaskResources{100'000'000, 100'000'000, 1'000'000};
+constexpr std::int64_t MaxEstimatedMilliseconds = 100'000'000'000; // about three years
 
 auto malformed(std::string detail) -> tl::unexpected<JobError>
 {
@@ -102,9 +105,10 @@
             return malformed(
                 fmt::format("step {} has {} tasks, which is out of range", n, step.taskCount));
         }
-        if (step.resources.milliCores < 0 || step.resources.memoryMegabytes < 0
-            || step.resources.accelerators < 0)
-            return malformed(fmt::format("step {} requests negative resources", n));
+        if (!step.resources.covers({}) || !MaxTaskResources.covers(step.resources))
+            return malformed(fmt::format("step {} requests resources that are out of range", n));
+        if (step.estimatedMilliseconds < 0 || step.estimatedMilliseconds > MaxEstimatedMilliseconds)
+            return malformed(fmt::format("step {} has an estimate that is out of range", n));
         if (std::ranges::any_of(step.after, [n](auto earlier) { return earlier >= n; }))
             return malformed(fmt::format("step {} depends on a step that does not precede it", n));
     }
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -122,8 +122,6 @@
         std::ranges::sort(pool.idle, {}, [this](const auto &it) { return m_idleSince.at(it); });
     }
     m_lastStepAt = now;
-    if (!m_firstStepAt)
-        m_firstStepAt = now;
 
     auto moves = std::vector<HostMove>();
     const auto maxMoves = (hosts.size() + HostsPerMove - 1) / HostsPerMove;
@@ -154,7 +152,7 @@
     if (standbyPool == rules.pools.end())
         return moves;
     for (auto &[name, pool] : pools) {
-        if (!m_demand[name].hasPeaked && now < *m_firstStepAt + UnknownDemandHold)
+        if (!m_demand[name].hasPeaked && now < m_holdUntil)
             continue;
         for (const auto &host : pool.idle) {
             if (pool.hosts <= pool.needed || !mayAddMove())
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -40,15 +40,27 @@
     return job->spec.steps[step];
 }
 
+/// Whether some host of the fleet may offer the resources of the step's tasks. More hosts don't
+/// help a task that is too large for any of them.
+auto Steward::mayFitAnyHost(const StepSpec &step) const -> bool
+{
+    const auto resources = step.reservedResources();
+    return m_hostCapacities.empty()
+        || std::ranges::any_of(m_hostCapacities,
+                               [&resources](const Resources &it) { return it.covers(resources); });
+}
+
 auto Steward::countAcceptedWork(const Job &job) -> void
 {
-    const auto isFinite = [](const StepSpec &it) { return !it.isLongRunning; };
-    if (std::ranges::none_of(job.spec.steps, isFinite))
+    const auto isForecast = [this](const StepSpec &it) {
+        return !it.isLongRunning && mayFitAnyHost(it);
+    };
+    if (m_hostCapacities.empty() || std::ranges::none_of(job.spec.steps, isForecast))
         return;
     auto &accepted = m_acceptedWork[poolOf(job)];
     ++accepted.jobs;
     for (const auto &step : job.spec.steps) {
-        if (!isFinite(step))
+        if (!isForecast(step))
             continue;
         const auto estimate =
             std::clamp(step.estimatedMilliseconds, std::int64_t{0}, MaxForecastMilliseconds);
@@ -124,9 +136,11 @@
     job.outcome = event.progress.state();
     job.persistedOutcome = job.outcome;
     job.endedMilliseconds = event.progress.endedMilliseconds;
-    job.endedAt = m_now;
-    if (job.outcome != JobOutcome::Open)
+    if (job.outcome != JobOutcome::Open) {
+        job.endedAt = m_now;
+        m_endedJobs.push_back(&job);
         return;
+    }
     m_openJobs[poolOf(job)].push_back(&job);
     if (!event.mayRunAlready && !job.spec.isScheduled())
         countAcceptedWork(job);
@@ -210,6 +224,7 @@
     job.outcome = outcome;
     job.endedMilliseconds = m_wallMilliseconds;
     job.endedAt = m_now;
+    m_endedJobs.push_back(&job);
     auto &open = m_openJobs[poolOf(job)];
     std::erase(open, &job);
     markChanged(job, true);
@@ -274,22 +289,25 @@
 auto Steward::evictEnded(BootTime endedBefore, std::size_t maxCount) -> std::vector<std::string>
 {
     auto evicted = std::vector<std::string>();
-    for (auto it = m_jobs.begin(); it != m_jobs.end() && evicted.size() < maxCount;) {
-        const auto &job = *it->second;
-        const auto isExpired = job.persistedOutcome != JobOutcome::Open
-            && job.persistedChange == job.change && job.endedAt < endedBefore;
+    for (auto it = m_endedJobs.begin(); it != m_endedJobs.end();) {
+        const auto &job = **it;
+        if (job.endedAt >= endedBefore || evicted.size() == maxCount)
+            break;
+        const auto isPersisted =
+            job.persistedOutcome != JobOutcome::Open && job.persistedChange == job.change;
         const auto hasRuns = std::ranges::any_of(job.occurrences, [](const auto &occurrence) {
             return std::ranges::any_of(occurrence.second.steps, [](const auto &step) {
                 return std::ranges::any_of(step,
                                            [](const Task &task) { return task.worker != nullptr; });
             });
         });
-        if (!isExpired || hasRuns) {
+        if (!isPersisted || hasRuns) {
             ++it;
             continue;
         }
-        evicted.push_back(it->first);
-        it = m_jobs.erase(it);
+        evicted.push_back(job.spec.id);
+        it = m_endedJobs.erase(it);
+        m_jobs.erase(evicted.back());
     }
     return evicted;
 }
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -349,8 +349,10 @@
         stopTask(*run);
 }
 
-auto Steward::poolLoads() const -> std::map<PoolName, PoolLoad>
+auto Steward::poolLoads() const -> std::optional<std::map<PoolName, PoolLoad>>
 {
+    if (m_isRecovering)
+        return std::nullopt;
     auto loads = std::map<PoolName, PoolLoad>();
     for (const auto &[pool, accepted] : m_acceptedWork) {
         loads[pool].acceptedJobs = accepted.jobs;
@@ -376,7 +378,7 @@
                             load.minWorkers,
                             (spec.taskCount + spec.maxTasksPerWorker - 1) / spec.maxTasksPerWorker);
                     }
-                    if (!isReady(*job, occurrence, step))
+                    if (!isReady(*job, occurrence, step) || !mayFitAnyHost(spec))
                         continue;
                     for (const auto &task : occurrence.steps[step]) {
                         if (task.phase != TaskPhase::Waiting)
--- /dev/null
+++ b/packages/job/src/steward_polls.cpp
@@ -0,0 +1,287 @@
+#include <algorithm>
+
+#include "shallotproxy/job/latency_guard.hpp"
+#include "steward_state.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+// A worker reports at most this many ended runs in one poll, and the rest in later ones.
+constexpr std::size_t EndedRunsPerPoll = 500;
+
+} // namespace
+
+auto Steward::handle(const steward_event::WorkerPolled &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    if (worker == nullptr)
+        return;
+    worker->isPolling = false;
+    worker->failedPolls = 0;
+    worker->lastAnswerAt = m_now;
+    if (worker->startedMilliseconds != 0 && event.startedMilliseconds != 0
+        && worker->startedMilliseconds != event.startedMilliseconds) {
+        handleRestart(*worker);
+    }
+    if (event.startedMilliseconds != 0)
+        worker->startedMilliseconds = event.startedMilliseconds;
+    worker->clockMilliseconds = event.clockMilliseconds;
+    worker->clockReadAt = m_now;
+    worker->hasClock = true;
+    if (!worker->isPolled) {
+        worker->isPolled = true;
+        markDirty(worker->report.pool);
+    }
+    for (const auto &end : event.ended)
+        applyEndedRun(*worker, end);
+    applyActiveRuns(*worker, event);
+    if (event.ended.size() < EndedRunsPerPoll)
+        requeueMissingRuns(*worker, event);
+    adjustRunSpeeds(*worker);
+    worker->nextPoll = m_now
+        + std::max<Duration>(m_settings.minPollInterval,
+                             m_settings.pollIntervalPerWorker * static_cast<int>(m_workers.size()));
+    endRecoveryIfDone();
+    drain(*worker);
+    pollIfDue(*worker);
+}
+
+auto Steward::applyActiveRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void
+{
+    clearDetachedRuns(worker);
+    for (const auto &run : event.active) {
+        auto *task = findTask(run.task);
+        const auto isAssigned = task != nullptr && task->worker == &worker && task->run == run.run;
+        if (!isAssigned) {
+            adopt(worker, run);
+            continue;
+        }
+        if (!run.checkpoint.empty())
+            task->checkpoint = run.checkpoint;
+        task->progressPercent = run.progressPercent;
+        task->latencyOrUsage = run.latencyOrUsage;
+        // The worker lists a run whose start order has no answer yet.
+        if (task->phase == TaskPhase::Starting && task->orderedAt < event.sentAt) {
+            task->phase = TaskPhase::Running;
+            task->phaseSince = m_now;
+            task->confirmedAt = m_now;
+        }
+    }
+}
+
+/// Slows tasks on spare cores while a task on the same worker is near its latency target.
+auto Steward::adjustRunSpeeds(Worker &worker) -> void
+{
+    auto worstTargetRatio = 0.0;
+    for (const auto *task : worker.runs) {
+        const auto target = task->spec().latencyTargetMilliseconds;
+        if (target > 0 && task->phase == TaskPhase::Running) {
+            worstTargetRatio =
+                std::max(worstTargetRatio,
+                         static_cast<double>(task->latencyOrUsage) / static_cast<double>(target));
+        }
+    }
+    for (auto *task : worker.runs) {
+        if (!task->spec().usesSpareCores || task->phase != TaskPhase::Running)
+            continue;
+        const auto speed = LatencyGuard::nextSpeed(task->speedPercent, worstTargetRatio);
+        if (speed == task->speedPercent)
+            continue;
+        task->speedPercent = speed;
+        m_actions.emplace_back(
+            steward_action::SetRunSpeed{worker.report.name, task->id(), task->run, speed});
+    }
+}
+
+/// Adopts an active run that an earlier steward started, or stops it if it isn't needed any more.
+auto Steward::adopt(Worker &worker, const ActiveRun &run) -> void
+{
+    auto *task = findTask(run.task);
+    const auto isNeeded = task != nullptr && task->job->outcome == JobOutcome::Open
+        && task->phase == TaskPhase::Waiting && run.run >= task->run && task->worker == nullptr;
+    if (!isNeeded) {
+        m_actions.emplace_back(steward_action::StopRun{worker.report.name, run.task, run.run});
+        addDetachedRun(worker, task);
+        // An earlier steward may have renewed the lease up to now.
+        worker.detachedRunsEndAt = latestLeaseEnd(m_settings.maxRunLease, {});
+        return;
+    }
+    --task->job->waitingTasks;
+    task->job->hasStarted = true;
+    task->run = run.run;
+    task->phase = TaskPhase::Running;
+    task->phaseSince = m_now;
+    task->confirmedAt = m_now;
+    task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
+    task->progressPercent = run.progressPercent;
+    task->mayHaveUnknownRun = false; // this is the newest run
+    attach(*task, worker);
+    // The earlier steward's lease may last as long as a lease that is granted now.
+    renewLease(worker);
+}
+
+auto Steward::applyEndedRun(Worker &worker, const EndedRun &end) -> void
+{
+    if (end.sequence <= worker.lastReceivedEnd)
+        return;
+    worker.lastReceivedEnd = end.sequence;
+    auto *task = findTask(end.task);
+    const auto changeBefore = m_lastChange;
+    const auto isAssigned = task != nullptr && task->worker == &worker && task->run == end.run;
+    // Ends of runs that an earlier steward started are reported in any order.
+    const auto isFromEarlierSteward = task != nullptr && !isAssigned
+        && task->phase != TaskPhase::Done && task->job->outcome == JobOutcome::Open;
+    if (isAssigned || isFromEarlierSteward)
+        applyRunEnd(*task, worker, end, isAssigned);
+    const auto isChanged = m_lastChange != changeBefore && task != nullptr;
+    worker.unpersistedEnds.push_back({end.sequence, isChanged ? task->job->spec.id : std::string(),
+                                      isChanged ? task->job->change : 0});
+}
+
+auto Steward::applyRunEnd(Task &task, Worker &worker, const EndedRun &end, bool isAssigned) -> void
+{
+    const auto isNewest = isAssigned || (task.phase == TaskPhase::Waiting && end.run >= task.run);
+    if (isNewest)
+        task.run = end.run;
+    task.job->hasStarted = true;
+    if (isNewest && !end.checkpoint.empty() && end.end != RunEnd::Done) {
+        task.checkpoint = end.checkpoint;
+        markChanged(*task.job, false);
+    }
+    const auto host = HostName(worker.report.name.value());
+    const auto taskId = TaskId(end.task.job + '.' + std::to_string(end.task.step) + '.'
+                               + std::to_string(end.task.index));
+    const auto isDone = end.end == RunEnd::Done && !task.spec().isLongRunning;
+    if (isDone && (isAssigned || task.phase == TaskPhase::Waiting)) {
+        m_quarantine.runSucceeded(host, taskId);
+        finishTask(task);
+        return;
+    }
+    if (isAssigned)
+        requeue(task);
+    if (end.end != RunEnd::Failed)
+        return;
+    task.failedOn = worker.report.name;
+    m_quarantine.runFailed(host, taskId, m_now);
+    failTask(task, end.run);
+}
+
+/// Requeues the runs that were confirmed before this poll was sent and that the worker lists
+/// neither as active nor as ended.
+auto Steward::requeueMissingRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void
+{
+    const auto runs = worker.runs;
+    for (auto *task : runs) {
+        const auto isConfirmed = task->phase == TaskPhase::Running
+            || (task->phase == TaskPhase::Stopping && task->isStopConfirmed);
+        // A run that is being stopped occupies its resources until its end is reported; a run that
+        // had not begun reports none.
+        const auto settledAt = task->phase == TaskPhase::Stopping
+            ? task->confirmedAt + m_settings.stopTimeout
+            : task->confirmedAt;
+        if (!isConfirmed || settledAt >= event.sentAt)
+            continue;
+        const auto id = task->id();
+        const auto isActive = std::ranges::any_of(event.active, [task, &id](const ActiveRun &it) {
+            return it.run == task->run && it.task == id;
+        });
+        if (!isActive)
+            requeue(*task);
+    }
+}
+
+auto Steward::handle(const steward_event::PollFailed &event) -> void
+{
+    auto *worker = findWorker(event.worker);
+    if (worker == nullptr)
+        return;
+    worker->isPolling = false;
+    if (event.outcome == OrderOutcome::Superseded) {
+        m_actions.emplace_back(steward_action::StepDown{event.worker});
+        return;
+    }
+    if (event.outcome == OrderOutcome::StaleIncarnation)
+        handleRestart(*worker);
+    ++worker->failedPolls;
+    const auto backoff =
+        std::min(m_settings.resendInterval * worker->failedPolls, m_settings.pollWait);
+    worker->nextPoll = m_now + (isUnlisted(*worker) ? m_settings.unlistedRetryInterval : backoff);
+}
+
+/// Counts the resources of a listed run that is being stopped and that no task is attached to.
+auto Steward::addDetachedRun(Worker &worker, const Task *task) -> void
+{
+    if (task == nullptr) {
+        ++worker.unknownRuns;
+        return;
+    }
+    const auto &team = task->job->spec.team;
+    worker.detachedRuns.push_back({team, task->spec().reservedResources(), task->spec().resources});
+    worker.used += task->spec().reservedResources();
+    m_teamUsage[team] += task->spec().resources;
+}
+
+auto Steward::clearDetachedRuns(Worker &worker) -> void
+{
+    if (worker.hasDetachedRuns())
+        markDirty(worker.report.pool);
+    for (const auto &it : worker.detachedRuns) {
+        worker.used -= it.reserved;
+        m_teamUsage[it.team] -= it.resources;
+    }
+    worker.detachedRuns.clear();
+    worker.unknownRuns = 0;
+}
+
+/// Returns the highest sequence number up to which all ends are persisted, and drops those ends.
+auto Steward::highestAcknowledgeable(Worker &worker) -> std::uint64_t
+{
+    while (!worker.unpersistedEnds.empty()) {
+        const auto &first = worker.unpersistedEnds.front();
+        const auto job = m_jobs.find(first.job);
+        if (job != m_jobs.end() && job->second->persistedChange < first.change)
+            break;
+        worker.lastPersistedEnd = first.sequence;
+        worker.unpersistedEnds.pop_front();
+    }
+    return worker.lastPersistedEnd;
+}
+
+/// Polls the worker if it is time. A worker with runs is polled continually, an idle one only until
+/// its last ends are acknowledged.
+auto Steward::pollIfDue(Worker &worker) -> void
+{
+    if (worker.isPolling || m_now < worker.nextPoll)
+        return;
+    const auto acknowledged = highestAcknowledgeable(worker);
+    const auto isNeeded = !worker.isPolled || !worker.runs.empty() || worker.hasDetachedRuns()
+        || acknowledged > worker.acknowledged || worker.failedPolls > 0;
+    const auto mayHaveRuns =
+        worker.isRegistered || !worker.runs.empty() || worker.hasDetachedRuns();
+    if (!isNeeded || !mayHaveRuns)
+        return;
+    worker.isPolling = true;
+    const auto mayWait = worker.isPolled && !worker.runs.empty() && worker.failedPolls == 0
+        && worker.unpersistedEnds.empty();
+    // An unresponsive worker gets no new lease, so that the end of its runs is known.
+    const auto needsLease =
+        worker.hasClock && !worker.runs.empty() && worker.failedPolls < MaxFailedPolls;
+    worker.acknowledged = acknowledged;
+    // The speed of tasks on spare cores depends on the latencies that each poll reports.
+    const auto hasSpareCoreRuns =
+        std::ranges::any_of(worker.runs, [](const Task *it) { return it->spec().usesSpareCores; });
+    const auto wait = hasSpareCoreRuns ? m_settings.throttledPollWait : m_settings.pollWait;
+    m_actions.emplace_back(
+        steward_action::PollWorker{worker.report.name, needsLease ? renewLease(worker) : 0,
+                                   acknowledged, mayWait ? static_cast<int>(wait.count()) : 0});
+}
+
+/// Whether a worker that never answered is on no listed host. The registration of a worker whose
+/// host was moved stays for seconds.
+auto Steward::isUnlisted(const Worker &worker) const -> bool
+{
+    return !worker.isPolled && m_hasHostList && !m_expectedWorkers.contains(worker.report.name);
+}
+
+} // namespace shallotproxy
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -4,6 +4,10 @@
 
 namespace shallotproxy {
 
+/// Number of failed polls in a row after which a worker counts as unresponsive.
+inline constexpr int MaxFailedPolls = 2;
+inline constexpr int FullSpeedPercent = 100;
+
 enum class TaskPhase : std::uint8_t { Waiting, Starting, Running, Stopping, Done };
 
 struct Steward::Task
@@ -99,8 +103,6 @@
 
     WorkerReport report;
     bool isRegistered = true;
-    /// When this steward first saw the registration.
-    BootTime registeredAt;
     /// This steward has polled the worker successfully, so that the worker knows its token.
     bool isPolled = false;
     Resources used;
@@ -109,7 +111,9 @@
     std::vector<DetachedRun> detachedRuns;
     /// The same for runs of forgotten jobs, whose resources are unknown.
     std::size_t unknownRuns = 0;
-    /// All runs of the worker have ended by this time unless the lease is renewed.
+    /// These runs have ended by this time unless the lease is renewed.
+    BootTime detachedRunsEndAt;
+    /// All attached runs of the worker have ended by this time unless the lease is renewed.
     BootTime leaseEndsAt;
     /// The worker's clock as of `clockReadAt`.
     std::int64_t clockMilliseconds = 0;
--- a/packages/job/src/upkeep_planner.cpp
+++ b/packages/job/src/upkeep_planner.cpp
@@ -63,31 +63,33 @@
     return isDue(host) && m_draining.contains(host);
 }
 
-auto UpkeepPlanner::step(std::span<const HostView> hosts, BootTime listedAt, BootTime now)
-    -> UpkeepOrders
+auto UpkeepPlanner::step(std::span<const HostView> hosts, const std::set<HostName> &blocked,
+                         BootTime listedAt, BootTime now) -> UpkeepOrders
 {
     auto orders = UpkeepOrders();
     for (auto &[number, wave] : m_waves) {
         if (!wave.isCompleted)
-            stepWave(wave, hosts, listedAt, now, orders);
+            stepWave(wave, hosts, blocked, listedAt, now, orders);
     }
     return orders;
 }
 
-auto UpkeepPlanner::paceOf(const Wave &wave, std::size_t remaining, BootTime now) -> std::size_t
+auto UpkeepPlanner::paceOf(const Wave &wave, std::size_t remaining, BootTime now) const
+    -> std::size_t
 {
     const auto maximum = std::size_t{wave.declaration.maxConcurrent};
     const auto planned =
         std::chrono::duration_cast<Duration>(wave.declaration.duration * PlannedPart);
     const auto left = *wave.firstStepAt + planned - now;
-    if (wave.isInherited || left <= HostUpkeepTime)
+    if (wave.isInherited || left <= m_hostTime)
         return maximum;
-    const auto rounds = static_cast<std::size_t>(left / HostUpkeepTime);
+    const auto rounds = static_cast<std::size_t>(left / m_hostTime);
     return std::min(maximum, (remaining + rounds - 1) / rounds);
 }
 
-auto UpkeepPlanner::stepWave(Wave &wave, std::span<const HostView> hosts, BootTime listedAt,
-                             BootTime now, UpkeepOrders &orders) -> void
+auto UpkeepPlanner::stepWave(Wave &wave, std::span<const HostView> hosts,
+                             const std::set<HostName> &blocked, BootTime listedAt, BootTime now,
+                             UpkeepOrders &orders) -> void
 {
     auto pending = std::vector<const HostView *>();
     auto down = std::set<HostName>(wave.unanswered.begin(), wave.unanswered.end());
@@ -106,7 +108,8 @@
         if (wave.startedHosts.contains(host))
             continue;
         isAllStarted = false;
-        if (!wave.unanswered.contains(host) && it.report.state == HostState::Up)
+        const auto isFree = !wave.unanswered.contains(host) && !blocked.contains(host);
+        if (isFree && it.report.state == HostState::Up)
             pending.push_back(&it);
     }
     if (isAllStarted && wave.unanswered.empty() && now > listedAt) {
--- a/packages/member/include/shallotproxy/member/runtime_context.hpp
+++ b/packages/member/include/shallotproxy/member/runtime_context.hpp
@@ -27,6 +27,7 @@
     /// Minimum time between orders about hosts from two successive stewards: a new one waits this
     /// long before its first order.
     std::chrono::milliseconds hostLeaseDuration{3'000};
+    std::chrono::milliseconds hostUpkeepDuration{2'000}; // the platform's time for a host's upkeep
     std::chrono::milliseconds jobStateRetention{120'000}; // callers can read ended jobs this long
 };
 
@@ -42,6 +43,7 @@
     EventLog &log;
     Metrics &metrics;
     FleetState fleet;
+    BootTime startedAt = BootClock::now();
 };
 
 } // namespace shallotproxy
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -23,6 +23,9 @@
 HostDuty::HostDuty(RuntimeContext &context, StewardDuty &steward)
     : m_context(context)
     , m_steward(steward)
+    , m_upkeep(context.settings.hostUpkeepDuration)
+    , m_sizer(context.settings.isFirstStart ? context.startedAt + PoolSizer::UnknownDemandHold
+                                            : BootTime())
     , m_startedAt(BootClock::now())
 {
     m_timer.setInterval(StepInterval);
@@ -86,13 +89,36 @@
 auto HostDuty::step() -> void
 {
     const auto now = BootClock::now();
-    std::erase_if(m_unansweredOrders, [now](const auto &it) { return now >= it.second; });
+    endUnansweredMoves(now);
     if (!m_isListing && now >= m_nextListAt)
         readList();
     if (m_listedAt != BootTime())
         plan();
 }
 
+/// Lets hosts serve again whose moves can't be carried out any more.
+auto HostDuty::endUnansweredMoves(BootTime now) -> void
+{
+    for (auto it = m_unansweredMoves.begin(); it != m_unansweredMoves.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        if (!m_upkeep.isClaimed(it->first))
+            setDraining(it->first, false);
+        it = m_unansweredMoves.erase(it);
+    }
+}
+
+/// Returns the hosts with an order whose outcome isn't known: a late one must not meet another.
+auto HostDuty::hostsUnderOrder() const -> std::set<HostName>
+{
+    auto hosts = m_pendingOrders;
+    for (const auto &[host, until] : m_unansweredMoves)
+        hosts.insert(host);
+    return hosts;
+}
+
 auto HostDuty::readList() -> void
 {
     m_isListing = true;
@@ -120,16 +146,19 @@
     m_listedAt = sentAt;
     if (auto *steward = m_steward.steward()) {
         auto expected = std::set<WorkerName>();
+        auto capacities = std::vector<Resources>();
         for (const auto &it : m_hosts) {
+            const auto isKnown = it.capacity == Resources()
+                || std::ranges::find(capacities, it.capacity) != capacities.end();
+            if (!isKnown)
+                capacities.push_back(it.capacity);
             if (it.state == HostState::Up && !it.worker.isEmpty())
                 expected.insert(it.worker);
         }
         const auto wasRecovering = steward->isRecovering();
         const auto count = expected.size();
-        steward->expectWorkers(std::move(expected));
+        steward->expectWorkers(std::move(expected), std::move(capacities));
         if (wasRecovering) {
-            // Polls the workers that the list shows.
-            m_steward.dispatch(steward_event::Ticked{wallMilliseconds()});
             m_context.log.info("event=hosts-listed hosts={} workers={} recovering={}",
                                m_hosts.size(), count, steward->isRecovering());
         }
@@ -198,19 +227,18 @@
         return;
     if (m_upkeep.hasWork())
         planUpkeep(views());
-    // Tasks of an earlier steward count as waiting until their workers have been polled.
-    if (m_steward.steward() != nullptr && !m_steward.steward()->isRecovering())
+    if (m_steward.steward() != nullptr)
         planMoves(views());
 }
 
 auto HostDuty::planUpkeep(const std::vector<HostView> &hosts) -> void
 {
-    const auto orders = m_upkeep.step(hosts, m_listedAt, BootClock::now());
+    const auto orders = m_upkeep.step(hosts, hostsUnderOrder(), m_listedAt, BootClock::now());
     for (const auto &host : orders.drain)
         setDraining(host, true);
     for (const auto &start : orders.start) {
         if (!m_pendingOrders.contains(start.host) && isIdleNow(start.host))
-            startUpkeep(start);
+            startUpkeep(start, false);
     }
     for (const auto wave : orders.completed) {
         m_context.log.info("event=wave-completed wave={}", wave);
@@ -221,17 +249,15 @@
 auto HostDuty::planMoves(const std::vector<HostView> &hosts) -> void
 {
     const auto &declaration = m_context.fleet.declarationCache.current();
-    if (!declaration)
+    const auto loads = m_steward.steward()->poolLoads();
+    if (!declaration || !loads)
         return;
-    auto blocked = m_pendingOrders;
-    for (const auto &[host, until] : m_unansweredOrders)
-        blocked.insert(host);
+    auto blocked = hostsUnderOrder();
     for (const auto &it : hosts) {
         if (m_upkeep.isClaimed(it.report.host))
             blocked.insert(it.report.host);
     }
-    const auto moves = m_sizer.step(hosts, m_steward.steward()->poolLoads(), declaration->rules,
-                                    blocked, BootClock::now());
+    const auto moves = m_sizer.step(hosts, *loads, declaration->rules, blocked, BootClock::now());
     if (!moves.empty()) {
         for (const auto &[pool, size] : m_sizer.sizes()) {
             m_context.log.info("event=pool-sized pool={} hosts={} needed={}", pool.value(),
@@ -249,39 +275,53 @@
         m_steward.dispatch(steward_event::WorkerDrainChanged{it->worker, isDraining});
 }
 
-auto HostDuty::startUpkeep(const UpkeepStart &start) -> void
+auto HostDuty::startUpkeep(const UpkeepStart &start, bool isRepeat) -> void
 {
     const auto token = m_steward.stewardship().token();
-    if (!token || !m_steward.stewardship().mayOrder(BootClock::now()))
+    if (!token || !m_waves.contains(start.wave))
+        return;
+    if (!m_steward.stewardship().mayOrder(BootClock::now())) {
+        if (isRepeat)
+            repeatUpkeep(start);
         return;
+    }
     m_upkeep.startSent(start);
     m_pendingOrders.insert(start.host);
     m_context.log.info("event=upkeep-ordered host={} wave={}", start.host.value(), start.wave);
-    m_context.hosts.startUpkeep(start, *token, [self = QPointer(this), start](HostOutcome outcome) {
-        if (!self)
-            return;
-        self->m_pendingOrders.erase(start.host);
-        if (outcome == HostOutcome::Accepted) {
-            self->m_upkeep.startAccepted(start, BootClock::now());
-            if (!start.worker.isEmpty())
-                self->m_steward.dispatch(steward_event::WorkerEnded{start.worker});
-            self->writeStatus(start.wave, false);
-            self->m_nextListAt = {};
-            return;
-        }
-        self->m_context.log.info("event=upkeep-not-accepted host={} wave={} outcome={}",
-                                 start.host.value(), start.wave, static_cast<int>(outcome));
-        if (outcome == HostOutcome::Superseded) {
-            self->m_steward.superseded(start.host.value());
-            return;
-        }
-        if (outcome != HostOutcome::Unanswered) {
-            self->m_upkeep.startRefused(start);
-            return;
-        }
-        // Repeated until it is answered: an order that was carried out is accepted again.
-        QTimer::singleShot(BusyListInterval, self, [self, start] { self->startUpkeep(start); });
-    });
+    m_context.hosts.startUpkeep(start, *token,
+                                [self = QPointer(this), start, isRepeat](HostOutcome outcome) {
+                                    if (self)
+                                        self->upkeepAnswered(start, isRepeat, outcome);
+                                });
+}
+
+auto HostDuty::upkeepAnswered(const UpkeepStart &start, bool isRepeat, HostOutcome outcome) -> void
+{
+    m_pendingOrders.erase(start.host);
+    if (outcome == HostOutcome::Accepted) {
+        m_upkeep.startAccepted(start, BootClock::now());
+        if (!start.worker.isEmpty())
+            m_steward.dispatch(steward_event::WorkerEnded{start.worker});
+        writeStatus(start.wave, false);
+        m_nextListAt = {};
+        return;
+    }
+    m_context.log.info("event=upkeep-not-accepted host={} wave={} outcome={}", start.host.value(),
+                       start.wave, static_cast<int>(outcome));
+    if (outcome == HostOutcome::Superseded) {
+        m_steward.superseded(start.host.value());
+    } else if (outcome == HostOutcome::Unanswered || isRepeat) {
+        repeatUpkeep(start);
+    } else {
+        m_upkeep.startRefused(start);
+    }
+}
+
+/// Repeats an order without an answer until it is accepted: one that was carried out is accepted
+/// again, and the refusal of a repetition doesn't tell what became of the first order.
+auto HostDuty::repeatUpkeep(const UpkeepStart &start) -> void
+{
+    QTimer::singleShot(BusyListInterval, this, [this, start] { startUpkeep(start, true); });
 }
 
 auto HostDuty::move(const HostMove &move) -> void
@@ -321,7 +361,7 @@
             return;
         }
         if (outcome == HostOutcome::Unanswered) {
-            self->m_unansweredOrders[move.host] = now + LateOrderPeriod;
+            self->m_unansweredMoves[move.host] = now + LateOrderPeriod;
         } else if (!worker.isEmpty()) {
             self->m_steward.dispatch(steward_event::WorkerDrainChanged{worker, false});
         }
--- a/packages/member/src/host_duty.hpp
+++ b/packages/member/src/host_duty.hpp
@@ -28,7 +28,11 @@
     auto plan() -> void;
     auto planUpkeep(const std::vector<HostView> &hosts) -> void;
     auto planMoves(const std::vector<HostView> &hosts) -> void;
-    auto startUpkeep(const UpkeepStart &start) -> void;
+    auto startUpkeep(const UpkeepStart &start, bool isRepeat) -> void;
+    auto upkeepAnswered(const UpkeepStart &start, bool isRepeat, HostOutcome outcome) -> void;
+    auto repeatUpkeep(const UpkeepStart &start) -> void;
+    auto endUnansweredMoves(BootTime now) -> void;
+    [[nodiscard]] auto hostsUnderOrder() const -> std::set<HostName>;
     auto move(const HostMove &move) -> void;
     auto setDraining(const HostName &host, bool isDraining) -> void;
     auto writeStatus(std::uint64_t wave, bool isCompleted) -> void;
@@ -48,8 +52,8 @@
     bool m_isListing = false;
     std::set<std::uint64_t> m_waves; // known to the planner, or being read from the store
     std::set<HostName> m_pendingOrders; // hosts with an order that waits for its reply
-    /// Hosts whose order got no reply; other orders for a host wait until the given time.
-    std::map<HostName, BootTime> m_unansweredOrders;
+    /// Hosts whose move got no reply; other orders for a host wait until the given time.
+    std::map<HostName, BootTime> m_unansweredMoves;
 };
 
 } // namespace shallotproxy
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -16,9 +16,9 @@
 constexpr milliseconds RecordWatchWait{2'000}; // for the watches on jobs and workers
 constexpr milliseconds TickInterval{100}; // the resolution of the steward's timeouts
 constexpr milliseconds PlacementDelay{5}; // one placement serves replies that arrive together
-// With 20 jobs per cleanup, a steward removes up to four ended jobs a second.
-constexpr milliseconds CleanupInterval{5'000};
-constexpr std::size_t MaxJobsPerCleanup = 20; // a write of the store has at most 32 entries
+// Ended jobs are removed faster than a large fleet accepts new ones, 80 a second.
+constexpr milliseconds CleanupInterval{200};
+constexpr std::size_t MaxJobsPerCleanup = 30; // a write of the store has at most 32 entries
 constexpr int RetentionFactor = 2; // ended jobs stay twice as long as the settings promise
 // Spreads the campaigns of the members, so that few calls are wasted on a key that is taken.
 constexpr milliseconds CampaignJitter{80};
@@ -479,7 +479,13 @@
     }
     m_context.log.info("event=jobs-forgotten jobs={}", jobs.size());
     // Records that remain after a failed commit are loaded and removed by the next steward.
-    m_context.store.commit(commit, [](const auto &) {});
+    m_context.store.commit(commit, ifSameTerm([this, count = jobs.size()](const auto &reply) {
+                               if (!reply) {
+                                   m_context.log.warning(
+                                       "event=jobs-not-removed jobs={} error=\"{}\"", count,
+                                       reply.error().message());
+                               }
+                           }));
 }
 
 /// Passes an event to the steward and performs the resulting actions. Events that arrive meanwhile
--- a/tests/unit/unit-http-server.cpp
+++ b/tests/unit/unit-http-server.cpp
@@ -325,6 +325,16 @@
     return bytes;
 }
 
+// A caller that ends its lines with a line feed alone is refused at once, not after a timeout.
+TEST(HttpRequestParser, RejectsABareLineFeedBeforeTheEndOfTheHead)
+{
+    auto parser = HttpRequestParser({});
+    parser.append("GET / HTTP/1.1\r\n");
+    EXPECT_TRUE(parser.next().has_value());
+    parser.append("Host: a\n");
+    EXPECT_FALSE(parser.next().has_value());
+}
+
 RC_GTEST_PROP(HttpRequestParser, ParsesTheSameRequestsHoweverTheBytesAreSplit, ())
 {
     const auto bytes = mutatedRequest() + mutatedRequest();
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -77,7 +77,7 @@
         }
         const auto listedAt = now;
         now += 5ms;
-        const auto orders = planner.step(hosts, listedAt, now);
+        const auto orders = planner.step(hosts, {}, listedAt, now);
         for (const auto &it : orders.start) {
             planner.startSent(it);
             unanswered.push_back(it);
@@ -110,10 +110,50 @@
     planner.waveDeclared(waveOf(3, 3), {hostName(0)});
     const auto hosts = std::vector{idleHost(0, "a"), idleHost(1, "a"), idleHost(2, "a")};
     const auto now = BootTime(1h);
-    const auto orders = planner.step(hosts, now, now + 1ms);
+    const auto orders = planner.step(hosts, {}, now, now + 1ms);
     EXPECT_EQ(orders.start.size(), 2U);
     EXPECT_TRUE(planner.isDue(hostName(1)));
     EXPECT_FALSE(planner.isDue(hostName(0)));
+    EXPECT_TRUE(planner.isClaimed(hostName(1)));
+    EXPECT_FALSE(planner.isClaimed(hostName(0)));
+}
+
+// A pool at its peak may take hosts of a wave that has time; a move without an answer may still be
+// carried out and would end what the upkeep's next worker runs.
+TEST(UpkeepPlanner, ClaimsNoHostUnderAnotherOrder)
+{
+    auto planner = UpkeepPlanner();
+    planner.waveDeclared(waveOf(2, 2), {});
+    const auto hosts = std::vector{idleHost(0, "a"), idleHost(1, "a")};
+    const auto now = BootTime(1h);
+    const auto orders = planner.step(hosts, {hostName(0)}, now, now + 1ms);
+    ASSERT_EQ(orders.start.size(), 1U);
+    EXPECT_EQ(orders.start[0].host, hostName(1));
+    EXPECT_TRUE(planner.isDue(hostName(0)));
+    EXPECT_FALSE(planner.isClaimed(hostName(0)));
+    planner.startSent(orders.start[0]);
+    const auto later = planner.step(hosts, {}, now, now + 2ms);
+    ASSERT_EQ(later.start.size(), 1U);
+    EXPECT_EQ(later.start[0].host, hostName(0));
+}
+
+// Hosts with finite runs become idle by themselves, those with long-running tasks don't.
+TEST(UpkeepPlanner, DrainsHostsWithLongRunningTasksFirst)
+{
+    auto planner = UpkeepPlanner();
+    auto wave = waveOf(20, 1);
+    wave.duration = 1h;
+    planner.waveDeclared(wave, {});
+    auto hosts = std::vector<HostView>();
+    for (std::size_t n = 0; n < 20; ++n) {
+        hosts.push_back(idleHost(n, "a"));
+        hosts.back().otherRuns = 1;
+    }
+    hosts[7].longRunningRuns = 1;
+    const auto now = BootTime(1h);
+    const auto orders = planner.step(hosts, {}, now, now + 1ms);
+    ASSERT_EQ(orders.drain.size(), UpkeepPlanner::DrainingPerDown);
+    EXPECT_EQ(orders.drain[0], hostName(7));
 }
 
 TEST(UpkeepPlanner, NamesTheWorkerThatEndsWithAnUpkeep)
@@ -123,7 +163,7 @@
     auto hosts = std::vector{idleHost(0, "a")};
     hosts[0].report.worker = WorkerName("before");
     const auto now = BootTime(1h);
-    const auto orders = planner.step(hosts, now, now + 1ms);
+    const auto orders = planner.step(hosts, {}, now, now + 1ms);
     ASSERT_EQ(orders.start.size(), 1U);
     EXPECT_EQ(orders.start[0].worker, WorkerName("before"));
 }
@@ -136,7 +176,7 @@
     hosts[0].otherRuns = 1;
     hosts[1].hasUnpersistedEnds = true;
     const auto now = BootTime(1h);
-    const auto orders = planner.step(hosts, now, now + 1ms);
+    const auto orders = planner.step(hosts, {}, now, now + 1ms);
     EXPECT_TRUE(orders.start.empty());
     EXPECT_EQ(orders.drain.size(), 2U);
 }
@@ -205,22 +245,37 @@
     }
 }
 
-// The peak of a pool may come first, before any of its work was seen.
+// At the system's first start, the peak of a pool may come before any of its work was seen.
 TEST(PoolSizer, KeepsIdleHostsOfAPoolWhoseDemandIsUnknown)
 {
-    auto sizer = PoolSizer();
+    auto now = BootTime(1h);
+    const auto holdUntil = now + PoolSizer::UnknownDemandHold;
+    auto sizer = PoolSizer(holdUntil);
     auto hosts = std::vector<HostView>();
     for (std::size_t n = 0; n < 5; ++n)
         hosts.push_back(idleHost(n, "a"));
-    auto now = BootTime(1h);
     auto starting = hosts;
     for (auto &it : starting)
         it.report.state = HostState::Down;
     sizer.step(starting, {}, poolRules(), {}, now);
     sizer.step(hosts, {}, poolRules(), {}, now);
-    now += PoolSizer::UnknownDemandHold - 1ms;
+    now = holdUntil - 1ms;
     EXPECT_TRUE(sizer.step(hosts, {}, poolRules(), {}, now).empty());
-    now += 1ms;
+    now = holdUntil;
+    EXPECT_FALSE(sizer.step(hosts, {}, poolRules(), {}, now).empty());
+}
+
+// Stewards follow each other on a day with little work: idle hosts must not be paid for again after
+// each change.
+TEST(PoolSizer, HoldsNoIdleHostsAfterATakeover)
+{
+    auto sizer = PoolSizer();
+    auto hosts = std::vector<HostView>();
+    for (std::size_t n = 0; n < 5; ++n)
+        hosts.push_back(idleHost(n, "a"));
+    auto now = BootTime(1h);
+    sizer.step(hosts, {}, poolRules(), {}, now);
+    now += PoolSizer::IdleBeforeStandby + 1ms;
     EXPECT_FALSE(sizer.step(hosts, {}, poolRules(), {}, now).empty());
 }
 
@@ -313,7 +368,7 @@
             const auto isDown = until != downUntil.end() && now < until->second;
             it.report.state = isDown ? HostState::InUpkeep : HostState::Up;
         }
-        for (const auto &it : planner.step(hosts, now, now + 1ms).start) {
+        for (const auto &it : planner.step(hosts, {}, now, now + 1ms).start) {
             planner.startSent(it);
             planner.startAccepted(it, now);
             downUntil[it.host] = now + 2s;
@@ -338,7 +393,7 @@
     for (std::size_t n = 0; n < 10; ++n)
         hosts.push_back(idleHost(n, "a"));
     const auto now = BootTime(1h);
-    EXPECT_EQ(planner.step(hosts, now, now + 1ms).start.size(), 8U);
+    EXPECT_EQ(planner.step(hosts, {}, now, now + 1ms).start.size(), 8U);
 }
 
 auto emptyRecord(const std::string &job) -> std::optional<ProgressWriter::Entry>
--- a/tests/unit/unit-platform-wire.cpp
+++ b/tests/unit/unit-platform-wire.cpp
@@ -120,6 +120,11 @@
     EXPECT_FALSE(codec.decodeJob(R"({"steps":[{"count":"many"}]})"));
     EXPECT_FALSE(codec.decodeJob(R"({"steps":[{"after":[0]}]})"));
     EXPECT_FALSE(codec.decodeJob(R"({"steps":[{"count":-1}]})"));
+    // Sums over such tasks would overflow.
+    EXPECT_FALSE(codec.decodeJob(R"({"steps":[{"count":2,"cpu":9000000000000000000}]})"));
+    EXPECT_FALSE(codec.decodeJob(R"({"steps":[{"count":2,"mem_mb":-1}]})"));
+    EXPECT_FALSE(codec.decodeJob(R"({"steps":[{"count":2,"estimated_ms":9000000000000000000}]})"));
+    EXPECT_TRUE(codec.decodeJob(R"({"spec":"x","steps":[{"count":2,"cpu":100000000}]})"));
 }
 
 TEST(PlatformWire, DecodesCallerOperations)
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -161,26 +161,97 @@
     EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr);
 }
 
-// After a takeover most registrations may be of workers whose hosts have moved: connecting to all
-// of them delays the polls that end the recovery.
-TEST(Steward, PollsOnlyWorkersOfListedHosts)
+// After a takeover most registrations may be of workers whose hosts have moved. Each is asked once
+// in time, as it may have runs, and connecting to it again and again would delay the other polls.
+TEST(Steward, RetriesWorkersOfUnlistedHostsSlowly)
 {
     auto single = SingleWorker(test::shortStep(1));
     auto actions = single.step(steward_event::WorkerReported{test::workerReport(1)});
-    EXPECT_EQ(firstOf<steward_action::PollWorker>(actions), nullptr);
-    single.now += StewardSettings().hostListDelay;
-    single.steward.step(steward_event::RulesChanged{test::testRules(2)}, single.now);
-    single.steward.expectWorkers({test::workerName(0)});
-    actions = single.tick(1ms);
-    ASSERT_NE(firstOf<steward_action::PollWorker>(actions), nullptr);
-    EXPECT_EQ(
-        std::ranges::count_if(
-            actions,
-            [](const auto &it) { return std::holds_alternative<steward_action::PollWorker>(it); }),
-        1);
-    // A worker that registers now may be newer than the list.
-    actions = single.step(steward_event::WorkerReported{test::workerReport(2)});
     EXPECT_NE(firstOf<steward_action::PollWorker>(actions), nullptr);
+    single.steward.expectWorkers({test::workerName(0)});
+    const auto fail = [&single](int worker) {
+        single.step(
+            steward_event::PollFailed{test::workerName(worker), single.now, OrderOutcome::NotSent});
+    };
+    const auto polled = [&single](Duration time) {
+        auto names = std::set<WorkerName>();
+        for (const auto &it : single.tick(time)) {
+            if (const auto *poll = std::get_if<steward_action::PollWorker>(&it))
+                names.insert(poll->worker);
+        }
+        return names;
+    };
+    fail(0);
+    fail(1);
+    EXPECT_EQ(polled(StewardSettings().resendInterval), std::set{test::workerName(0)});
+    EXPECT_EQ(polled(StewardSettings().unlistedRetryInterval), std::set{test::workerName(1)});
+}
+
+// A worker with a run that is being stopped is removed: its team must not be charged for ever.
+TEST(Steward, ReleasesTheRunsOfARemovedWorkerOnceTheirLeaseExpires)
+{
+    auto step = test::shortStep(1);
+    step.resources.milliCores = 8'000;
+    auto single = SingleWorker(step);
+    auto rules = *test::testRules(2);
+    rules.teams[TeamName("blue")].limit = {8'000, 0, 0};
+    single.step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)});
+    single.step(steward_event::JobAccepted{test::oneStepJob("other", step), {}, true});
+    single.step(steward_event::JobCancelled{"other"});
+    single.steward.expectWorkers({test::workerName(0)});
+    single.poll({{JobTaskId{"other", 0, 0, 0}, 5, {}, 50, 0}}, {});
+    single.step(steward_event::WorkerRemoved{test::workerName(0)});
+    const auto failPoll = [&single] {
+        single.step(
+            steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::Unanswered});
+    };
+    single.step(steward_event::WorkerReported{test::workerReport(1)});
+    auto idle = steward_event::WorkerPolled();
+    idle.worker = test::workerName(1);
+    idle.clockMilliseconds = 1;
+    auto start = std::optional<BootTime>();
+    const auto begin = single.now;
+    while (!start && single.now < begin + 20s) {
+        const auto actions = single.tick(500ms);
+        failPoll();
+        idle.sentAt = single.now;
+        const auto onPoll = single.step(idle);
+        if (firstOf<steward_action::StartRun>(actions) != nullptr
+            || firstOf<steward_action::StartRun>(onPoll) != nullptr)
+            start = single.now;
+    }
+    ASSERT_TRUE(start.has_value());
+    EXPECT_GE(*start, begin + StewardSettings().maxRunLease);
+}
+
+// Right after a takeover, the tasks that run on workers that haven't been polled look like waiting
+// ones, and a quiet pool would get half of the fleet.
+TEST(Steward, ReportsNoPoolLoadsDuringRecovery)
+{
+    auto single = SingleWorker(test::shortStep(4));
+    EXPECT_FALSE(single.steward.poolLoads().has_value());
+    single.steward.expectWorkers({test::workerName(0)});
+    single.poll({}, {});
+    EXPECT_TRUE(single.steward.poolLoads().has_value());
+}
+
+// More hosts don't help a task that is larger than every host: it must not take those of others.
+TEST(Steward, CountsNoDemandOfTasksThatFitOnNoHost)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    single.steward.expectWorkers({test::workerName(0)}, {{8'000, 16'000, 0}});
+    single.poll({}, {});
+    const auto before = single.steward.poolLoads()->at(PoolName(test::TestPool));
+    auto large = test::shortStep(100);
+    large.resources.milliCores = 8'001;
+    single.step(steward_event::JobAccepted{test::oneStepJob("large", large), {}, false});
+    const auto after = single.steward.poolLoads()->at(PoolName(test::TestPool));
+    EXPECT_EQ(after.waiting, before.waiting);
+    EXPECT_EQ(after.acceptedWork, before.acceptedWork);
+    single.step(
+        steward_event::JobAccepted{test::oneStepJob("small", test::shortStep(100)), {}, false});
+    EXPECT_NE(single.steward.poolLoads()->at(PoolName(test::TestPool)).acceptedWork,
+              before.acceptedWork);
 }
 
 // A worker may report the end of an older run after the end of a newer one.
