Log each run that is lost with its worker, and how

The logs could not tell whether a lost run counts nowhere, whether a count is lost, or whether the end of a worker arrives as something else. The steward now reports lost runs with their cause (log line run-lost, counter shallotproxy_runs_lost_total), and is told whether the end of a worker was planned. No decision is changed.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -216,6 +216,7 @@
     auto detach(Task &task) -> void;
     auto requeue(Task &task) -> void;
     auto requeueAll(Worker &worker) -> void;
+    auto reportLostRuns(const Worker &worker, RunLoss loss) -> void;
     auto handleRestart(Worker &worker) -> void;
     auto stopTask(Task &task) -> void;
     auto sendStop(Task &task) -> void;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -116,6 +116,20 @@
     Unanswered,
 };
 
+/// How the runs of a worker were lost.
+///
+/// `Planned`: the worker left, was drained, or its host was moved or maintained. `Ended`: it ended
+/// for another reason. `Restarted`: another incarnation answered in its place. `LeaseExpired`: it
+/// didn't answer until the leases of its runs had expired.
+enum class RunLoss { Planned, Ended, Restarted, LeaseExpired };
+
+/// A run that was lost with its worker.
+struct LostRun
+{
+    JobTaskId task;
+    std::uint64_t run = 0;
+};
+
 namespace steward_event {
 
 struct RulesChanged
@@ -190,6 +204,8 @@
 struct WorkerEnded
 {
     WorkerName worker;
+    /// The steward ordered it, or the host is being moved or maintained.
+    bool isPlanned = false;
 };
 /// Starts or ends the drain of a worker. A draining worker gets no new work, and its runs are
 /// stopped as far as their jobs allow.
@@ -260,6 +276,13 @@
     std::string job;
     bool isUrgent = false;
 };
+/// Reports runs that were lost with their worker. Nothing has to be done.
+struct ReportLostRuns
+{
+    WorkerName worker;
+    RunLoss loss = RunLoss::Ended;
+    std::vector<LostRun> runs;
+};
 /// A worker has accepted a steward with a higher fencing token; this steward must stop.
 struct StepDown
 {
@@ -270,6 +293,7 @@
 
 using StewardAction = std::variant<steward_action::StartRun, steward_action::StopRun,
                                    steward_action::PollWorker, steward_action::SetRunSpeed,
-                                   steward_action::PersistProgress, steward_action::StepDown>;
+                                   steward_action::PersistProgress, steward_action::ReportLostRuns,
+                                   steward_action::StepDown>;
 
 } // namespace shallotproxy
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -63,6 +63,8 @@
     if (worker == nullptr)
         return;
     m_expectedWorkers.erase(event.worker);
+    const auto isPlanned = event.isPlanned || worker->isDraining || worker->report.isLeaving;
+    reportLostRuns(*worker, isPlanned ? RunLoss::Planned : RunLoss::Ended);
     requeueAll(*worker);
     std::erase(m_poolWorkers[worker->report.pool], worker);
     m_workers.erase(event.worker);
@@ -127,12 +129,24 @@
     worker.leaseEndsAt = m_now;
 }
 
+auto Steward::reportLostRuns(const Worker &worker, RunLoss loss) -> void
+{
+    if (worker.runs.empty())
+        return;
+    auto lost = std::vector<LostRun>();
+    for (const auto *task : worker.runs)
+        lost.push_back({task->id(), task->run});
+    m_actions.emplace_back(
+        steward_action::ReportLostRuns{worker.report.name, loss, std::move(lost)});
+}
+
 /// Handles the restart of a worker under the same name.
 ///
 /// An earlier start order may still reach the new incarnation, whose clock may still accept the old
 /// lease. Runs with such orders are therefore stopped there before they are placed elsewhere.
 auto Steward::handleRestart(Worker &worker) -> void
 {
+    reportLostRuns(worker, RunLoss::Restarted);
     const auto runs = worker.runs;
     for (auto *task : runs) {
         if (task->phase == TaskPhase::Running) {
@@ -298,8 +312,10 @@
     // A worker that answers reports what became of its runs. A worker that this steward was too
     // busy to poll may have completed its runs well before the lease expired.
     const auto isUnresponsive = worker.failedPolls > 0;
-    if (!worker.runs.empty() && m_now >= worker.leaseEndsAt && isUnresponsive)
+    if (!worker.runs.empty() && m_now >= worker.leaseEndsAt && isUnresponsive) {
+        reportLostRuns(worker, RunLoss::LeaseExpired);
         requeueAll(worker);
+    }
     const auto detachedEndAt = std::max(worker.detachedRunsEndAt, worker.leaseEndsAt);
     if (worker.hasDetachedRuns() && m_now >= detachedEndAt && isUnresponsive)
         clearDetachedRuns(worker);
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -183,7 +183,12 @@
             continue;
         m_context.log.info("event=worker-ended worker={} host={} state={}", before.worker.value(),
                            before.host.value(), static_cast<int>(it->second->state));
-        m_steward.dispatch(steward_event::WorkerEnded{before.worker});
+        const auto isUnderOrder = m_upkeep.isClaimed(before.host)
+            || m_pendingOrders.contains(before.host) || m_unansweredMoves.contains(before.host);
+        const auto isMaintained = it->second->state == HostState::Moving
+            || it->second->state == HostState::InUpkeep || it->second->pool != before.pool;
+        m_steward.dispatch(
+            steward_event::WorkerEnded{before.worker, isUnderOrder || isMaintained});
     }
 }
 
@@ -301,7 +306,7 @@
     if (outcome == HostOutcome::Accepted) {
         m_upkeep.startAccepted(start, BootClock::now());
         if (!start.worker.isEmpty())
-            m_steward.dispatch(steward_event::WorkerEnded{start.worker});
+            m_steward.dispatch(steward_event::WorkerEnded{start.worker, true});
         writeStatus(start.wave, false);
         m_nextListAt = {};
         return;
@@ -345,7 +350,7 @@
         const auto now = BootClock::now();
         if (outcome == HostOutcome::Accepted) {
             if (!worker.isEmpty())
-                self->m_steward.dispatch(steward_event::WorkerEnded{worker});
+                self->m_steward.dispatch(steward_event::WorkerEnded{worker, true});
             const auto entry = std::ranges::find(self->m_hosts, move.host, &HostReport::host);
             if (entry != self->m_hosts.end()) {
                 entry->state = HostState::Moving;
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -27,6 +27,21 @@
 // An unanswered claim may still be applied; the key is read after this delay.
 constexpr milliseconds ClaimCheckDelay{100};
 
+auto nameOf(RunLoss loss) -> std::string_view
+{
+    switch (loss) {
+    case RunLoss::Planned:
+        return "planned";
+    case RunLoss::Ended:
+        return "worker-ended";
+    case RunLoss::Restarted:
+        return "worker-restarted";
+    case RunLoss::LeaseExpired:
+        break;
+    }
+    return "lease-expired";
+}
+
 auto identityOf(const RuntimeSettings &settings) -> std::string
 {
     // The address comes first: other members read the value up to the first space.
@@ -602,6 +617,19 @@
     m_writer.changed(action.job, action.isUrgent, BootClock::now());
 }
 
+auto StewardDuty::perform(const steward_action::ReportLostRuns &action) -> void
+{
+    const auto cause = nameOf(action.loss);
+    const auto label = fmt::format("cause=\"{}\"", cause);
+    for (const auto &it : action.runs) {
+        m_context.metrics.count("shallotproxy_runs_lost_total", label);
+        m_context.log.info(
+            "event=run-lost job={} occurrence={} step={} task={} run={} worker={} cause={}",
+            it.task.job, it.task.occurrence, it.task.step, it.task.index, it.run,
+            action.worker.value(), cause);
+    }
+}
+
 auto StewardDuty::perform(const steward_action::StepDown &action) -> void
 {
     superseded(action.worker.value());
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -110,6 +110,7 @@
     auto perform(std::size_t steward, const steward_action::PollWorker &order) -> void;
     auto perform(std::size_t, const steward_action::SetRunSpeed &) -> void { }
     auto perform(std::size_t steward, const steward_action::PersistProgress &action) -> void;
+    auto perform(std::size_t, const steward_action::ReportLostRuns &) -> void { }
     auto perform(std::size_t steward, const steward_action::StepDown &) -> void;
     auto applyStart(FakeWorker &worker, std::uint64_t token, const steward_action::StartRun &order)
         -> OrderOutcome;
