--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -291,9 +291,9 @@
 
 } // namespace steward_action
 
-using StewardAction = std::variant<steward_action::StartRun, steward_action::StopRun,
-                                   steward_action::PollWorker, steward_action::SetRunSpeed,
-                                   steward_action::PersistProgress, steward_action::ReportLostRuns,
-                                   steward_action::StepDown>;
+using StewardAction =
+    std::variant<steward_action::StartRun, steward_action::StopRun, steward_action::PollWorker,
+                 steward_action::SetRunSpeed, steward_action::PersistProgress,
+                 steward_action::ReportLostRuns, steward_action::StepDown>;
 
 } // namespace shallotproxy
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -187,8 +187,7 @@
             || m_pendingOrders.contains(before.host) || m_unansweredMoves.contains(before.host);
         const auto isMaintained = it->second->state == HostState::Moving
             || it->second->state == HostState::InUpkeep || it->second->pool != before.pool;
-        m_steward.dispatch(
-            steward_event::WorkerEnded{before.worker, isUnderOrder || isMaintained});
+        m_steward.dispatch(steward_event::WorkerEnded{before.worker, isUnderOrder || isMaintained});
     }
 }
 
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -14,6 +14,9 @@
 constexpr auto LostReplyTimeout = 500ms;
 // Time until a stopped run has ended.
 constexpr auto StopDelay = 300ms;
+// A task that has ended this many workers may be started at most twice more.
+constexpr std::uint32_t CrashLimit = 3;
+constexpr std::uint32_t StartsAfterCrashLimit = 2;
 constexpr std::int64_t WorkerCores = 8'000;
 constexpr std::int64_t WorkerMemory = 16'000;
 
@@ -83,6 +86,8 @@
         m_workers.push_back({});
         m_workers.back().report = workerReport(n);
     }
+    m_endedWorker.isUp = false;
+    m_endedWorker.isRefusing = true;
 }
 
 auto FakeFleet::addJob(const JobSpec &job) -> void
@@ -109,17 +114,22 @@
                  job, persisted == m_persisted.end() ? JobProgress() : persisted->second.progress,
                  true});
     }
-    auto expected = std::set<WorkerName>();
     for (const auto &worker : m_workers) {
         if (worker.isUp)
-            expected.insert(worker.report.name);
+            send(number, steward_event::WorkerReported{worker.report});
     }
+    m_stewards[number].steward->expectWorkers(workersUp());
+    return number;
+}
+
+auto FakeFleet::workersUp() const -> std::set<WorkerName>
+{
+    auto names = std::set<WorkerName>();
     for (const auto &worker : m_workers) {
         if (worker.isUp)
-            send(number, steward_event::WorkerReported{worker.report});
+            names.insert(worker.report.name);
     }
-    m_stewards[number].steward->expectWorkers(expected);
-    return number;
+    return names;
 }
 
 auto FakeFleet::send(std::size_t steward, const StewardEvent &event) -> void
@@ -168,8 +178,9 @@
 
 auto FakeFleet::find(const WorkerName &name) -> FakeWorker &
 {
-    return *std::ranges::find_if(m_workers,
-                                 [&name](const auto &it) { return it.report.name == name; });
+    const auto worker =
+        std::ranges::find_if(m_workers, [&name](const auto &it) { return it.report.name == name; });
+    return worker == m_workers.end() ? m_endedWorker : *worker;
 }
 
 auto FakeFleet::clockOf(const FakeWorker &worker) const -> std::int64_t
@@ -206,6 +217,67 @@
     it.incarnation = incarnation + 1;
 }
 
+auto FakeFleet::setDataCentre(int worker, const std::string &dataCentre) -> void
+{
+    m_workers[static_cast<std::size_t>(worker)].report.dataCentre = DataCentreName(dataCentre);
+}
+
+auto FakeFleet::crashes(const JobTaskId &task) const -> std::uint32_t
+{
+    const auto it = m_crashes.find(task);
+    return it == m_crashes.end() ? 0 : it->second;
+}
+
+auto FakeFleet::endWorkers(const std::vector<int> &workers) -> void
+{
+    auto ended = std::vector<WorkerName>();
+    for (const auto number : workers) {
+        auto &worker = m_workers[static_cast<std::size_t>(number)];
+        if (!worker.isUp)
+            continue;
+        crash(number);
+        worker.isRefusing = true;
+        ended.push_back(worker.report.name);
+        schedule(Downtime, [this, name = worker.report.name] { replaceWorker(name); });
+    }
+    schedule(EndReportDelay, [this, ended] { reportEnds(ended); });
+}
+
+auto FakeFleet::reportEnds(const std::vector<WorkerName> &ended) -> void
+{
+    for (std::size_t n = 0; n < m_stewards.size(); ++n) {
+        m_stewards[n].steward->expectWorkers(workersUp());
+        for (const auto &name : ended)
+            send(n, steward_event::WorkerEnded{name});
+    }
+}
+
+auto FakeFleet::replaceWorker(const WorkerName &ended) -> void
+{
+    auto &worker = find(ended);
+    auto next = FakeWorker();
+    next.report = worker.report;
+    next.report.name = WorkerName(ended.value() + '+');
+    worker = std::move(next);
+    for (std::size_t n = 0; n < m_stewards.size(); ++n) {
+        send(n, steward_event::WorkerReported{worker.report});
+        m_stewards[n].steward->expectWorkers(workersUp());
+    }
+}
+
+/// Counts the end of a worker by a run that is still active there.
+auto FakeFleet::countCrash(const FakeWorker &worker, const JobTaskId &task, std::uint64_t run)
+    -> bool
+{
+    const auto isActive =
+        worker.isUp && std::ranges::any_of(worker.active, [&task, run](const Run &it) {
+            return it.task == task && it.number == run;
+        });
+    if (isActive)
+        ++m_crashes[task];
+    return isActive;
+}
+
 auto FakeFleet::perform(std::size_t steward, const StewardAction &action) -> void
 {
     std::visit([this, steward](const auto &it) { perform(steward, it); }, action);
@@ -228,7 +300,7 @@
                  steward_event::StartAnswered{name, order.task, order.run, outcome, clock});
         });
     };
-    if (delivery == Delivery::NotSent) {
+    if (delivery == Delivery::NotSent || find(name).isRefusing) {
         answer(OrderOutcome::NotSent, ReplyDelay);
     } else if (delivery == Delivery::Delayed || !isResponsive(find(name))) {
         const auto delay = delivery == Delivery::Delayed ? Duration(OrderDelay) : Duration(1s);
@@ -266,6 +338,12 @@
 {
     auto &worker = find(order.worker);
     const auto sentAt = m_now;
+    if (worker.isRefusing) {
+        schedule(ReplyDelay, [this, steward, order, sentAt] {
+            send(steward, steward_event::PollFailed{order.worker, sentAt, OrderOutcome::NotSent});
+        });
+        return;
+    }
     if (!isResponsive(worker)) {
         schedule(LostReplyTimeout, [this, steward, order, sentAt] {
             send(steward,
@@ -354,6 +432,10 @@
     }
     if (m_completed.contains(order.task))
         violations.push_back("starts after it was done: " + describe(order.task));
+    if (crashes(order.task) >= CrashLimit
+        && ++m_startsAfterCrashes[order.task] > StartsAfterCrashLimit)
+        violations.push_back("starts again and again after it ended its workers: "
+                             + describe(order.task));
     const auto failures = m_failures.find(order.task);
     if (failures != m_failures.end() && failures->second >= m_attempts)
         violations.push_back("starts after its last attempt: " + describe(order.task));
@@ -393,6 +475,13 @@
     run.endsAt = m_now + runTime;
     run.willFail = fails(order.task);
     worker.active.push_back(run);
+    if (crashesWorker(order.task)) {
+        schedule(crashDelay, [this, name = worker.report.name, task = order.task, run = order.run] {
+            auto &it = find(name);
+            if (countCrash(it, task, run))
+                endWorkers({static_cast<int>(&it - m_workers.data())});
+        });
+    }
     return OrderOutcome::Accepted;
 }
 
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -33,6 +33,10 @@
     static constexpr auto Step = 50ms;
     /// After this time a delayed order is carried out.
     static constexpr auto OrderDelay = 4s;
+    /// Time until stewards learn that a worker has ended.
+    static constexpr auto EndReportDelay = 500ms;
+    /// Time until another worker takes the place of one that ended.
+    static constexpr auto Downtime = 3s;
 
     explicit FakeFleet(int workers, std::uint32_t attempts = 3);
 
@@ -62,6 +66,16 @@
     auto crash(int worker) -> void;
     /// Restarts the worker under the same name and without any state.
     auto restartWorker(int worker) -> void;
+    /// Ends the workers at once. Stewards learn of it a while later, and another worker takes the
+    /// place of each one a few seconds later.
+    auto endWorkers(const std::vector<int> &workers) -> void;
+    /// Requires that no steward has been added yet.
+    auto setDataCentre(int worker, const std::string &dataCentre) -> void;
+    /// Whether a run of the task ends its worker, and how long after its start.
+    std::function<bool(const JobTaskId &)> crashesWorker = [](const auto &) { return false; };
+    Duration crashDelay = 0ms;
+    /// Workers that the task has ended.
+    [[nodiscard]] auto crashes(const JobTaskId &task) const -> std::uint32_t;
 
     /// Descriptions of the violated guarantees; empty if there are none.
     std::vector<std::string> violations;
@@ -86,6 +100,8 @@
     {
         WorkerReport report;
         bool isUp = true;
+        /// The worker has ended and its address refuses connections.
+        bool isRefusing = false;
         BootTime unresponsiveUntil;
         std::int64_t incarnation = 1;
         std::uint64_t token = 0;
@@ -124,7 +140,12 @@
     auto nextDelivery() -> Delivery;
     [[nodiscard]] auto clockOf(const FakeWorker &worker) const -> std::int64_t;
     [[nodiscard]] auto isResponsive(const FakeWorker &worker) const -> bool;
+    /// Returns a worker that is down if none has this name any more.
     auto find(const WorkerName &name) -> FakeWorker &;
+    auto reportEnds(const std::vector<WorkerName> &ended) -> void;
+    auto replaceWorker(const WorkerName &ended) -> void;
+    [[nodiscard]] auto workersUp() const -> std::set<WorkerName>;
+    auto countCrash(const FakeWorker &worker, const JobTaskId &task, std::uint64_t run) -> bool;
 
     struct PersistedRecord
     {
@@ -143,6 +164,10 @@
     std::map<JobTaskId, bool> m_completed;
     /// Number of failed runs that were acknowledged to the workers.
     std::map<JobTaskId, std::uint32_t> m_failures;
+    /// Number of workers that the task has ended, and of its starts after the third one.
+    std::map<JobTaskId, std::uint32_t> m_crashes;
+    std::map<JobTaskId, std::uint32_t> m_startsAfterCrashes;
+    FakeWorker m_endedWorker;
     std::uint64_t m_revision = 100;
 };
 
