Fail a task that crashes the workers that start it

Cause: a run that is lost with its worker counted nowhere, so that its task was placed again at once, without a limit, together with the others that had run there. Class of fault: a retry whose failure is attributed to the receiver only.

Now a crash is held against the runs that had just started, and weakly against the others. A suspect starts on a worker where nothing else has just started, and nothing starts beside it until its run is established: another crash there is evidence against it alone, and its job fails. The crashes are part of the job's record, and a suspect with two of them waits until they are written. Not counted: the loss of a data centre (all of its workers stop answering at about the same time), upkeep, moves, workers that leave, restarts behind a cut, leases that expire while the host is up.

--- /dev/null
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include <msgpack.hpp>
+
+namespace shallotproxy {
+
+/// What the crash of a worker says about a run that was lost there.
+///
+/// `Beside`: it was one of the runs there. `Likely`: the run had just started, or its task was a
+/// suspect. `Sole`: the run was under test.
+enum class CrashEvidence : std::uint8_t { Beside = 0, Likely = 1, Sole = 2 };
+
+/// A run under which its worker crashed.
+struct CrashedRun
+{
+    std::uint64_t run = 0;
+    /// A CrashEvidence.
+    std::uint8_t evidence = 0;
+
+    MSGPACK_DEFINE(run, evidence)
+};
+
+/// The crashes of workers while they ran one task.
+///
+/// Tells a task that crashes every worker that starts it from the tasks that ran beside it and from
+/// hosts that fail by themselves. A crash makes the likely tasks suspects. A suspect starts on a
+/// worker where nothing else has just started, and nothing else starts there until its run is
+/// established; if it crashes its worker again, then it is the cause.
+///
+/// Load pattern: a tenth of the jobs of a busy queue has a task that crashes its worker at its
+/// start, so that each crash takes ten other runs along.
+class CrashHistory
+{
+public:
+    CrashHistory() = default;
+    explicit CrashHistory(std::vector<CrashedRun> runs)
+        : m_runs(std::move(runs))
+    { }
+
+    /// Adds a crash; a run that was added before counts once. Returns whether it is new.
+    auto add(std::uint64_t run, CrashEvidence evidence) -> bool;
+    /// Removes a crash that had another cause. Returns whether it was there.
+    auto remove(std::uint64_t run) -> bool;
+    auto clear() -> void { m_runs.clear(); }
+
+    [[nodiscard]] auto runs() const -> const std::vector<CrashedRun> & { return m_runs; }
+    [[nodiscard]] auto isEmpty() const -> bool { return m_runs.empty(); }
+    /// Whether the task may be the cause of the crashes and is placed as a suspect.
+    [[nodiscard]] auto isSuspect() const -> bool;
+    /// Whether nothing is started beside the task for a while after its run is established: it may
+    /// crash its worker late.
+    [[nodiscard]] auto needsIsolation() const -> bool;
+    /// Whether the task is the cause of the crashes.
+    [[nodiscard]] auto isCause() const -> bool;
+
+private:
+    std::vector<CrashedRun> m_runs;
+};
+
+/// What is known of a run at the crash of its worker.
+struct RunAtCrash
+{
+    /// The task was a suspect before.
+    bool isSuspect = false;
+    /// The worker has answered after the run had been active for a while.
+    bool isEstablished = false;
+    /// Nothing was started beside the run of a suspect.
+    bool isUnderTest = false;
+};
+
+/// Returns the evidence against each of the runs of a worker that crashed; no value for a run
+/// beside the one under test.
+auto attributeCrash(std::span<const RunAtCrash> runs) -> std::vector<std::optional<CrashEvidence>>;
+
+} // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/job_progress.hpp
+++ b/packages/job/include/shallotproxy/job/job_progress.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_history.hpp"
 #include "job_spec.hpp"
 
 namespace shallotproxy {
@@ -16,8 +17,10 @@
     /// Numbers of the failed runs, so that a failure that is reported repeatedly counts once.
     std::vector<std::uint64_t> failedRuns;
     std::string checkpoint;
+    /// See CrashHistory.
+    std::vector<CrashedRun> crashedRuns;
 
-    MSGPACK_DEFINE(occurrence, step, index, isDone, failedRuns, checkpoint)
+    MSGPACK_DEFINE(occurrence, step, index, isDone, failedRuns, checkpoint, crashedRuns)
 };
 
 /// The mutable part of a job's record. It is retained for a while after the job has ended, so that
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -77,6 +77,8 @@
     /// The same for workers with tasks on spare cores: half of the window over which the reported
     /// latency is measured, so that their speed follows it.
     Milliseconds throttledPollWait{400};
+    /// The same for workers with a run under test; see CrashHistory.
+    Milliseconds testedPollWait{100};
     /// Shortest time between two polls of a worker; groups runs that end at nearly the same time.
     Milliseconds minPollInterval{15};
     /// Lengthens that time with the number of workers, which bounds the polls per second.
@@ -159,6 +161,27 @@
     struct Worker;
     struct Candidate;
 
+    /// The recent crash of a worker and the runs that were lost there.
+    struct RecentCrash
+    {
+        /// When this steward learned of it.
+        BootTime at;
+        BootTime lastAnswerAt;
+        DataCentreName dataCentre;
+        std::vector<LostRun> runs;
+
+        [[nodiscard]] auto isOfLossAt(BootTime lostAt) const -> bool
+        {
+            return at >= lostAt && lastAnswerAt <= lostAt;
+        }
+    };
+    /// A task whose job fails at `dueAt` unless its crashes have been withdrawn by then.
+    struct Verdict
+    {
+        BootTime dueAt;
+        JobTaskId task;
+    };
+
     /// See PoolLoad.
     struct AcceptedWork
     {
@@ -216,7 +239,7 @@
     auto detach(Task &task) -> void;
     auto requeue(Task &task) -> void;
     auto requeueAll(Worker &worker) -> void;
-    auto reportLostRuns(const Worker &worker, RunLoss loss) -> void;
+    auto handleLostRuns(const Worker &worker, RunLoss loss) -> void;
     auto handleRestart(Worker &worker) -> void;
     auto stopTask(Task &task) -> void;
     auto sendStop(Task &task) -> void;
@@ -232,6 +255,21 @@
     [[nodiscard]] auto isAvailable(const Task &task) const -> bool;
     auto findWorker(const WorkerName &name) -> Worker *;
 
+    // Crashes of workers: steward_crashes.cpp
+    auto recordCrash(const Worker &worker) -> void;
+    auto withdrawCrashes(const DataCentreName &dataCentre, BootTime lostAt) -> void;
+    auto applyVerdicts() -> void;
+    auto exonerate(Task &task) -> void;
+    auto placeSuspects(const PoolName &pool, const Candidate &candidate) -> void;
+    auto chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *;
+    [[nodiscard]] auto mayPlaceSuspect(const Task &task) const -> bool;
+    [[nodiscard]] auto isEstablished(const Task &task) const -> bool;
+    [[nodiscard]] auto isUnderTest(const Task &task) const -> bool;
+    [[nodiscard]] auto hasRunUnderTest(const Worker &worker) const -> bool;
+    [[nodiscard]] auto lossOfDataCentre(const DataCentreName &dataCentre) const
+        -> std::optional<BootTime>;
+    [[nodiscard]] auto isLostWithDataCentre(const Worker &worker) const -> bool;
+
     // Placement: steward_placing.cpp
     auto placeDirtyPools() -> void;
     auto place(const PoolName &pool) -> void;
@@ -242,7 +280,9 @@
     auto preemptFor(const PoolName &pool, const Task &task) -> void;
     auto startTask(Task &task, Worker &worker) -> void;
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
+    [[nodiscard]] auto acceptsRuns(const Worker &worker) const -> bool;
     [[nodiscard]] auto takesNewWork(const Worker &worker) const -> bool;
+    [[nodiscard]] auto isWaitingToStart(const Task &task) const -> bool;
     [[nodiscard]] auto isAllowedOn(const Worker &worker, const Task &task) const -> bool;
     [[nodiscard]] auto isWithinTeamLimit(const Job &job, const Resources &resources) const -> bool;
     [[nodiscard]] auto mayPlace(const Task &task) const -> bool;
@@ -268,6 +308,9 @@
     std::set<PoolName> m_dirtyPools;
     std::set<WorkerName> m_expectedWorkers;
     Quarantine m_quarantine;
+    std::vector<RecentCrash> m_recentCrashes;
+    std::map<DataCentreName, BootTime> m_lostDataCentres;
+    std::vector<Verdict> m_verdicts;
     std::uint64_t m_lastChange = 0;
     BootTime m_startedAt;
     BootTime m_recoveryDeadline;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -283,6 +283,13 @@
     RunLoss loss = RunLoss::Ended;
     std::vector<LostRun> runs;
 };
+/// Reports a task whose job has failed because the task crashes the workers that start it. Nothing
+/// has to be done.
+struct ReportCrashingTask
+{
+    JobTaskId task;
+    std::size_t crashes = 0;
+};
 /// A worker has accepted a steward with a higher fencing token; this steward must stop.
 struct StepDown
 {
@@ -291,9 +298,9 @@
 
 } // namespace steward_action
 
-using StewardAction =
-    std::variant<steward_action::StartRun, steward_action::StopRun, steward_action::PollWorker,
-                 steward_action::SetRunSpeed, steward_action::PersistProgress,
-                 steward_action::ReportLostRuns, steward_action::StepDown>;
+using StewardAction = std::variant<steward_action::StartRun, steward_action::StopRun,
+                                   steward_action::PollWorker, steward_action::SetRunSpeed,
+                                   steward_action::PersistProgress, steward_action::ReportLostRuns,
+                                   steward_action::ReportCrashingTask, steward_action::StepDown>;
 
 } // namespace shallotproxy
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -161,6 +161,9 @@
         job.nextOccurrence = std::max(job.nextOccurrence, it.occurrence + 1);
         auto &task = occurrence.steps[it.step][it.index];
         task.failedRuns = it.failedRuns;
+        task.crashes = CrashHistory(it.crashedRuns);
+        if (task.crashes.isCause())
+            m_verdicts.push_back({m_now, task.id()});
         task.checkpoint = it.checkpoint;
         job.hasStarted = true;
         if (it.isDone)
@@ -273,11 +276,13 @@
         for (const auto &step : occurrence.steps) {
             for (const auto &task : step) {
                 const auto isDone = task.phase == TaskPhase::Done;
-                if (!isDone && task.failedRuns.empty() && task.checkpoint.empty())
+                if (!isDone && task.failedRuns.empty() && task.checkpoint.empty()
+                    && task.crashes.isEmpty())
                     continue;
-                result.progress.tasks.push_back({task.occurrence, task.step, task.index, isDone,
-                                                 task.failedRuns,
-                                                 isDone ? std::string() : task.checkpoint});
+                result.progress.tasks.push_back(
+                    {task.occurrence, task.step, task.index, isDone, task.failedRuns,
+                     isDone ? std::string() : task.checkpoint,
+                     isDone ? std::vector<CrashedRun>() : task.crashes.runs()});
             }
         }
     }
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -45,13 +45,6 @@
 
 } // namespace
 
-struct Steward::Candidate
-{
-    Job *job = nullptr;
-    Occurrence *occurrence = nullptr;
-    std::uint32_t step = 0;
-};
-
 Steward::Steward(std::uint64_t token, StewardSettings settings, BootTime now)
     : m_token(token)
     , m_settings(settings)
@@ -98,6 +91,7 @@
     endRecoveryIfDone();
     for (const auto &[name, worker] : m_workers)
         tickWorker(*worker);
+    applyVerdicts();
     for (auto &[pool, jobs] : m_openJobs) {
         for (auto *job : jobs) {
             if (job->nextOccurrence < job->spec.occurrences)
@@ -120,11 +114,17 @@
     m_dirtyPools.clear();
 }
 
-auto Steward::mayPlace(const Task &task) const -> bool
+auto Steward::isWaitingToStart(const Task &task) const -> bool
 {
     return task.phase == TaskPhase::Waiting && !(task.mayHaveUnknownRun && m_isRecovering);
 }
 
+/// Whether the task waits and may be placed beside others.
+auto Steward::mayPlace(const Task &task) const -> bool
+{
+    return isWaitingToStart(task) && !task.crashes.isSuspect();
+}
+
 /// Places the waiting tasks of a pool in the order of sortWaiting().
 auto Steward::place(const PoolName &pool) -> void
 {
@@ -132,6 +132,7 @@
     if (jobs == m_openJobs.end() || m_poolWorkers[pool].empty())
         return;
     auto candidates = std::vector<Candidate>();
+    auto suspects = std::vector<Candidate>();
     auto waitingSteps = std::vector<WaitingStep>();
     const auto meanShare = meanTeamShare();
     for (auto *job : jobs->second) {
@@ -143,7 +144,14 @@
                 const auto isPlaceable = occurrence.remainingTasks[step] > 0
                     && std::ranges::any_of(occurrence.steps[step],
                                            [this](const Task &it) { return mayPlace(it); });
-                if (!isPlaceable || !isReady(*job, occurrence, step))
+                const auto hasSuspect = occurrence.remainingTasks[step] > 0
+                    && std::ranges::any_of(occurrence.steps[step],
+                                           [this](const Task &it) { return mayPlaceSuspect(it); });
+                if (!(isPlaceable || hasSuspect) || !isReady(*job, occurrence, step))
+                    continue;
+                if (hasSuspect)
+                    suspects.push_back({job, &occurrence, step});
+                if (!isPlaceable)
                     continue;
                 waitingSteps.push_back(
                     {rules == nullptr ? 0 : rules->priority, job->spec.steps[step].isLongRunning,
@@ -153,6 +161,9 @@
             }
         }
     }
+    // Before the others: a worker that becomes free for a suspect is soon taken again.
+    for (const auto &it : suspects)
+        placeSuspects(pool, it);
     if (waitingSteps.empty())
         return;
     sortWaiting(waitingSteps, m_now);
@@ -244,12 +255,18 @@
     return workers;
 }
 
-auto Steward::takesNewWork(const Worker &worker) const -> bool
+auto Steward::acceptsRuns(const Worker &worker) const -> bool
 {
     return isUsable(worker) && !worker.isDraining && worker.unknownRuns == 0
         && !m_quarantine.isQuarantined(HostName(worker.report.name.value()), m_now);
 }
 
+/// Whether the worker accepts runs of tasks that aren't suspects.
+auto Steward::takesNewWork(const Worker &worker) const -> bool
+{
+    return acceptsRuns(worker) && m_now >= worker.suspectReservedUntil && !hasRunUnderTest(worker);
+}
+
 /// Whether a task fits on a worker that takes new work.
 auto Steward::fits(const Worker &worker, const Task &task) const -> bool
 {
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -18,12 +18,13 @@
     if (worker == nullptr)
         return;
     worker->isPolling = false;
-    worker->failedPolls = 0;
-    worker->lastAnswerAt = m_now;
     if (worker->startedMilliseconds != 0 && event.startedMilliseconds != 0
         && worker->startedMilliseconds != event.startedMilliseconds) {
         handleRestart(*worker);
     }
+    worker->failedPolls = 0;
+    worker->unansweredPolls = 0;
+    worker->lastAnswerAt = m_now;
     if (event.startedMilliseconds != 0)
         worker->startedMilliseconds = event.startedMilliseconds;
     worker->clockMilliseconds = event.clockMilliseconds;
@@ -204,6 +205,8 @@
     if (event.outcome == OrderOutcome::StaleIncarnation)
         handleRestart(*worker);
     ++worker->failedPolls;
+    worker->unansweredPolls =
+        event.outcome == OrderOutcome::Unanswered ? worker->unansweredPolls + 1 : 0;
     const auto backoff =
         std::min(m_settings.resendInterval * worker->failedPolls, m_settings.pollWait);
     worker->nextPoll = m_now + (isUnlisted(*worker) ? m_settings.unlistedRetryInterval : backoff);
@@ -271,7 +274,10 @@
     // The speed of tasks on spare cores depends on the latencies that each poll reports.
     const auto hasSpareCoreRuns =
         std::ranges::any_of(worker.runs, [](const Task *it) { return it->spec().usesSpareCores; });
-    const auto wait = hasSpareCoreRuns ? m_settings.throttledPollWait : m_settings.pollWait;
+    auto wait = hasSpareCoreRuns ? m_settings.throttledPollWait : m_settings.pollWait;
+    // Other tasks wait until a run under test is known to be active.
+    if (hasRunUnderTest(worker))
+        wait = m_settings.testedPollWait;
     m_actions.emplace_back(
         steward_action::PollWorker{worker.report.name, needsLease ? renewLease(worker) : 0,
                                    acknowledged, mayWait ? static_cast<int>(wait.count()) : 0});
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -23,16 +23,24 @@
     Worker *worker = nullptr;
     /// Numbers of the failed runs. Workers may report them in any order, and repeatedly.
     std::vector<std::uint64_t> failedRuns;
+    CrashHistory crashes;
+    /// The change of the job that contains the last crash.
+    std::uint64_t crashChange = 0;
     std::string checkpoint;
     /// The worker of the last failed run; the next run prefers another one.
     WorkerName failedOn;
     BootTime phaseSince;
+    /// When the task was attached to its worker.
+    BootTime attachedAt;
     /// When the last start or stop order was sent.
     BootTime orderedAt;
     /// When the worker last confirmed the run or its stop.
     BootTime confirmedAt;
     /// The start order was sent again because the first one had no answer.
     bool wasStartResent = false;
+    /// The incarnation of the worker that had the run has ended; the run is being stopped on the
+    /// next one.
+    bool isRunLost = false;
     /// A start or stop order has no answer yet.
     bool isOrderPending = false;
     bool isStopConfirmed = false;
@@ -82,6 +90,14 @@
     std::size_t waitingTasks = 0;
 };
 
+/// A step with waiting tasks.
+struct Steward::Candidate
+{
+    Job *job = nullptr;
+    Occurrence *occurrence = nullptr;
+    std::uint32_t step = 0;
+};
+
 struct Steward::Worker
 {
     /// The end of a run, and the change of a job that has to be persisted before the end may be
@@ -103,6 +119,8 @@
 
     WorkerReport report;
     bool isRegistered = true;
+    /// When the present incarnation became known.
+    BootTime firstSeenAt;
     /// This steward has polled the worker successfully, so that the worker knows its token.
     bool isPolled = false;
     Resources used;
@@ -128,8 +146,9 @@
     BootTime busySince;
     /// The worker gets no new work until then because it refused an order.
     BootTime backoffUntil;
-    /// Number of polls in a row that failed.
+    /// Number of polls in a row that failed, and of those that had no answer at all.
     int failedPolls = 0;
+    int unansweredPolls = 0;
     /// Highest sequence number of an end that was applied.
     std::uint64_t lastReceivedEnd = 0;
     /// Highest sequence number of an end that may be acknowledged.
@@ -141,6 +160,8 @@
     BootTime drainingSince;
     /// Until then the worker takes long-running tasks only: runs were preempted for one.
     BootTime reservedUntil;
+    /// Until then the worker takes a suspect only; see CrashHistory.
+    BootTime suspectReservedUntil;
 
     [[nodiscard]] auto freeResources() const -> Resources { return report.capacity - used; }
     [[nodiscard]] auto hasDetachedRuns() const -> bool
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -36,6 +36,8 @@
     if (isNew)
         entry = std::make_unique<Worker>();
     auto &worker = *entry;
+    if (isNew || worker.report.startedMilliseconds != event.report.startedMilliseconds)
+        worker.firstSeenAt = m_now;
     if (!isNew && worker.report.pool != event.report.pool)
         std::erase(m_poolWorkers[worker.report.pool], &worker);
     const auto isMoved = isNew || worker.report.pool != event.report.pool;
@@ -63,8 +65,7 @@
     if (worker == nullptr)
         return;
     m_expectedWorkers.erase(event.worker);
-    const auto isPlanned = event.isPlanned || worker->isDraining || worker->report.isLeaving;
-    reportLostRuns(*worker, isPlanned ? RunLoss::Planned : RunLoss::Ended);
+    handleLostRuns(*worker, event.isPlanned ? RunLoss::Planned : RunLoss::Ended);
     requeueAll(*worker);
     std::erase(m_poolWorkers[worker->report.pool], worker);
     m_workers.erase(event.worker);
@@ -88,6 +89,8 @@
     if (worker.runs.empty())
         worker.busySince = m_now;
     task.worker = &worker;
+    task.attachedAt = m_now;
+    task.isRunLost = false;
     worker.runs.push_back(&task);
     worker.used += task.spec().reservedResources();
     m_teamUsage[task.job->spec.team] += task.spec().resources;
@@ -129,15 +132,29 @@
     worker.leaseEndsAt = m_now;
 }
 
-auto Steward::reportLostRuns(const Worker &worker, RunLoss loss) -> void
+/// Reports the runs that were lost with the worker, and attributes the crash if it was one.
+auto Steward::handleLostRuns(const Worker &worker, RunLoss loss) -> void
 {
-    if (worker.runs.empty())
-        return;
+    const auto isPlanned = worker.isDraining || worker.report.isLeaving;
+    const auto cause = isPlanned ? RunLoss::Planned : loss;
     auto lost = std::vector<LostRun>();
-    for (const auto *task : worker.runs)
-        lost.push_back({task->id(), task->run});
-    m_actions.emplace_back(
-        steward_action::ReportLostRuns{worker.report.name, loss, std::move(lost)});
+    for (auto *task : worker.runs) {
+        if (!task->isRunLost)
+            lost.push_back({task->id(), task->run});
+    }
+    if (!lost.empty())
+        m_actions.emplace_back(
+            steward_action::ReportLostRuns{worker.report.name, cause, std::move(lost)});
+    // A worker that was cut off may have restarted for any reason, and one whose leases expired may
+    // go on. The list of the hosts tells of an end for certain.
+    const auto wasCutOff = worker.unansweredPolls >= MaxFailedPolls;
+    const auto hasCrashed = cause == RunLoss::Ended || (cause == RunLoss::Restarted && !wasCutOff)
+        || (cause == RunLoss::LeaseExpired && !wasCutOff && m_hasHostList
+            && !m_expectedWorkers.contains(worker.report.name));
+    if (hasCrashed)
+        recordCrash(worker);
+    for (auto *task : worker.runs)
+        task->isRunLost = true;
 }
 
 /// Handles the restart of a worker under the same name.
@@ -146,7 +163,8 @@
 /// lease. Runs with such orders are therefore stopped there before they are placed elsewhere.
 auto Steward::handleRestart(Worker &worker) -> void
 {
-    reportLostRuns(worker, RunLoss::Restarted);
+    handleLostRuns(worker, RunLoss::Restarted);
+    worker.firstSeenAt = m_now;
     const auto runs = worker.runs;
     for (auto *task : runs) {
         if (task->phase == TaskPhase::Running) {
@@ -313,7 +331,7 @@
     // busy to poll may have completed its runs well before the lease expired.
     const auto isUnresponsive = worker.failedPolls > 0;
     if (!worker.runs.empty() && m_now >= worker.leaseEndsAt && isUnresponsive) {
-        reportLostRuns(worker, RunLoss::LeaseExpired);
+        handleLostRuns(worker, RunLoss::LeaseExpired);
         requeueAll(worker);
     }
     const auto detachedEndAt = std::max(worker.detachedRunsEndAt, worker.leaseEndsAt);
@@ -321,6 +339,7 @@
         clearDetachedRuns(worker);
     const auto runs = worker.runs;
     for (auto *task : runs) {
+        exonerate(*task);
         if (task->isOrderPending || m_now < task->orderedAt + m_settings.resendInterval)
             continue;
         if (task->phase == TaskPhase::Stopping && !task->isStopConfirmed)
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -66,6 +66,7 @@
     auto perform(const steward_action::SetRunSpeed &action) -> void;
     auto perform(const steward_action::PersistProgress &action) -> void;
     auto perform(const steward_action::ReportLostRuns &action) -> void;
+    auto perform(const steward_action::ReportCrashingTask &action) -> void;
     auto perform(const steward_action::StepDown &action) -> void;
     auto writeProgress() -> void;
     auto progressStored(Expected<std::uint64_t, StoreFailure> reply) -> void;
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -630,6 +630,14 @@
     }
 }
 
+auto StewardDuty::perform(const steward_action::ReportCrashingTask &action) -> void
+{
+    m_context.metrics.count("shallotproxy_crashing_tasks_total", {});
+    m_context.log.info("event=task-given-up job={} occurrence={} step={} task={} crashes={}",
+                       action.task.job, action.task.occurrence, action.task.step, action.task.index,
+                       action.crashes);
+}
+
 auto StewardDuty::perform(const steward_action::StepDown &action) -> void
 {
     superseded(action.worker.value());
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -228,6 +228,17 @@
     return it == m_crashes.end() ? 0 : it->second;
 }
 
+auto FakeFleet::recordedCrashes(const std::string &job) const -> std::size_t
+{
+    auto count = std::size_t{0};
+    const auto it = m_persisted.find(job);
+    if (it == m_persisted.end())
+        return count;
+    for (const auto &task : it->second.progress.tasks)
+        count += task.crashedRuns.size();
+    return count;
+}
+
 auto FakeFleet::endWorkers(const std::vector<int> &workers) -> void
 {
     auto ended = std::vector<WorkerName>();
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -74,6 +74,8 @@
     /// Whether a run of the task ends its worker, and how long after its start.
     std::function<bool(const JobTaskId &)> crashesWorker = [](const auto &) { return false; };
     Duration crashDelay = 0ms;
+    /// Number of crashes of workers that the persisted record of the job holds against its tasks.
+    [[nodiscard]] auto recordedCrashes(const std::string &job) const -> std::size_t;
     /// Workers that the task has ended.
     [[nodiscard]] auto crashes(const JobTaskId &task) const -> std::uint32_t;
 
@@ -127,6 +129,7 @@
     auto perform(std::size_t, const steward_action::SetRunSpeed &) -> void { }
     auto perform(std::size_t steward, const steward_action::PersistProgress &action) -> void;
     auto perform(std::size_t, const steward_action::ReportLostRuns &) -> void { }
+    auto perform(std::size_t, const steward_action::ReportCrashingTask &) -> void { }
     auto perform(std::size_t steward, const steward_action::StepDown &) -> void;
     auto applyStart(FakeWorker &worker, std::uint64_t token, const steward_action::StartRun &order)
         -> OrderOutcome;
--- /dev/null
+++ b/tests/unit/unit-crash-history.cpp
@@ -0,0 +1,68 @@
+#include <gtest/gtest.h>
+
+#include "shallotproxy/job/crash_history.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using Evidence = std::vector<std::optional<CrashEvidence>>;
+
+constexpr auto Established = RunAtCrash{false, true, false};
+constexpr auto Starting = RunAtCrash{false, false, false};
+constexpr auto Suspect = RunAtCrash{true, true, false};
+constexpr auto Tested = RunAtCrash{true, false, true};
+
+TEST(CrashAttribution, HoldsACrashAgainstTheRunsThatHadJustStarted)
+{
+    EXPECT_EQ(attributeCrash(std::vector{Established, Starting, Starting}),
+              (Evidence{CrashEvidence::Beside, CrashEvidence::Likely, CrashEvidence::Likely}));
+    EXPECT_EQ(attributeCrash(std::vector{Established, Starting}),
+              (Evidence{CrashEvidence::Beside, CrashEvidence::Likely}));
+}
+
+TEST(CrashAttribution, HoldsACrashAgainstTheTestedRunAlone)
+{
+    EXPECT_EQ(attributeCrash(std::vector{Established, Tested, Suspect}),
+              (Evidence{std::nullopt, CrashEvidence::Sole, std::nullopt}));
+}
+
+TEST(CrashAttribution, SuspectsEveryRunIfNoneIsMoreLikely)
+{
+    EXPECT_EQ(attributeCrash(std::vector{Established, Established}),
+              (Evidence{CrashEvidence::Beside, CrashEvidence::Beside}));
+    EXPECT_EQ(attributeCrash(std::vector{Established}), Evidence{CrashEvidence::Beside});
+    EXPECT_EQ(attributeCrash(std::vector{Established, Suspect}),
+              (Evidence{CrashEvidence::Beside, CrashEvidence::Likely}));
+    EXPECT_EQ(attributeCrash(std::vector{Tested, Tested}),
+              (Evidence{CrashEvidence::Likely, CrashEvidence::Likely}));
+    EXPECT_EQ(attributeCrash({}), Evidence());
+}
+
+TEST(CrashHistory, SuspectsATaskAfterOneLikelyCrashOrTwoBesideOthers)
+{
+    auto history = CrashHistory();
+    EXPECT_TRUE(history.add(1, CrashEvidence::Beside));
+    EXPECT_FALSE(history.isSuspect());
+    EXPECT_FALSE(history.add(1, CrashEvidence::Likely)); // the same crash, reported again
+    EXPECT_FALSE(history.isSuspect());
+    EXPECT_TRUE(history.add(2, CrashEvidence::Beside));
+    EXPECT_TRUE(history.isSuspect());
+    EXPECT_TRUE(history.needsIsolation());
+    EXPECT_TRUE(history.remove(2));
+    EXPECT_FALSE(history.isSuspect());
+    history.add(3, CrashEvidence::Likely);
+    EXPECT_TRUE(history.isSuspect());
+}
+
+TEST(CrashHistory, BlamesNoTaskForCrashesBesideOthers)
+{
+    auto history = CrashHistory();
+    for (std::uint64_t run = 0; run < 20; ++run)
+        history.add(run, run % 2 == 0 ? CrashEvidence::Beside : CrashEvidence::Likely);
+    EXPECT_FALSE(history.isCause());
+}
+
+} // namespace
+
+} // namespace shallotproxy
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -91,6 +91,73 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// The workers of a data centre end at once, several times; their hosts are back after seconds.
+TEST(CrashingTasks, AreNotSuspectedWhenADataCentreIsLost)
+{
+    auto fleet = FakeFleet(8);
+    for (auto n = 0; n < 4; ++n)
+        fleet.setDataCentre(n, "south");
+    fleet.runTime = 4s;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(8)));
+    for (auto n = 0; n < 3; ++n) {
+        fleet.addJob(test::oneStepJob("short-" + std::to_string(n), test::shortStep(24)));
+        fleet.run(3s);
+        fleet.endWorkers({0, 1, 2, 3});
+        fleet.run(5s);
+        EXPECT_EQ(fleet.recordedCrashes("long"), 0U);
+        EXPECT_EQ(fleet.recordedCrashes("short-" + std::to_string(n)), 0U);
+    }
+    fleet.run(20s);
+    EXPECT_EQ(fleet.activeRuns("long"), 8U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// A worker that was cut off restarts under its name while it can't be reached.
+TEST(CrashingTasks, AreNotSuspectedWhenAWorkerRestartsBehindACut)
+{
+    auto fleet = FakeFleet(3);
+    fleet.runTime = 20s;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("job", test::shortStep(3)));
+    for (auto n = 0; n < 3; ++n) {
+        fleet.run(2s);
+        for (auto worker = 0; worker < 3; ++worker)
+            fleet.makeUnresponsive(worker, 2500ms);
+        fleet.run(2s);
+        for (auto worker = 0; worker < 3; ++worker)
+            fleet.restartWorker(worker);
+        fleet.run(2s);
+        EXPECT_EQ(fleet.recordedCrashes("job"), 0U);
+    }
+    fleet.run(40s);
+    EXPECT_EQ(fleet.outcome("job"), JobOutcome::Completed);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// Only the task that crashes the workers is blamed, however many run beside it each time.
+TEST(CrashingTasks, AreToldFromTheTasksBesideThem)
+{
+    auto fleet = FakeFleet(6);
+    fleet.runTime = 700ms;
+    fleet.crashDelay = 10ms;
+    fleet.crashesWorker = [](const JobTaskId &task) {
+        return task.job.starts_with("crashing") && task.index == 0;
+    };
+    fleet.addSteward();
+    for (auto n = 0; n < 6; ++n) {
+        fleet.addJob(test::oneStepJob("crashing-" + std::to_string(n), test::shortStep(3)));
+        fleet.addJob(test::oneStepJob("beside-" + std::to_string(n), test::shortStep(20)));
+        fleet.run(1s);
+    }
+    fleet.run(60s);
+    for (auto n = 0; n < 6; ++n) {
+        EXPECT_EQ(fleet.outcome("crashing-" + std::to_string(n)), JobOutcome::Failed);
+        EXPECT_EQ(fleet.outcome("beside-" + std::to_string(n)), JobOutcome::Completed);
+    }
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 } // namespace
 
 } // namespace shallotproxy
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -573,7 +573,7 @@
     EXPECT_EQ(decoded->payload, spec.payload);
     EXPECT_EQ(decoded->steps[1].resources, spec.steps[1].resources);
     auto progress = JobProgress();
-    progress.tasks.push_back({0, 1, 2, false, {3, 4}, "c"});
+    progress.tasks.push_back({0, 1, 2, false, {3, 4}, "c", {{5, 1}}});
     const auto read = decodeProgress(encodeProgress(progress));
     ASSERT_TRUE(read.has_value());
     EXPECT_EQ(read->tasks.front().failedRuns, (std::vector<std::uint64_t>{3, 4}));
