Give up a request under which two targets have failed

Same class of fault as the crashing tasks, found by looking for it elsewhere: an idempotent request whose target closed the connection was sent to target after target, until its deadline or the end of the budget of retries, and each crash ended the requests beside it. Non-idempotent ones run once anyway. A silent connection is no fault of its target and doesn't count.

--- a/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
+++ b/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
@@ -175,6 +175,7 @@
         bool isRunning = false;
         bool mayHaveRun = false;
         unsigned attempts = 0;
+        unsigned targetFaults = 0; // Attempts that ended with a fault of the target.
         BootTime retryAt;
         HostName host; // Target of the current or last attempt.
     };
--- a/packages/request/include/shallotproxy/request/task/task_record.hpp
+++ b/packages/request/include/shallotproxy/request/task/task_record.hpp
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "shallotproxy/job/crash_history.hpp"
 #include "shallotproxy/process/base/names.hpp"
 #include "shallotproxy/process/store/store_types.hpp"
 
@@ -54,9 +56,10 @@
     std::int64_t submittedMilliseconds = 0; // Wall clock.
     std::int64_t endedMilliseconds = 0;
     std::string writer; // Identifies the write, so that it is recognised if its answer was lost.
+    std::vector<CrashedRun> crashedRuns; // See CrashHistory.
     MSGPACK_DEFINE(id, pool, team, kind, declared, expectedSeconds, isUrgent, state, host, epoch,
                    failedOn, progress, failures, checkpoints, submittedMilliseconds,
-                   endedMilliseconds, writer)
+                   endedMilliseconds, writer, crashedRuns)
 };
 
 /// A record with the revision at which it was read or written.
--- a/packages/request/include/shallotproxy/request/task/task_scheduler.hpp
+++ b/packages/request/include/shallotproxy/request/task/task_scheduler.hpp
@@ -138,6 +138,8 @@
         double peakCores = 0;
         double peakMemoryBytes = 0;
         bool isSizeSampled = false; // The size estimator has observed this run.
+        std::uint32_t startOrders = 0; // Sent for the current run.
+        BootTime activeSince; // When the worker first reported the run as running; unset before.
     };
 
     struct Worker
@@ -162,6 +164,15 @@
     auto applyReport(Task &task, const RunReport &report) -> void;
     auto applyRunEnd(Task &task, const RunReport &report) -> void;
     auto applyRunFailure(Task &task) -> void;
+    auto applyLostRuns(const WorkerReported &event, const Worker &worker) -> void;
+    auto placeSuspects() -> void;
+    auto placeSuspect(Task &task) -> void;
+    auto placeOn(Task &task, const HostName &host) -> void;
+    [[nodiscard]] auto isLost(const Task &task, const RunReport &report) const -> bool;
+    [[nodiscard]] static auto isOnWorker(const Task &task) -> bool;
+    [[nodiscard]] auto isUnderTest(const Task &task) const -> bool;
+    [[nodiscard]] auto isCurrentRun(const Task &task, const HostName &host, const RunId &run) const
+        -> bool;
     auto requeue(Task &task) -> void;
     auto enqueueWrite(Task &task, TaskRecord record) -> void;
     auto startRun(Task &task) -> void;
@@ -185,6 +196,8 @@
     std::map<TeamName, std::uint32_t> m_units;
     SizeEstimator m_sizes;
     Quarantine m_quarantine;
+    HostName m_reservedWorker; // Gets no other tasks until a suspect has started there.
+    BootTime m_reservedUntil;
     std::vector<TaskWrite> m_writes;
     std::vector<TaskWrite> m_inFlight;
     std::size_t m_batchSize = 1;
--- a/packages/request/src/dispatcher.cpp
+++ b/packages/request/src/dispatcher.cpp
@@ -14,6 +14,9 @@
 constexpr std::uint32_t FaultsToEject = 3; // Consecutive faults.
 constexpr Duration EjectionTime = 5s;
 constexpr std::uint32_t MaxEjectionDoublings = 3;
+/// A request isn't sent to a further target after this many have failed under it: it may be what
+/// crashes them, and each crash ends the requests beside it.
+constexpr unsigned MaxTargetFaults = 2;
 /// A run is assumed to need at most the queue's deadline divided by this.
 constexpr int MaxNeededDivisor = 2;
 constexpr std::size_t MaxEjectedDivisor = 2; // At most one in two targets of a pool is ejected.
@@ -119,14 +122,17 @@
     if (it == m_requests.end() || !it->second.isRunning)
         return;
     auto &request = it->second;
-    if (event.isTargetFault)
+    if (event.isTargetFault) {
         recordFault(m_targets[request.host]);
+        ++request.targetFaults;
+    }
     // The target may still be running the request, so it counts against the team's limits until it
     // must have ended.
     releaseTarget(request);
     m_unconfirmed.emplace(latestEnd(request), PoolTeam{request.pool, request.team});
     request.mayHaveRun = true;
-    const auto mayRetry = request.isIdempotent && !m_isDraining && m_now < request.deadline;
+    const auto mayRetry = request.isIdempotent && !m_isDraining && m_now < request.deadline
+        && request.targetFaults < MaxTargetFaults;
     if (mayRetry && m_retries.withdraw()) {
         retry(event.number, request);
         return;
--- a/packages/request/src/task/task_scheduler.cpp
+++ b/packages/request/src/task/task_scheduler.cpp
@@ -16,6 +16,17 @@
 constexpr Duration LeaseRenewalInterval = 2s;
 constexpr Duration OrderRetryInterval = 2s; // Before an order without an answer is sent again.
 constexpr std::uint32_t MaxFailures = 3;
+/// A run that its worker doesn't know after this many start orders has crashed the worker: a single
+/// order may have been lost.
+constexpr std::uint32_t MaxStartOrders = 2;
+/// A run that has been active for this long has not crashed its worker at its start.
+constexpr Duration EstablishTime = 6s;
+/// After the second crash of its task, nothing is started beside a run for this long.
+constexpr Duration IsolationTime = 30s;
+/// At most one in this many workers is kept for suspects.
+constexpr std::int64_t WorkersPerSuspect = 4;
+/// A worker is kept free for a suspect for at most this long.
+constexpr Duration SuspectReservation = 60s;
 /// A run is sampled again when its usage exceeds its earlier peak by this factor.
 constexpr double PeakGrowthFactor = 1.1;
 constexpr std::size_t MaxWriteBatch = 32; // Records written in one transaction.
@@ -54,8 +65,11 @@
         present.insert(it.record.id);
         auto [entry, isNew] = m_tasks.try_emplace(it.record.id);
         auto &task = entry->second;
-        if (isNew)
+        if (isNew) {
             task.firstSeen = m_now;
+            // The previous steward sent the order after it had placed the task.
+            task.startOrders = it.record.state == TaskState::Placed ? 1 : 0;
+        }
         if (task.isWriting)
             continue;
         // A read that is older than the known version changes nothing.
@@ -100,15 +114,75 @@
         return;
     worker->second.lastReplyAt = m_now;
     worker->second.hasAnswered = true;
+    applyLostRuns(event, worker->second);
     for (const auto &it : event.runs) {
         const auto entry = m_tasks.find(it.run.task);
-        if (entry == m_tasks.end())
+        if (entry != m_tasks.end() && isCurrentRun(entry->second, event.host, it.run))
+            applyReport(entry->second, it);
+    }
+}
+
+/// Whether the run is the one that the task's record refers to, and the record isn't being written.
+auto TaskScheduler::isCurrentRun(const Task &task, const HostName &host, const RunId &run) const
+    -> bool
+{
+    return task.version.record.host == host && run.epoch == task.version.runEpoch()
+        && !task.isWriting && !task.isUnconfirmed;
+}
+
+/// Whether the worker has restarted since it got the run.
+auto TaskScheduler::isLost(const Task &task, const RunReport &report) const -> bool
+{
+    const auto wasStarted = task.activeSince != BootTime() || task.startOrders >= MaxStartOrders;
+    return report.state == RunState::Unknown && task.version.record.state == TaskState::Placed
+        && wasStarted && m_now - task.lastOrderAt >= OrderRetryInterval;
+}
+
+auto TaskScheduler::isOnWorker(const Task &task) -> bool
+{
+    const auto state = task.version.record.state;
+    return state == TaskState::Placed || state == TaskState::Cancelling;
+}
+
+/// Whether nothing else may start beside the run of the task.
+auto TaskScheduler::isUnderTest(const Task &task) const -> bool
+{
+    const auto history = CrashHistory(task.version.record.crashedRuns);
+    const auto testTime = history.needsIsolation() ? IsolationTime : EstablishTime;
+    return history.isSuspect()
+        && (task.activeSince == BootTime() || m_now < task.activeSince + testTime);
+}
+
+/// Attributes the restart of a worker to the runs that were lost there, and requeues their tasks. A
+/// task that crashes its workers has failed.
+auto TaskScheduler::applyLostRuns(const WorkerReported &event, const Worker &worker) -> void
+{
+    auto lost = std::vector<Task *>();
+    auto runs = std::vector<RunAtCrash>();
+    for (const auto &it : event.runs) {
+        const auto entry = m_tasks.find(it.run.task);
+        if (entry == m_tasks.end() || !isCurrentRun(entry->second, event.host, it.run)
+            || !isLost(entry->second, it))
             continue;
         auto &task = entry->second;
-        const auto &record = task.version.record;
-        const auto isOurs = record.host == event.host && it.run.epoch == task.version.runEpoch();
-        if (isOurs && !task.isWriting && !task.isUnconfirmed)
-            applyReport(task, it);
+        const auto isActive = task.activeSince != BootTime();
+        lost.push_back(&task);
+        runs.push_back({CrashHistory(task.version.record.crashedRuns).isSuspect(),
+                        isActive && m_now >= task.activeSince + EstablishTime, isUnderTest(task)});
+    }
+    const auto evidence = attributeCrash(runs);
+    for (std::size_t n = 0; n < lost.size(); ++n) {
+        auto record = lost[n]->version.record;
+        auto history = CrashHistory(record.crashedRuns);
+        // A worker that is out of service was rebooted on purpose.
+        if (evidence[n] && worker.capacity.acceptsWork)
+            history.add(lost[n]->version.runEpoch(), *evidence[n]);
+        record.crashedRuns = history.runs();
+        record.failedOn = event.host;
+        record.state = history.isCause() ? TaskState::Failed : TaskState::Waiting;
+        record.host = HostName();
+        record.epoch = 0;
+        enqueueWrite(*lost[n], std::move(record));
     }
 }
 
@@ -120,6 +194,8 @@
         return;
     updateSizeEstimate(task, report);
     if (report.state == RunState::Running) {
+        if (task.activeSince == BootTime())
+            task.activeSince = m_now;
         if (record.state == TaskState::Cancelling && m_now - task.lastOrderAt >= OrderRetryInterval)
             orderRun(task, RunOrder::Stop);
         return;
@@ -259,6 +335,8 @@
             task.peakCores = 0;
             task.peakMemoryBytes = 0;
             task.isSizeSampled = false;
+            task.startOrders = 0;
+            task.activeSince = {};
             startRun(task);
         }
     }
@@ -273,6 +351,7 @@
     endExpiredRuns();
     orderRunsOff();
     limitWorkerOveruse();
+    placeSuspects();
     placeWaiting();
 }
 
@@ -284,6 +363,7 @@
         return;
     worker->second.lastRenewedAt = m_now;
     task.lastOrderAt = m_now;
+    ++task.startOrders;
     m_actions.emplace_back(StartRun{record.host, record, task.version.runEpoch()});
 }
 
@@ -329,9 +409,7 @@
 {
     for (auto &[id, task] : m_tasks) {
         const auto &record = task.version.record;
-        const auto isOnWorker =
-            record.state == TaskState::Placed || record.state == TaskState::Cancelling;
-        if (!isOnWorker || task.isWriting || task.isUnconfirmed)
+        if (!isOnWorker(task) || task.isWriting || task.isUnconfirmed)
             continue;
         const auto worker = m_workers.find(record.host);
         const auto lastRenewedAt =
@@ -408,14 +486,22 @@
     return maxCapacity;
 }
 
-/// Returns all workers; those that are unreachable or in quarantine accept no work.
+/// Returns all workers; those that are unreachable, in quarantine, or kept for a suspect accept no
+/// work.
 auto TaskScheduler::usableWorkers() const -> std::vector<WorkerCapacity>
 {
+    auto keptWorkers = std::set<HostName>();
+    if (m_now < m_reservedUntil)
+        keptWorkers.insert(m_reservedWorker);
+    for (const auto &[id, task] : m_tasks) {
+        if (isOnWorker(task) && isUnderTest(task))
+            keptWorkers.insert(task.version.record.host);
+    }
     auto workers = std::vector<WorkerCapacity>();
     for (const auto &[name, worker] : m_workers) {
         auto capacity = worker.capacity;
-        capacity.acceptsWork =
-            capacity.acceptsWork && isReachable(worker) && !m_quarantine.isQuarantined(name, m_now);
+        capacity.acceptsWork = capacity.acceptsWork && isReachable(worker)
+            && !m_quarantine.isQuarantined(name, m_now) && !keptWorkers.contains(name);
         workers.push_back(std::move(capacity));
     }
     return workers;
@@ -452,7 +538,8 @@
     auto waiting = std::vector<WaitingTask>();
     for (const auto &[id, task] : m_tasks) {
         const auto &record = task.version.record;
-        if (record.state != TaskState::Waiting || task.isWriting || task.isUnconfirmed)
+        if (record.state != TaskState::Waiting || task.isWriting || task.isUnconfirmed
+            || CrashHistory(record.crashedRuns).isSuspect())
             continue;
         waiting.push_back({id, record.team, m_sizes.estimate(record, maxCapacity), record.isUrgent,
                            seconds(m_now - task.firstSeen), record.failedOn});
@@ -466,6 +553,74 @@
     return waiting;
 }
 
+auto TaskScheduler::placeOn(Task &task, const HostName &host) -> void
+{
+    auto record = task.version.record;
+    record.state = TaskState::Placed;
+    record.host = host;
+    record.epoch = 0;
+    enqueueWrite(task, std::move(record));
+}
+
+/// Places waiting suspects until so many are under test that the others would lack workers.
+auto TaskScheduler::placeSuspects() -> void
+{
+    auto tested = std::ranges::count_if(m_tasks, [this](const auto &it) {
+        return isOnWorker(it.second) && isUnderTest(it.second);
+    });
+    const auto maxTested =
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(m_workers.size()) / WorkersPerSuspect);
+    for (auto &[id, task] : m_tasks) {
+        const auto isWaiting = task.version.record.state == TaskState::Waiting && !task.isWriting
+            && !task.isUnconfirmed;
+        if (!isWaiting || !CrashHistory(task.version.record.crashedRuns).isSuspect())
+            continue;
+        if (tested >= maxTested)
+            return;
+        placeSuspect(task);
+        ++tested;
+    }
+}
+
+/// Places the suspect on a worker without other tasks; if there is none, keeps new tasks off the
+/// one with the fewest.
+auto TaskScheduler::placeSuspect(Task &task) -> void
+{
+    const auto placed = placedTasks();
+    const auto &record = task.version.record;
+    const auto units = m_units.find(record.team);
+    const auto usedByTeam = std::ranges::count(placed, record.team, &PlacedTask::team);
+    if (units != m_units.end() && usedByTeam >= std::int64_t{units->second})
+        return;
+    const auto isReserved = m_now < m_reservedUntil;
+    const auto demand = m_sizes.estimate(record, maxWorkerCapacity());
+    const WorkerCapacity *best = nullptr;
+    auto bestCount = std::ptrdiff_t{0};
+    const auto workers = usableWorkers();
+    for (const auto &it : workers) {
+        const auto isOpen = it.acceptsWork || (isReserved && it.host == m_reservedWorker);
+        const auto isStarting = std::ranges::any_of(
+            m_writes, [&it](const TaskWrite &write) { return write.record.host == it.host; });
+        if (!isOpen || isStarting || !fitsInto(demand, it.capacity))
+            continue;
+        const auto count = std::ranges::count(placed, it.host, &PlacedTask::host);
+        if (best == nullptr || count < bestCount) {
+            best = &it;
+            bestCount = count;
+        }
+    }
+    if (best == nullptr)
+        return;
+    if (bestCount == 0) {
+        if (best->host == m_reservedWorker)
+            m_reservedUntil = m_now;
+        placeOn(task, best->host);
+    } else if (!isReserved) {
+        m_reservedWorker = best->host;
+        m_reservedUntil = m_now + SuspectReservation;
+    }
+}
+
 /// Places waiting tasks within the limits of their teams, and orders the checkpoints that make
 /// resources available for urgent ones.
 auto TaskScheduler::placeWaiting() -> void
@@ -481,15 +636,12 @@
     const auto decision = choosePlacements(workers, placed, waiting);
     for (const auto &it : decision.starts) {
         auto &task = m_tasks.at(it.task);
-        auto record = task.version.record;
+        const auto &record = task.version.record;
         const auto units = m_units.find(record.team);
         if (units != m_units.end() && used[record.team] >= units->second)
             continue;
         ++used[record.team];
-        record.state = TaskState::Placed;
-        record.host = it.host;
-        record.epoch = 0;
-        enqueueWrite(task, std::move(record));
+        placeOn(task, it.host);
     }
     for (const auto &it : decision.checkpoints) {
         auto &task = m_tasks.at(it);
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -393,6 +393,38 @@
     EXPECT_NE(*first, *second);
 }
 
+// A request that crashes its targets would end the requests beside it on target after target.
+TEST(Dispatcher, GivesUpARequestUnderWhichTwoTargetsHaveFailed)
+{
+    auto unlimited = UnlimitedDispatcher(makeConfiguration());
+    // Fills the budget of retries.
+    for (auto i = 0; i < 100; ++i) {
+        unlimited.arrive("quotes");
+        unlimited.step(RequestFinished{unlimited.lastNumber, false});
+    }
+    unlimited.arrive("quotes");
+    EXPECT_TRUE(startedOn(unlimited.step(RequestFailed{unlimited.lastNumber, true})));
+    const auto actions = unlimited.step(RequestFailed{unlimited.lastNumber, true});
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<AbandonRequest>(actions[0]));
+}
+
+// A connection that went silent is no evidence that the request crashed its target.
+TEST(Dispatcher, RetriesARequestWhoseConnectionsWereUnresponsive)
+{
+    auto unlimited = UnlimitedDispatcher(makeConfiguration());
+    for (auto i = 0; i < 100; ++i) {
+        unlimited.arrive("quotes");
+        unlimited.step(RequestFinished{unlimited.lastNumber, false});
+    }
+    unlimited.arrive("quotes", 60s);
+    for (auto i = 0; i < 3; ++i) {
+        unlimited.step(RequestFailed{unlimited.lastNumber, false});
+        unlimited.now += 2s;
+        EXPECT_TRUE(startedOn(unlimited.step(DispatchTick())) || i == 0);
+    }
+}
+
 TEST(Dispatcher, NeverRetriesANonIdempotentRequestThatMayHaveRun)
 {
     auto unlimited = UnlimitedDispatcher(makeConfiguration());
