--- a/tests/unit/unit-tasks.cpp
+++ b/tests/unit/unit-tasks.cpp
@@ -419,6 +419,124 @@
     EXPECT_TRUE(isOrdered);
 }
 
+/// One scheduler and workers that a task restarts each time it starts there.
+class CrashingTaskWorld
+{
+public:
+    CrashingTaskWorld()
+    {
+        auto capacities = std::vector<WorkerCapacity>();
+        for (auto i = 0; i < 4; ++i)
+            capacities.push_back({hostName(i), DataCentreName("north"), {8, 8 * GiB, 0}, true});
+        for (auto i = 0; i < 6; ++i) {
+            auto record = TaskRecord();
+            record.id = TaskId("main." + std::to_string(i));
+            record.pool = PoolName("main");
+            record.team = TeamName("red");
+            record.declared = {2, GiB, 0};
+            records.put(std::move(record));
+        }
+        m_capacities = capacities;
+        startNewSteward();
+    }
+
+    auto startNewSteward() -> void
+    {
+        m_scheduler = std::make_unique<TaskScheduler>(m_now);
+        m_scheduler->step(WorkersChanged{m_capacities}, m_now);
+    }
+
+    auto run(Duration time) -> void
+    {
+        for (const auto end = m_now + time; m_now < end; m_now += TickStep) {
+            for (auto &[host, task] : std::exchange(m_crashes, {}))
+                workers[host] = Workers();
+            step(TasksRead{records.all(), m_now});
+            step(SchedulerTick());
+        }
+    }
+
+    Records records;
+    std::map<HostName, Workers> workers;
+    TaskId crashingTask = TaskId("main.0");
+    int crashes = 0;
+
+private:
+    auto step(const SchedulerEvent &event) -> void
+    {
+        for (const auto &it : m_scheduler->step(event, m_now))
+            std::visit([this](const auto &action) { perform(action); }, it);
+    }
+
+    auto perform(const WriteTasks &order) -> void
+    {
+        auto answer = TasksWritten();
+        for (const auto &it : order.writes)
+            answer.tasks.push_back(it.record.id);
+        answer.revision = records.write(order);
+        step(answer);
+    }
+
+    auto perform(const StartRun &order) -> void
+    {
+        auto run = workers[order.host].start(order, m_now);
+        if (order.record.id == crashingTask) {
+            // The worker restarts before it answers.
+            m_crashes.emplace(order.host, crashingTask);
+            ++crashes;
+        } else {
+            step(WorkerReported{order.host, {run}});
+        }
+    }
+
+    auto perform(const OrderRun &order) -> void
+    {
+        step(WorkerReported{order.host, {workers[order.host].order(order, m_now)}});
+    }
+
+    auto perform(const RenewRuns &order) -> void
+    {
+        if (!m_crashes.contains(order.host))
+            step(WorkerReported{order.host, workers[order.host].renew(order, m_now)});
+    }
+
+    auto perform(const ReadTasks &) -> void { }
+
+    BootTime m_now = BootTime(1h);
+    std::vector<WorkerCapacity> m_capacities;
+    std::unique_ptr<TaskScheduler> m_scheduler;
+    std::map<HostName, TaskId> m_crashes;
+};
+
+// A task crashed worker after worker; the tasks beside it have to end as usual.
+TEST(Tasks, AreGivenUpIfTheyCrashTheirWorkers)
+{
+    auto world = CrashingTaskWorld();
+    world.run(600s);
+    EXPECT_TRUE(world.records.all().empty());
+    ASSERT_EQ(world.records.ended.size(), 6U);
+    for (const auto &[id, record] : world.records.ended)
+        EXPECT_EQ(record.state, id == world.crashingTask ? TaskState::Failed : TaskState::Done);
+    EXPECT_LE(world.crashes, 5);
+}
+
+// The crashes that are held against a task outlive the steward.
+TEST(Tasks, AreGivenUpAcrossStewardsIfTheyCrashTheirWorkers)
+{
+    auto world = CrashingTaskWorld();
+    auto seen = 0;
+    for (auto i = 0; i < 600; ++i) {
+        world.run(1s);
+        if (world.crashes == seen || i % 10 != 0)
+            continue;
+        seen = world.crashes;
+        world.startNewSteward();
+    }
+    ASSERT_EQ(world.records.ended.size(), 6U);
+    EXPECT_EQ(world.records.ended.at(world.crashingTask).state, TaskState::Failed);
+    EXPECT_LE(world.crashes, 5);
+}
+
 } // namespace
 
 } // namespace shallotproxy
