Send no start again to a worker whose capacity has shrunk

A worker may report a smaller capacity while it runs. Placement already goes by the newest report; a start order without an answer was sent again regardless, and as the first order may have been lost, the repeated one could bring a worker that doesn't guard its capacity over it. Such a run is stopped. Evidence: Steward.SendsNoStartAgainAfterTheCapacityHasShrunk failed before and passes; Steward.StartsNothingOverACapacityThatHasShrunk passes on both.

--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -346,8 +346,11 @@
             sendStop(*task);
         if (task->phase != TaskPhase::Starting)
             continue;
-        // Sending the same order again is idempotent: the worker starts a run number only once.
-        if (isReachable(worker) && !worker.isDraining && task->job->outcome == JobOutcome::Open) {
+        // Sending the same order again is idempotent: the worker starts a run number only once. It
+        // may be the first one to arrive, after the worker's capacity has shrunk.
+        const auto fitsStill = worker.report.capacity.covers(worker.used);
+        if (isReachable(worker) && !worker.isDraining && fitsStill
+            && task->job->outcome == JobOutcome::Open) {
             task->wasStartResent = true;
             sendStart(*task);
         } else
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -288,6 +288,52 @@
     EXPECT_EQ(single.steward.record("job")->progress.state(), JobOutcome::Completed);
 }
 
+/// Returns the registration of the first worker with room for so many short tasks.
+auto reportWithRoomFor(int tasks) -> steward_event::WorkerReported
+{
+    auto report = test::workerReport(0);
+    report.capacity = {tasks * 1'000, tasks * 500, 0};
+    return {report};
+}
+
+TEST(Steward, StartsNothingOverACapacityThatHasShrunk)
+{
+    auto single = SingleWorker(test::shortStep(12));
+    single.steward.expectWorkers({test::workerName(0)});
+    const auto countStarts = [](const Steward::Actions &actions) {
+        return std::ranges::count_if(actions, [](const StewardAction &it) {
+            return std::holds_alternative<steward_action::StartRun>(it);
+        });
+    };
+    EXPECT_EQ(countStarts(single.poll({}, {})), 8);
+    single.step(reportWithRoomFor(4));
+    // Two of the eight runs end, the others fill more than the capacity.
+    auto active = std::vector<ActiveRun>();
+    for (std::uint32_t n = 2; n < 8; ++n)
+        active.push_back({{"job", 0, 0, n}, 7'001, {}, 10, 0});
+    single.now += 20ms;
+    EXPECT_EQ(countStarts(single.poll(active,
+                                      {{1, {"job", 0, 0, 0}, 7'001, RunEnd::Done, {}},
+                                       {2, {"job", 0, 0, 1}, 7'001, RunEnd::Done, {}}})),
+              0);
+    EXPECT_EQ(countStarts(single.step(reportWithRoomFor(8))), 2);
+}
+
+// A lost start order would bring the worker over its capacity if it were sent again.
+TEST(Steward, SendsNoStartAgainAfterTheCapacityHasShrunk)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    ASSERT_NE(run, 0U);
+    single.now += 500ms;
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Unanswered, 0});
+    single.step(reportWithRoomFor(0));
+    const auto actions = single.tick(400ms);
+    EXPECT_EQ(firstOf<steward_action::StartRun>(actions), nullptr);
+    EXPECT_NE(firstOf<steward_action::StopRun>(actions), nullptr);
+}
+
 // The repeated start order arrives after the run, which a poll has listed meanwhile, has ended.
 TEST(Steward, WaitsForTheEndOfAListedRunRefusedAsStale)
 {
