Don't time out early while a target works

Callers saw: an answer that came within the last twentieth of the time that its caller had granted was given up, and the caller was told that the outcome is unknown. Cause: the timer that waits for the answer was a coarse one, which may fire 5 % early. The stand-in's own coarse timer, up to 5 % late, took part. Evidence: TargetConnection.DoesNotTimeOutEarly failed before (fired after 3,800 of 4,000 ms) and passes.

--- a/packages/connection/src/target_connection.cpp
+++ b/packages/connection/src/target_connection.cpp
@@ -36,6 +36,8 @@
     , m_bounds(bounds)
 {
     m_responseTimer.setSingleShot(true);
+    // A coarse timer may fire early by 5 % of its time.
+    m_responseTimer.setTimerType(Qt::PreciseTimer);
     connect(&m_socket, &QTcpSocket::connected, this, [this] {
         m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
         write();
--- a/standins/target_server.cpp
+++ b/standins/target_server.cpp
@@ -100,7 +100,7 @@
     const auto extraMilliseconds = m_fault == TargetFault::Late ? m_lateMilliseconds : 0;
     const auto failsFast = m_fault == TargetFault::FailFast;
     const auto delayMilliseconds = failsFast ? 0 : workMilliseconds(request) + extraMilliseconds;
-    QTimer::singleShot(delayMilliseconds, this,
+    QTimer::singleShot(delayMilliseconds, Qt::PreciseTimer, this,
                        [this, client, request] { answer(client, request); });
 }
 
--- a/tests/unit/unit-http-target.cpp
+++ b/tests/unit/unit-http-target.cpp
@@ -212,6 +212,31 @@
     EXPECT_EQ(calls, 0);
 }
 
+// Answers late in the time that the caller grants were lost to a timer that fired early.
+TEST(TargetConnection, DoesNotTimeOutEarly)
+{
+    constexpr auto TimeoutMilliseconds = 4'000;
+    constexpr auto ToleranceMilliseconds = 5;
+    constexpr auto OffsetMilliseconds = 70;
+    constexpr auto Connections = 8;
+    auto target = FakeTarget([](QTcpSocket & /*socket*/, int) {});
+    auto connections = std::vector<std::unique_ptr<TargetConnection>>();
+    auto waited = std::vector<std::int64_t>();
+    for (auto n = 0; n < Connections; ++n) {
+        connections.push_back(std::make_unique<TargetConnection>(target.endpoint(), HttpBounds()));
+        const auto sentAt = std::chrono::steady_clock::now();
+        connections.back()->send(makeRequest(), TimeoutMilliseconds, [&waited, sentAt](auto) {
+            const auto time = std::chrono::steady_clock::now() - sentAt;
+            waited.push_back(std::chrono::ceil<std::chrono::milliseconds>(time).count());
+        });
+        runFor(OffsetMilliseconds);
+    }
+    runUntil([&waited] { return waited.size() == Connections; }, 2 * TimeoutMilliseconds);
+    ASSERT_EQ(waited.size(), std::size_t{Connections});
+    for (const auto it : waited)
+        EXPECT_GE(it, TimeoutMilliseconds - ToleranceMilliseconds);
+}
+
 TEST(TargetConnection, WaitsBeyondTheProgressTimeoutForAResponseThatHasNotStarted)
 {
     auto target = FakeTarget([](QTcpSocket &socket, int) {
