Blame no task for hosts that fail by themselves

Cause: a run that had been active for long under test counted like one that had just started, and failures of hosts are frequent over seconds, not over the 200 ms of a start. Now a crash right after a start under test decides; later ones need four crashes, two of them isolated, and for long-running tasks they decide nothing. A long-running task that is given up leaves the other tasks of its job alone. Suspects prefer workers that have been up for 10 s, so that workers that flap don't decide. The loss of a data centre is settled after two seconds, when its other workers have had the time to answer; only crashes of runs that were not under test are withdrawn then. Evidence: CrashingTasks.AreNotSuspectedBecauseOfWorkersThatFlap and LeaveTheOtherTasksOfALongRunningJobAlone failed before and pass; 4,500 cases of AreGivenUpWhateverElseFails pass. The fake workers reported a clock with orders that were never sent, which hid an early crash; corrected.

--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -12,8 +12,9 @@
 /// What the crash of a worker says about a run that was lost there.
 ///
 /// `Beside`: it was one of the runs there. `Likely`: the run had just started, or its task was a
-/// suspect. `Sole`: the run was under test.
-enum class CrashEvidence : std::uint8_t { Beside = 0, Likely = 1, Sole = 2 };
+/// suspect. `Isolated`: the run was under test, and had been active for a while. `Sole`: it was
+/// under test, and had just started.
+enum class CrashEvidence : std::uint8_t { Beside = 0, Likely = 1, Isolated = 2, Sole = 3 };
 
 /// A run under which its worker crashed.
 struct CrashedRun
@@ -44,8 +45,9 @@
 
     /// Adds a crash; a run that was added before counts once. Returns whether it is new.
     auto add(std::uint64_t run, CrashEvidence evidence) -> bool;
-    /// Removes a crash that had another cause. Returns whether it was there.
-    auto remove(std::uint64_t run) -> bool;
+    /// Removes a crash that had another cause, unless the run was under test: few are, and they
+    /// would hardly meet it by chance. Returns whether it was removed.
+    auto withdraw(std::uint64_t run) -> bool;
     auto clear() -> void { m_runs.clear(); }
 
     [[nodiscard]] auto runs() const -> const std::vector<CrashedRun> & { return m_runs; }
@@ -74,7 +76,7 @@
 };
 
 /// Returns the evidence against each of the runs of a worker that crashed; no value for a run
-/// beside the one under test.
+/// beside one that had just started under test.
 auto attributeCrash(std::span<const RunAtCrash> runs) -> std::vector<std::optional<CrashEvidence>>;
 
 } // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -78,7 +78,7 @@
     /// latency is measured, so that their speed follows it.
     Milliseconds throttledPollWait{400};
     /// The same for workers with a run under test; see CrashHistory.
-    Milliseconds testedPollWait{100};
+    Milliseconds testedPollWait{200};
     /// Shortest time between two polls of a worker; groups runs that end at nearly the same time.
     Milliseconds minPollInterval{15};
     /// Lengthens that time with the number of workers, which bounds the polls per second.
@@ -257,6 +257,7 @@
 
     // Crashes of workers: steward_crashes.cpp
     auto recordCrash(const Worker &worker) -> void;
+    auto settleRecentCrashes() -> void;
     auto withdrawCrashes(const DataCentreName &dataCentre, BootTime lostAt) -> void;
     auto applyVerdicts() -> void;
     auto exonerate(Task &task) -> void;
@@ -266,8 +267,7 @@
     [[nodiscard]] auto isEstablished(const Task &task) const -> bool;
     [[nodiscard]] auto isUnderTest(const Task &task) const -> bool;
     [[nodiscard]] auto hasRunUnderTest(const Worker &worker) const -> bool;
-    [[nodiscard]] auto lossOfDataCentre(const DataCentreName &dataCentre) const
-        -> std::optional<BootTime>;
+    [[nodiscard]] auto isLossOfDataCentre(const RecentCrash &first) const -> bool;
     [[nodiscard]] auto isLostWithDataCentre(const Worker &worker) const -> bool;
 
     // Placement: steward_placing.cpp
@@ -308,7 +308,7 @@
     std::set<PoolName> m_dirtyPools;
     std::set<WorkerName> m_expectedWorkers;
     Quarantine m_quarantine;
-    std::vector<RecentCrash> m_recentCrashes;
+    std::deque<RecentCrash> m_recentCrashes;
     std::map<DataCentreName, BootTime> m_lostDataCentres;
     std::vector<Verdict> m_verdicts;
     std::uint64_t m_lastChange = 0;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -283,8 +283,8 @@
     RunLoss loss = RunLoss::Ended;
     std::vector<LostRun> runs;
 };
-/// Reports a task whose job has failed because the task crashes the workers that start it. Nothing
-/// has to be done.
+/// Reports a task that is given up because it crashes the workers that start it. Nothing has to be
+/// done.
 struct ReportCrashingTask
 {
     JobTaskId task;
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -10,10 +10,12 @@
 constexpr std::size_t CrashesOfSuspect = 2;
 // A suspect runs without others beside it after this many crashes.
 constexpr std::size_t CrashesBeforeIsolation = 2;
-// A task is the cause after this many crashes, of which so many were evidence against it alone. A
-// host rarely fails by itself within the short time of a test.
+// A task is the cause after this many crashes of which one came right after a start under test: a
+// host rarely fails by itself in just that moment.
 constexpr std::size_t CrashesOfCause = 2;
-constexpr std::ptrdiff_t SoleCrashesOfCause = 1;
+// The same for a task that crashes its workers later under test, and the least number of these.
+constexpr std::size_t CrashesOfLateCause = 4;
+constexpr std::size_t IsolatedCrashesOfLateCause = 2;
 
 auto isOfKind(CrashEvidence kind)
 {
@@ -30,9 +32,14 @@
     return true;
 }
 
-auto CrashHistory::remove(std::uint64_t run) -> bool
+auto CrashHistory::withdraw(std::uint64_t run) -> bool
 {
-    return std::erase_if(m_runs, [run](const CrashedRun &it) { return it.run == run; }) > 0;
+    const auto isWithdrawn = [run](const CrashedRun &it) {
+        const auto wasTested =
+            isOfKind(CrashEvidence::Sole)(it) || isOfKind(CrashEvidence::Isolated)(it);
+        return it.run == run && !wasTested;
+    };
+    return std::erase_if(m_runs, isWithdrawn) > 0;
 }
 
 auto CrashHistory::isSuspect() const -> bool
@@ -48,17 +55,27 @@
 
 auto CrashHistory::isCause() const -> bool
 {
-    return m_runs.size() >= CrashesOfCause
-        && std::ranges::count_if(m_runs, isOfKind(CrashEvidence::Sole)) >= SoleCrashesOfCause;
+    const auto count = [this](CrashEvidence kind) {
+        return static_cast<std::size_t>(std::ranges::count_if(m_runs, isOfKind(kind)));
+    };
+    const auto isEarlyCause = m_runs.size() >= CrashesOfCause && count(CrashEvidence::Sole) > 0;
+    return isEarlyCause
+        || (m_runs.size() >= CrashesOfLateCause
+            && count(CrashEvidence::Isolated) >= IsolatedCrashesOfLateCause);
 }
 
 auto attributeCrash(std::span<const RunAtCrash> runs) -> std::vector<std::optional<CrashEvidence>>
 {
     const auto isOneTested = std::ranges::count_if(runs, &RunAtCrash::isUnderTest) == 1;
+    const auto isOneStarting = isOneTested && std::ranges::any_of(runs, [](const RunAtCrash &it) {
+                                   return it.isUnderTest && !it.isEstablished;
+                               });
     auto evidence = std::vector<std::optional<CrashEvidence>>();
     for (const auto &it : runs) {
-        if (isOneTested) {
-            evidence.push_back(it.isUnderTest ? std::optional(CrashEvidence::Sole) : std::nullopt);
+        if (isOneTested && it.isUnderTest) {
+            evidence.emplace_back(isOneStarting ? CrashEvidence::Sole : CrashEvidence::Isolated);
+        } else if (isOneStarting) {
+            evidence.emplace_back();
         } else {
             const auto isLikely = it.isSuspect || !it.isEstablished;
             evidence.emplace_back(isLikely ? CrashEvidence::Likely : CrashEvidence::Beside);
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 // A run is established once its worker has answered this long after the start order.
-constexpr milliseconds EstablishTime{100};
+constexpr milliseconds EstablishTime{200};
 // After the second crash of its task, nothing is started beside a run for this long; after each
 // further crash for this many times longer.
 constexpr milliseconds MinIsolationTime{3'000};
@@ -20,8 +20,15 @@
 // Crashes of a data centre's workers within this time have one cause. Covers the time between two
 // lists of the hosts.
 constexpr milliseconds DataCentreLossWindow{2'000};
+// The loss of a data centre is known after this long at most.
+constexpr milliseconds DataCentreLossDelay{1'000};
 // With fewer crashes, the loss of a data centre can't be told from single ones.
 constexpr std::ptrdiff_t MinCrashesOfLostDataCentre = 3;
+// The ends of all workers of a lost data centre are known after this long: the leases of their runs
+// have expired.
+constexpr milliseconds DataCentreLossReportTime{15'000};
+// A suspect prefers workers that have been up for this long: others may fail by themselves again.
+constexpr milliseconds StableTime{10'000};
 // A worker is reserved for a suspect for at most this long.
 constexpr milliseconds SuspectReservation{1'000};
 // At most one in this many workers of a pool is reserved for suspects or has only a run under test.
@@ -63,8 +70,6 @@
 /// Attributes the crash of a worker to the runs that were lost there.
 auto Steward::recordCrash(const Worker &worker) -> void
 {
-    std::erase_if(m_recentCrashes,
-                  [this](const RecentCrash &it) { return m_now >= it.at + DataCentreLossWindow; });
     auto tasks = std::vector<Task *>();
     std::ranges::copy_if(worker.runs, std::back_inserter(tasks), [](const Task *it) {
         return it->job->outcome == JobOutcome::Open && !it->isRunLost;
@@ -78,46 +83,53 @@
     m_recentCrashes.push_back(std::move(crash));
     if (isLostWithDataCentre(worker))
         return;
-    if (const auto lostAt = lossOfDataCentre(worker.report.dataCentre)) {
-        m_lostDataCentres[worker.report.dataCentre] = *lostAt;
-        withdrawCrashes(worker.report.dataCentre, *lostAt);
-        if (isLostWithDataCentre(worker))
-            return;
-    }
     const auto evidence = attributeCrash(runs);
     for (std::size_t n = 0; n < tasks.size(); ++n) {
         auto &task = *tasks[n];
-        if (!evidence[n] || !task.crashes.add(task.run, *evidence[n]))
+        if (!evidence[n])
+            continue;
+        // A long-running task meets so many failures of hosts that only its starts tell anything.
+        const auto isWeak = task.spec().isLongRunning && *evidence[n] == CrashEvidence::Isolated;
+        if (!task.crashes.add(task.run, isWeak ? CrashEvidence::Beside : *evidence[n]))
             continue;
-        markChanged(*task.job, true);
+        markChanged(*task.job, task.crashes.isSuspect());
         task.crashChange = task.job->change;
         if (task.crashes.isCause())
             m_verdicts.push_back({m_now + DataCentreLossWindow, task.id()});
     }
 }
 
-/// Returns the time of the data centre's loss if all of its workers have stopped answering at about
-/// the same time, before the first of these crashes was known.
-auto Steward::lossOfDataCentre(const DataCentreName &dataCentre) const -> std::optional<BootTime>
+/// Withdraws the crashes that turn out to be the loss of a data centre, once its other workers have
+/// had the time to answer.
+auto Steward::settleRecentCrashes() -> void
 {
-    const auto isSurvivor = [&](const WorkerName &name, const Worker &worker, BootTime lostAt) {
+    while (!m_recentCrashes.empty() && m_now >= m_recentCrashes.front().at + DataCentreLossWindow) {
+        const auto &first = m_recentCrashes.front();
+        if (isLossOfDataCentre(first)) {
+            m_lostDataCentres[first.dataCentre] = first.at;
+            withdrawCrashes(first.dataCentre, first.at);
+        }
+        m_recentCrashes.pop_front();
+    }
+}
+
+/// Whether all workers of the data centre have stopped answering before the first of their crashes
+/// was known.
+auto Steward::isLossOfDataCentre(const RecentCrash &first) const -> bool
+{
+    const auto crashes = std::ranges::count_if(m_recentCrashes, [&first](const RecentCrash &it) {
+        return it.dataCentre == first.dataCentre && it.isOfLossAt(first.at);
+    });
+    const auto isSurvivor = [this, &first](const auto &entry) {
+        const auto &[name, worker] = entry;
         const auto isListed = !m_hasHostList || m_expectedWorkers.contains(name);
         // A worker that started meanwhile may be the successor of one that was lost.
-        const auto isOld = worker.firstSeenAt <= lostAt - DataCentreLossWindow;
-        const auto isAnswering = worker.runs.empty() || worker.lastAnswerAt > lostAt;
-        return worker.report.dataCentre == dataCentre && worker.isRegistered && isListed && isOld
-            && isAnswering;
+        const auto isOld = worker->firstSeenAt <= first.at - DataCentreLossDelay;
+        const auto isAnswering = worker->runs.empty() || worker->lastAnswerAt > first.at;
+        return worker->report.dataCentre == first.dataCentre && worker->isRegistered && isListed
+            && isOld && isAnswering;
     };
-    for (const auto &first : m_recentCrashes) {
-        const auto crashes = std::ranges::count_if(m_recentCrashes, [&](const RecentCrash &it) {
-            return it.dataCentre == dataCentre && it.isOfLossAt(first.at);
-        });
-        const auto hasSurvivor = std::ranges::any_of(
-            m_workers, [&](const auto &it) { return isSurvivor(it.first, *it.second, first.at); });
-        if (first.dataCentre == dataCentre && crashes >= MinCrashesOfLostDataCentre && !hasSurvivor)
-            return first.at;
-    }
-    return std::nullopt;
+    return crashes >= MinCrashesOfLostDataCentre && std::ranges::none_of(m_workers, isSurvivor);
 }
 
 /// Whether the worker hasn't answered since its data centre was lost. The ends of some workers are
@@ -125,8 +137,8 @@
 auto Steward::isLostWithDataCentre(const Worker &worker) const -> bool
 {
     const auto it = m_lostDataCentres.find(worker.report.dataCentre);
-    return it != m_lostDataCentres.end() && worker.lastAnswerAt <= it->second
-        && worker.firstSeenAt <= it->second;
+    return it != m_lostDataCentres.end() && m_now < it->second + DataCentreLossReportTime
+        && worker.lastAnswerAt <= it->second && worker.firstSeenAt <= it->second;
 }
 
 /// Withdraws the crashes of workers that were lost with their data centre.
@@ -138,14 +150,15 @@
         for (const auto &it : crash.runs) {
             auto *task = findTask(it.task);
             if (task != nullptr && task->job->outcome == JobOutcome::Open
-                && task->crashes.remove(it.run))
+                && task->crashes.withdraw(it.run))
                 markChanged(*task->job, false);
         }
     }
 }
 
-/// Fails the jobs of tasks that crash their workers, unless the crashes turned out to be the loss
-/// of a data centre.
+/// Gives tasks up that crash their workers, unless the crashes turned out to be the loss of a data
+/// centre. A job fails that can't be completed any more; the other tasks of a step that is
+/// long-running go on, as their users need them.
 auto Steward::applyVerdicts() -> void
 {
     const auto due =
@@ -158,7 +171,10 @@
             continue;
         m_actions.emplace_back(
             steward_action::ReportCrashingTask{it.task, task->crashes.runs().size()});
-        endJob(*task->job, JobOutcome::Failed);
+        const auto &step = task->job->occurrences.at(task->occurrence).steps[task->step];
+        const auto isGivenUp = [](const Task &other) { return other.crashes.isCause(); };
+        if (!task->spec().isLongRunning || std::ranges::all_of(step, isGivenUp))
+            endJob(*task->job, JobOutcome::Failed);
     }
 }
 
@@ -193,8 +209,9 @@
     }
 }
 
-/// Returns the worker with the fewest runs on which the suspect may start now: all runs there are
-/// established, and none is under test. If there is none, reserves a worker and returns null.
+/// Returns the worker on which the suspect may start now: all runs there are established, and none
+/// is under test. Prefers workers that have been up for long, then those with few runs. If there is
+/// none, reserves a worker and returns null.
 auto Steward::chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *
 {
     const auto isQuiet = [this, &task](const Worker &worker) {
@@ -203,8 +220,11 @@
             return isEstablished(*it) && !isOtherSuspect;
         });
     };
-    const auto hasFewerRuns = [](const Worker *worker, const Worker *best) {
-        return best == nullptr || worker->runs.size() < best->runs.size();
+    const auto rank = [this](const Worker &worker) {
+        return std::pair(m_now < worker.firstSeenAt + StableTime, worker.runs.size());
+    };
+    const auto isBetter = [&rank](const Worker *worker, const Worker *best) {
+        return best == nullptr || rank(*worker) < rank(*best);
     };
     Worker *best = nullptr;
     Worker *next = nullptr;
@@ -219,9 +239,9 @@
         if (isTesting || !acceptsRuns(*worker) || !isAllowedOn(*worker, task))
             continue;
         if (isQuiet(*worker) && fits(*worker, task)) {
-            best = hasFewerRuns(worker, best) ? worker : best;
+            best = isBetter(worker, best) ? worker : best;
         } else if (worker->report.capacity.covers(task.spec().reservedResources())) {
-            next = hasFewerRuns(worker, next) ? worker : next;
+            next = isBetter(worker, next) ? worker : next;
         }
     }
     const auto maxKeptFree = std::max<std::size_t>(1, workers.size() / WorkersPerSuspect);
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -91,6 +91,7 @@
     endRecoveryIfDone();
     for (const auto &[name, worker] : m_workers)
         tickWorker(*worker);
+    settleRecentCrashes();
     applyVerdicts();
     for (auto &[pool, jobs] : m_openJobs) {
         for (auto *job : jobs) {
@@ -398,7 +399,7 @@
                     if (!isReady(*job, occurrence, step) || !mayFitAnyHost(spec))
                         continue;
                     for (const auto &task : occurrence.steps[step]) {
-                        if (task.phase != TaskPhase::Waiting)
+                        if (task.phase != TaskPhase::Waiting || task.crashes.isCause())
                             continue;
                         load.waiting += spec.reservedResources();
                         if (spec.isLongRunning)
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -306,7 +306,9 @@
     };
     const auto answer = [this, steward, order, name](OrderOutcome outcome, Duration delay) {
         schedule(delay, [this, steward, order, name, outcome] {
-            const auto clock = outcome == OrderOutcome::Unanswered ? 0 : clockOf(find(name));
+            const auto isAnswered =
+                outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent;
+            const auto clock = isAnswered ? clockOf(find(name)) : 0;
             send(steward,
                  steward_event::StartAnswered{name, order.task, order.run, outcome, clock});
         });
--- a/tests/unit/unit-crash-history.cpp
+++ b/tests/unit/unit-crash-history.cpp
@@ -12,6 +12,7 @@
 constexpr auto Starting = RunAtCrash{false, false, false};
 constexpr auto Suspect = RunAtCrash{true, true, false};
 constexpr auto Tested = RunAtCrash{true, false, true};
+constexpr auto TestedLong = RunAtCrash{true, true, true};
 
 TEST(CrashAttribution, HoldsACrashAgainstTheRunsThatHadJustStarted)
 {
@@ -34,6 +35,8 @@
     EXPECT_EQ(attributeCrash(std::vector{Established}), Evidence{CrashEvidence::Beside});
     EXPECT_EQ(attributeCrash(std::vector{Established, Suspect}),
               (Evidence{CrashEvidence::Beside, CrashEvidence::Likely}));
+    EXPECT_EQ(attributeCrash(std::vector{Established, TestedLong}),
+              (Evidence{CrashEvidence::Beside, CrashEvidence::Isolated}));
     EXPECT_EQ(attributeCrash(std::vector{Tested, Tested}),
               (Evidence{CrashEvidence::Likely, CrashEvidence::Likely}));
     EXPECT_EQ(attributeCrash({}), Evidence());
@@ -49,10 +52,28 @@
     EXPECT_TRUE(history.add(2, CrashEvidence::Beside));
     EXPECT_TRUE(history.isSuspect());
     EXPECT_TRUE(history.needsIsolation());
-    EXPECT_TRUE(history.remove(2));
+    EXPECT_TRUE(history.withdraw(2));
     EXPECT_FALSE(history.isSuspect());
     history.add(3, CrashEvidence::Likely);
     EXPECT_TRUE(history.isSuspect());
+    history.add(4, CrashEvidence::Sole);
+    EXPECT_FALSE(history.withdraw(4));
+}
+
+TEST(CrashHistory, NeedsMoreCrashesIfTheyComeLate)
+{
+    auto early = CrashHistory();
+    early.add(1, CrashEvidence::Likely);
+    EXPECT_FALSE(early.isCause());
+    early.add(2, CrashEvidence::Sole);
+    EXPECT_TRUE(early.isCause());
+    auto late = CrashHistory();
+    late.add(1, CrashEvidence::Beside);
+    late.add(2, CrashEvidence::Beside);
+    late.add(3, CrashEvidence::Isolated);
+    EXPECT_FALSE(late.isCause());
+    late.add(4, CrashEvidence::Isolated);
+    EXPECT_TRUE(late.isCause());
 }
 
 TEST(CrashHistory, BlamesNoTaskForCrashesBesideOthers)
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -91,6 +91,25 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// The other tasks of its job serve users of their own.
+TEST(CrashingTasks, LeaveTheOtherTasksOfALongRunningJobAlone)
+{
+    auto fleet = FakeFleet(6);
+    fleet.crashesWorker = isCrashingTask;
+    const auto steward = fleet.addSteward();
+    fleet.addJob(test::oneStepJob("crashing", test::longRunningStep(4)));
+    fleet.run(40s);
+    EXPECT_EQ(fleet.activeRuns("crashing"), 3U);
+    EXPECT_EQ(fleet.steward(steward).view("crashing").state, JobState::Running);
+    EXPECT_LE(fleet.crashes(CrashingTask), 4U);
+    fleet.killSteward(steward);
+    fleet.addSteward();
+    fleet.run(20s);
+    EXPECT_EQ(fleet.activeRuns("crashing"), 3U);
+    EXPECT_LE(fleet.crashes(CrashingTask), 4U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 // The workers of a data centre end at once, several times; their hosts are back after seconds.
 TEST(CrashingTasks, AreNotSuspectedWhenADataCentreIsLost)
 {
@@ -135,6 +154,27 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// Two of six workers go down and up by turns, whatever runs there.
+TEST(CrashingTasks, AreNotSuspectedBecauseOfWorkersThatFlap)
+{
+    auto fleet = FakeFleet(6);
+    fleet.runTime = 3s;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(5)));
+    for (auto n = 0; n < 12; ++n) {
+        fleet.addJob(test::oneStepJob("short-" + std::to_string(n), test::shortStep(12)));
+        fleet.run(2500ms);
+        fleet.endWorkers({0});
+        fleet.run(2500ms);
+        fleet.endWorkers({1});
+    }
+    fleet.run(30s);
+    for (auto n = 0; n < 12; ++n)
+        EXPECT_EQ(fleet.outcome("short-" + std::to_string(n)), JobOutcome::Completed);
+    EXPECT_EQ(fleet.activeRuns("long"), 5U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 // Only the task that crashes the workers is blamed, however many run beside it each time.
 TEST(CrashingTasks, AreToldFromTheTasksBesideThem)
 {
@@ -158,6 +198,64 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+/// A fault beside the crashing task.
+struct BesideFault
+{
+    int kind = 0;
+    int worker = 0;
+    int milliseconds = 0;
+};
+
+auto showValue(const BesideFault &fault, std::ostream &stream) -> void
+{
+    stream << fault.kind << '/' << fault.worker << '/' << fault.milliseconds;
+}
+
+// Workers are cut off, end by themselves and restart, and stewards change, while one task crashes
+// its workers at any moment of its run.
+RC_GTEST_PROP(CrashingTasks, AreGivenUpWhateverElseFails, ())
+{
+    auto fleet = FakeFleet(6);
+    fleet.runTime = 1200ms;
+    fleet.crashDelay = std::chrono::milliseconds(*rc::gen::inRange(1, 1'000));
+    auto steward = fleet.addSteward();
+    addJobs(fleet);
+    const auto faults = *rc::gen::resize(
+        8,
+        rc::gen::container<std::vector<BesideFault>>(rc::gen::construct<BesideFault>(
+            rc::gen::inRange(0, 4), rc::gen::inRange(0, 6), rc::gen::inRange(100, 3'000))));
+    for (const auto &it : faults) {
+        fleet.run(std::chrono::milliseconds(it.milliseconds));
+        switch (it.kind) {
+        case 0:
+            fleet.endWorkers({it.worker});
+            break;
+        case 1:
+            fleet.makeUnresponsive(it.worker, std::chrono::milliseconds(it.milliseconds));
+            break;
+        case 2:
+            fleet.killSteward(steward);
+            steward = fleet.addSteward();
+            break;
+        default:
+            fleet.run(1s);
+        }
+    }
+    fleet.run(90s);
+    RC_ASSERT(fleet.outcome("crashing") == JobOutcome::Failed);
+    RC_ASSERT(fleet.outcome("before") == JobOutcome::Completed);
+    RC_ASSERT(fleet.outcome("after") == JobOutcome::Completed);
+    RC_ASSERT(fleet.activeRuns("long") == 2U);
+    const auto isLimitKept = std::ranges::none_of(fleet.violations, [](const std::string &it) {
+        return it.starts_with("starts again and again");
+    });
+    // Each steward that dies may take a crash along that it had not written yet.
+    const auto changes =
+        std::ranges::count_if(faults, [](const BesideFault &it) { return it.kind == 2; });
+    RC_ASSERT(isLimitKept || changes > 1);
+    RC_ASSERT(fleet.crashes(CrashingTask) <= 5 + changes);
+}
+
 } // namespace
 
 } // namespace shallotproxy
