--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -1,6 +1,7 @@
 #include "shallotproxy/job/crash_history.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace shallotproxy {
 
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -161,10 +161,10 @@
 /// long-running go on, as their users need them.
 auto Steward::applyVerdicts() -> void
 {
-    const auto due =
-        std::ranges::partition(m_verdicts, [this](const Verdict &it) { return m_now < it.dueAt; });
-    const auto verdicts = std::vector<Verdict>(due.begin(), due.end());
-    m_verdicts.erase(due.begin(), due.end());
+    const auto isDue = [this](const Verdict &it) { return m_now >= it.dueAt; };
+    auto verdicts = std::vector<Verdict>();
+    std::ranges::copy_if(m_verdicts, std::back_inserter(verdicts), isDue);
+    std::erase_if(m_verdicts, isDue);
     for (const auto &it : verdicts) {
         const auto *task = findTask(it.task);
         if (task == nullptr || task->job->outcome != JobOutcome::Open || !task->crashes.isCause())
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -142,9 +142,10 @@
         if (!task->isRunLost)
             lost.push_back({task->id(), task->run});
     }
-    if (!lost.empty())
+    if (!lost.empty()) {
         m_actions.emplace_back(
             steward_action::ReportLostRuns{worker.report.name, cause, std::move(lost)});
+    }
     // A worker that was cut off may have restarted for any reason, and one whose leases expired may
     // go on. The list of the hosts tells of an end for certain.
     const auto wasCutOff = worker.unansweredPolls >= MaxFailedPolls;
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -446,9 +446,10 @@
     if (m_completed.contains(order.task))
         violations.push_back("starts after it was done: " + describe(order.task));
     if (crashes(order.task) >= CrashLimit
-        && ++m_startsAfterCrashes[order.task] > StartsAfterCrashLimit)
+        && ++m_startsAfterCrashes[order.task] > StartsAfterCrashLimit) {
         violations.push_back("starts again and again after it ended its workers: "
                              + describe(order.task));
+    }
     const auto failures = m_failures.find(order.task);
     if (failures != m_failures.end() && failures->second >= m_attempts)
         violations.push_back("starts after its last attempt: " + describe(order.task));
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -10,11 +10,11 @@
 using namespace std::chrono_literals;
 using test::FakeFleet;
 
-const auto CrashingTask = JobTaskId{"crashing", 0, 0, 0};
+const auto crashingTask = JobTaskId{"crashing", 0, 0, 0};
 
 auto isCrashingTask(const JobTaskId &task) -> bool
 {
-    return task == CrashingTask;
+    return task == crashingTask;
 }
 
 /// Adds a job whose first task ends every worker that starts it, and jobs of tasks that don't.
@@ -55,9 +55,9 @@
     auto seen = std::uint32_t{0};
     for (auto n = 0; n < 400; ++n) {
         fleet.run(100ms);
-        if (fleet.crashes(CrashingTask) == seen)
+        if (fleet.crashes(crashingTask) == seen)
             continue;
-        seen = fleet.crashes(CrashingTask);
+        seen = fleet.crashes(crashingTask);
         fleet.run(FakeFleet::EndReportDelay + 200ms);
         fleet.killSteward(steward);
         steward = fleet.addSteward();
@@ -101,12 +101,12 @@
     fleet.run(40s);
     EXPECT_EQ(fleet.activeRuns("crashing"), 3U);
     EXPECT_EQ(fleet.steward(steward).view("crashing").state, JobState::Running);
-    EXPECT_LE(fleet.crashes(CrashingTask), 4U);
+    EXPECT_LE(fleet.crashes(crashingTask), 4U);
     fleet.killSteward(steward);
     fleet.addSteward();
     fleet.run(20s);
     EXPECT_EQ(fleet.activeRuns("crashing"), 3U);
-    EXPECT_LE(fleet.crashes(CrashingTask), 4U);
+    EXPECT_LE(fleet.crashes(crashingTask), 4U);
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
@@ -253,7 +253,7 @@
     const auto changes =
         std::ranges::count_if(faults, [](const BesideFault &it) { return it.kind == 2; });
     RC_ASSERT(isLimitKept || changes > 1);
-    RC_ASSERT(fleet.crashes(CrashingTask) <= 5 + changes);
+    RC_ASSERT(fleet.crashes(crashingTask) <= 5 + changes);
 }
 
 } // namespace
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -289,7 +289,7 @@
 }
 
 /// Returns the registration of the first worker with room for so many short tasks.
-auto reportWithRoomFor(int tasks) -> steward_event::WorkerReported
+auto reportWithRoomFor(std::int64_t tasks) -> steward_event::WorkerReported
 {
     auto report = test::workerReport(0);
     report.capacity = {tasks * 1'000, tasks * 500, 0};
