Keep teams within their limits and suspects alone in the scheduler of tasks

Found by reading the change: a suspect that was placed in a tick counted neither against the limit of its team nor as being on its worker until its write was sent, so that the same tick could place another task of the team too many, or one beside it. Evidence: Tasks.StayWithinTheLimitOfTheirTeamBesideASuspect and AreNotPlacedBesideASuspect failed before and pass.

--- a/packages/request/include/shallotproxy/request/task/task_scheduler.hpp
+++ b/packages/request/include/shallotproxy/request/task/task_scheduler.hpp
@@ -186,6 +186,7 @@
     [[nodiscard]] auto isReachable(const Worker &worker) const -> bool;
     [[nodiscard]] auto maxWorkerCapacity() const -> TaskDemand;
     [[nodiscard]] auto usableWorkers() const -> std::vector<WorkerCapacity>;
+    [[nodiscard]] auto recordsBeingPlaced() const -> std::vector<const TaskRecord *>;
     [[nodiscard]] auto placedTasks() const -> std::vector<PlacedTask>;
     [[nodiscard]] auto waitingTasks() const -> std::vector<WaitingTask>;
 
--- a/packages/request/src/task/task_scheduler.cpp
+++ b/packages/request/src/task/task_scheduler.cpp
@@ -486,22 +486,24 @@
     return maxCapacity;
 }
 
-/// Returns all workers; those that are unreachable, in quarantine, or kept for a suspect accept no
-/// work.
+/// Returns all workers; those that are unreachable, in quarantine, or have a run under test accept
+/// no work.
 auto TaskScheduler::usableWorkers() const -> std::vector<WorkerCapacity>
 {
-    auto keptWorkers = std::set<HostName>();
-    if (m_now < m_reservedUntil)
-        keptWorkers.insert(m_reservedWorker);
+    auto testingWorkers = std::set<HostName>();
     for (const auto &[id, task] : m_tasks) {
         if (isOnWorker(task) && isUnderTest(task))
-            keptWorkers.insert(task.version.record.host);
+            testingWorkers.insert(task.version.record.host);
+    }
+    for (const auto *record : recordsBeingPlaced()) {
+        if (CrashHistory(record->crashedRuns).isSuspect())
+            testingWorkers.insert(record->host);
     }
     auto workers = std::vector<WorkerCapacity>();
     for (const auto &[name, worker] : m_workers) {
         auto capacity = worker.capacity;
         capacity.acceptsWork = capacity.acceptsWork && isReachable(worker)
-            && !m_quarantine.isQuarantined(name, m_now) && !keptWorkers.contains(name);
+            && !m_quarantine.isQuarantined(name, m_now) && !testingWorkers.contains(name);
         workers.push_back(std::move(capacity));
     }
     return workers;
@@ -521,17 +523,27 @@
         placed.push_back({id, record.team, record.host, demandOf(task, maxCapacity),
                           record.isUrgent, isStopping, record.checkpoints});
     }
-    // A write in flight may place a task, so its resources are reserved until the answer is known.
-    for (const auto &it : m_inFlight) {
-        if (it.record.state == TaskState::Placed) {
-            placed.push_back({it.record.id, it.record.team, it.record.host,
-                              m_sizes.estimate(it.record, maxCapacity), it.record.isUrgent, false,
-                              it.record.checkpoints});
-        }
+    for (const auto *it : recordsBeingPlaced()) {
+        placed.push_back({it->id, it->team, it->host, m_sizes.estimate(*it, maxCapacity),
+                          it->isUrgent, false, it->checkpoints});
     }
     return placed;
 }
 
+/// Returns the records that place a task and whose write isn't answered yet. It may take effect, so
+/// their resources are reserved until the answer is known.
+auto TaskScheduler::recordsBeingPlaced() const -> std::vector<const TaskRecord *>
+{
+    auto records = std::vector<const TaskRecord *>();
+    for (const auto *writes : {&m_inFlight, &m_writes}) {
+        for (const auto &it : *writes) {
+            if (it.record.state == TaskState::Placed)
+                records.push_back(&it.record);
+        }
+    }
+    return records;
+}
+
 auto TaskScheduler::waitingTasks() const -> std::vector<WaitingTask>
 {
     const auto maxCapacity = maxWorkerCapacity();
@@ -566,7 +578,7 @@
 auto TaskScheduler::placeSuspects() -> void
 {
     auto tested = std::ranges::count_if(m_tasks, [this](const auto &it) {
-        return isOnWorker(it.second) && isUnderTest(it.second);
+        return (isOnWorker(it.second) || it.second.isWriting) && isUnderTest(it.second);
     });
     const auto maxTested =
         std::max<std::int64_t>(1, static_cast<std::int64_t>(m_workers.size()) / WorkersPerSuspect);
@@ -598,10 +610,7 @@
     auto bestCount = std::ptrdiff_t{0};
     const auto workers = usableWorkers();
     for (const auto &it : workers) {
-        const auto isOpen = it.acceptsWork || (isReserved && it.host == m_reservedWorker);
-        const auto isStarting = std::ranges::any_of(
-            m_writes, [&it](const TaskWrite &write) { return write.record.host == it.host; });
-        if (!isOpen || isStarting || !fitsInto(demand, it.capacity))
+        if (!it.acceptsWork || !fitsInto(demand, it.capacity))
             continue;
         const auto count = std::ranges::count(placed, it.host, &PlacedTask::host);
         if (best == nullptr || count < bestCount) {
@@ -628,7 +637,11 @@
     const auto waiting = waitingTasks();
     if (waiting.empty())
         return;
-    const auto workers = usableWorkers();
+    auto workers = usableWorkers();
+    for (auto &it : workers) {
+        const auto isReserved = m_now < m_reservedUntil && it.host == m_reservedWorker;
+        it.acceptsWork = it.acceptsWork && !isReserved;
+    }
     const auto placed = placedTasks();
     auto used = std::map<TeamName, std::uint32_t>();
     for (const auto &it : placed)
--- a/tests/unit/unit-tasks.cpp
+++ b/tests/unit/unit-tasks.cpp
@@ -537,6 +537,52 @@
     EXPECT_LE(world.crashes, 5);
 }
 
+/// Returns the records that one tick places on two workers: of two tasks, the first a suspect.
+auto placeBesideSuspect(const std::map<TeamName, std::uint32_t> &units) -> std::vector<TaskRecord>
+{
+    const auto now = BootTime(1h);
+    auto scheduler = TaskScheduler(now);
+    auto workers = std::vector<WorkerCapacity>();
+    for (auto i = 0; i < 2; ++i)
+        workers.push_back({hostName(i), DataCentreName("north"), {8, 8 * GiB, 0}, true});
+    scheduler.step(WorkersChanged{workers}, now);
+    for (auto i = 0; i < 2; ++i)
+        scheduler.step(WorkerReported{hostName(i), {}}, now);
+    scheduler.step(TaskUnitsChanged{units}, now);
+    auto read = TasksRead{{}, now};
+    for (auto i = 0; i < 2; ++i) {
+        auto record = TaskRecord();
+        record.id = TaskId("main." + std::to_string(i));
+        record.team = TeamName("red");
+        record.declared = {1, GiB, 0};
+        if (i == 0)
+            record.crashedRuns.push_back({1, static_cast<std::uint8_t>(CrashEvidence::Likely)});
+        read.tasks.push_back({record, 7});
+    }
+    scheduler.step(read, now);
+    auto placed = std::vector<TaskRecord>();
+    for (const auto &action : scheduler.step(SchedulerTick(), now)) {
+        const auto *order = std::get_if<WriteTasks>(&action);
+        if (order == nullptr)
+            continue;
+        for (const auto &it : order->writes)
+            placed.push_back(it.record);
+    }
+    return placed;
+}
+
+TEST(Tasks, StayWithinTheLimitOfTheirTeamBesideASuspect)
+{
+    EXPECT_EQ(placeBesideSuspect({{TeamName("red"), 1}}).size(), 1U);
+}
+
+TEST(Tasks, AreNotPlacedBesideASuspect)
+{
+    const auto placed = placeBesideSuspect({});
+    ASSERT_EQ(placed.size(), 2U);
+    EXPECT_NE(placed[0].host, placed[1].host);
+}
+
 } // namespace
 
 } // namespace shallotproxy
