Tell the start of a run by its worker's clock

Under the same steward a task was started three times. Cause: the steward was busy and read a worker's confirmation of a start some 350 ms late, after the worker had crashed. It took that for an answer from 200 ms after the start, so that the run counted as established, another suspect started beside it, and no crash was evidence against either alone. Now a run is established once an answer's reading of the worker's own clock is 200 ms past the one that confirmed the run. How late the steward reads either doesn't matter. Evidence: Steward.TakesARunWhoseConfirmationItReadsLateForJustStarted failed before and passes.

--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -8,7 +8,7 @@
 
 using std::chrono::milliseconds;
 
-// A run is established once its worker has answered this long after the start order.
+// A run is established once its worker has answered this long after it confirmed the run.
 constexpr milliseconds EstablishTime{200};
 // After the second crash of its task, nothing is started beside a run for this long; after each
 // further crash for this many times longer.
@@ -46,11 +46,13 @@
 
 } // namespace
 
-/// Whether the worker has answered after the task's run had been active for a while.
+/// Whether the worker has answered after the task's run had been active for a while. Goes by the
+/// worker's clock: this steward may be late to learn of an answer from before a crash.
 auto Steward::isEstablished(const Task &task) const -> bool
 {
-    return task.confirmedAt >= task.attachedAt
-        && task.worker->lastAnswerAt >= task.attachedAt + EstablishTime;
+    return task.activeAtMilliseconds
+        && task.worker->latestClockMilliseconds
+        >= *task.activeAtMilliseconds + EstablishTime.count();
 }
 
 /// Whether nothing else may start beside the run of the task, so that a crash is evidence against
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -30,6 +30,10 @@
     worker->clockMilliseconds = event.clockMilliseconds;
     worker->clockReadAt = m_now;
     worker->hasClock = true;
+    // A late answer of the incarnation before may have been read after its end was known.
+    worker->latestClockMilliseconds = worker->isPolled
+        ? std::max(worker->latestClockMilliseconds, event.clockMilliseconds)
+        : event.clockMilliseconds;
     if (!worker->isPolled) {
         worker->isPolled = true;
         markDirty(worker->report.pool);
@@ -60,6 +64,8 @@
         }
         if (!run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
+        if (!task->activeAtMilliseconds)
+            task->activeAtMilliseconds = event.clockMilliseconds;
         task->progressPercent = run.progressPercent;
         task->latencyOrUsage = run.latencyOrUsage;
         // The worker lists a run whose start order has no answer yet.
@@ -118,6 +124,7 @@
     task->progressPercent = run.progressPercent;
     task->mayHaveUnknownRun = false; // this is the newest run
     attach(*task, worker);
+    task->activeAtMilliseconds = worker.latestClockMilliseconds;
     // The earlier steward's lease may last as long as a lease that is granted now.
     renewLease(worker);
 }
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -38,6 +38,8 @@
     BootTime confirmedAt;
     /// The start order was sent again because the first one had no answer.
     bool wasStartResent = false;
+    /// The worker's clock when it first confirmed the run.
+    std::optional<std::int64_t> activeAtMilliseconds;
     /// The incarnation of the worker that had the run has ended; the run is being stopped on the
     /// next one.
     bool isRunLost = false;
@@ -137,6 +139,8 @@
     std::int64_t clockMilliseconds = 0;
     BootTime clockReadAt;
     bool hasClock = false;
+    /// The latest reading of the clock of this incarnation; answers may overtake each other.
+    std::int64_t latestClockMilliseconds = 0;
     std::int64_t startedMilliseconds = 0;
     /// A poll is in flight.
     bool isPolling = false;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -90,6 +90,7 @@
         worker.busySince = m_now;
     task.worker = &worker;
     task.attachedAt = m_now;
+    task.activeAtMilliseconds.reset();
     task.isRunLost = false;
     worker.runs.push_back(&task);
     worker.used += task.spec().reservedResources();
@@ -183,6 +184,7 @@
     worker.unpersistedEnds.clear();
     worker.isPolled = false;
     worker.hasClock = false;
+    worker.latestClockMilliseconds = 0;
 }
 
 auto Steward::handle(const steward_event::StartAnswered &event) -> void
@@ -196,12 +198,16 @@
         worker->clockMilliseconds = event.clockMilliseconds;
         worker->clockReadAt = m_now;
         worker->hasClock = true;
+        worker->latestClockMilliseconds =
+            std::max(worker->latestClockMilliseconds, event.clockMilliseconds);
         worker->lastAnswerAt = m_now;
     }
     const auto wasStarting = task->phase == TaskPhase::Starting;
     switch (event.outcome) {
     case OrderOutcome::Accepted:
         task->confirmedAt = m_now;
+        if (!task->activeAtMilliseconds)
+            task->activeAtMilliseconds = event.clockMilliseconds;
         if (wasStarting) {
             task->phase = TaskPhase::Running;
             task->phaseSince = m_now;
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -288,6 +288,24 @@
     EXPECT_EQ(single.steward.record("job")->progress.state(), JobOutcome::Completed);
 }
 
+// A busy steward took its own delay for time that a run had been active, and tested no suspect.
+TEST(Steward, TakesARunWhoseConfirmationItReadsLateForJustStarted)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    ASSERT_NE(run, 0U);
+    single.now += 700ms;
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Accepted, 5'003});
+    single.now += 100ms;
+    single.step(steward_event::WorkerEnded{test::workerName(0)});
+    const auto record = single.steward.record("job");
+    ASSERT_EQ(record->progress.tasks.size(), 1U);
+    ASSERT_EQ(record->progress.tasks[0].crashedRuns.size(), 1U);
+    EXPECT_EQ(record->progress.tasks[0].crashedRuns[0].evidence,
+              static_cast<std::uint8_t>(CrashEvidence::Likely));
+}
+
 /// Returns the registration of the first worker with room for so many short tasks.
 auto reportWithRoomFor(std::int64_t tasks) -> steward_event::WorkerReported
 {
