Count only crashes of confirmed runs for giving a task up

Callers saw: a job shown as failed, or a long-running task that wasn't started again, although only one worker had crashed under the task. Cause: many starts are sent at once to a worker that one of them crashes. A start that got no answer was held against its task like a run, though it never arrived. The first real crash under that task came second, under test, and decided. Now a crash tells whether the worker had confirmed the run, by its answer or in a poll. Two confirmed crashes decide as before, one of them right after a start under test. Without confirmations it takes three, two of them under test: a task may crash its worker before the answer is sent.

--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -22,8 +22,10 @@
     std::uint64_t run = 0;
     /// A CrashEvidence.
     std::uint8_t evidence = 0;
+    /// The worker had confirmed the run. Otherwise it may have crashed before the order arrived.
+    bool wasConfirmed = false;
 
-    MSGPACK_DEFINE(run, evidence)
+    MSGPACK_DEFINE(run, evidence, wasConfirmed)
 };
 
 /// The crashes of workers while they ran one task.
@@ -31,7 +33,8 @@
 /// Tells a task that crashes every worker that starts it from the tasks that ran beside it and from
 /// hosts that fail by themselves. A crash makes the likely tasks suspects. A suspect starts on a
 /// worker where nothing else has just started, and nothing else starts there until its run is
-/// established; if it crashes its worker again, then it is the cause.
+/// established; if it crashes its worker again, then it is the cause. A run that its worker never
+/// confirmed makes its task a suspect, but proves less: the worker may have crashed before.
 ///
 /// Load pattern: a tenth of the jobs of a busy queue has a task that crashes its worker at its
 /// start, so that each crash takes ten other runs along.
@@ -44,7 +47,7 @@
     { }
 
     /// Adds a crash; a run that was added before counts once. Returns whether it is new.
-    auto add(std::uint64_t run, CrashEvidence evidence) -> bool;
+    auto add(std::uint64_t run, CrashEvidence evidence, bool wasConfirmed) -> bool;
     /// Removes a crash that had another cause, unless the run was under test: few are, and they
     /// would hardly meet it by chance. Returns whether it was removed.
     auto withdraw(std::uint64_t run) -> bool;
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -11,9 +11,13 @@
 constexpr std::size_t CrashesOfSuspect = 2;
 // A suspect runs without others beside it after this many crashes.
 constexpr std::size_t CrashesBeforeIsolation = 2;
-// A task is the cause after this many crashes of which one came right after a start under test: a
-// host rarely fails by itself in just that moment.
-constexpr std::size_t CrashesOfCause = 2;
+// A task is the cause after this many crashes of confirmed runs if one crash came right after a
+// start under test: a host rarely fails by itself in just that moment.
+constexpr std::size_t ConfirmedCrashesOfCause = 2;
+// The same if a task crashes its workers before they can confirm its runs, and the least number of
+// crashes right after a start under test.
+constexpr std::size_t CrashesOfUnconfirmedCause = 3;
+constexpr std::size_t SoleCrashesOfUnconfirmedCause = 2;
 // The same for a task that crashes its workers later under test, and the least number of these.
 constexpr std::size_t CrashesOfLateCause = 4;
 constexpr std::size_t IsolatedCrashesOfLateCause = 2;
@@ -25,11 +29,11 @@
 
 } // namespace
 
-auto CrashHistory::add(std::uint64_t run, CrashEvidence evidence) -> bool
+auto CrashHistory::add(std::uint64_t run, CrashEvidence evidence, bool wasConfirmed) -> bool
 {
     if (std::ranges::find(m_runs, run, &CrashedRun::run) != m_runs.end())
         return false;
-    m_runs.push_back({run, static_cast<std::uint8_t>(evidence)});
+    m_runs.push_back({run, static_cast<std::uint8_t>(evidence), wasConfirmed});
     return true;
 }
 
@@ -59,10 +63,15 @@
     const auto count = [this](CrashEvidence kind) {
         return static_cast<std::size_t>(std::ranges::count_if(m_runs, isOfKind(kind)));
     };
-    const auto isEarlyCause = m_runs.size() >= CrashesOfCause && count(CrashEvidence::Sole) > 0;
-    return isEarlyCause
-        || (m_runs.size() >= CrashesOfLateCause
-            && count(CrashEvidence::Isolated) >= IsolatedCrashesOfLateCause);
+    const auto confirmed =
+        static_cast<std::size_t>(std::ranges::count_if(m_runs, &CrashedRun::wasConfirmed));
+    const auto sole = count(CrashEvidence::Sole);
+    const auto isEarlyCause = sole > 0 && confirmed >= ConfirmedCrashesOfCause;
+    const auto isUnconfirmedCause =
+        sole >= SoleCrashesOfUnconfirmedCause && m_runs.size() >= CrashesOfUnconfirmedCause;
+    const auto isLateCause = m_runs.size() >= CrashesOfLateCause
+        && count(CrashEvidence::Isolated) >= IsolatedCrashesOfLateCause;
+    return isEarlyCause || isUnconfirmedCause || isLateCause;
 }
 
 auto attributeCrash(std::span<const RunAtCrash> runs) -> std::vector<std::optional<CrashEvidence>>
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -92,7 +92,8 @@
             continue;
         // A long-running task meets so many failures of hosts that only its starts tell anything.
         const auto isWeak = task.spec().isLongRunning && *evidence[n] == CrashEvidence::Isolated;
-        if (!task.crashes.add(task.run, isWeak ? CrashEvidence::Beside : *evidence[n]))
+        if (!task.crashes.add(task.run, isWeak ? CrashEvidence::Beside : *evidence[n],
+                              task.activeAtMilliseconds.has_value()))
             continue;
         markChanged(*task.job, task.crashes.isSuspect());
         task.crashChange = task.job->change;
--- a/packages/request/src/task/task_scheduler.cpp
+++ b/packages/request/src/task/task_scheduler.cpp
@@ -176,7 +176,7 @@
         auto history = CrashHistory(record.crashedRuns);
         // A worker that is out of service was rebooted on purpose.
         if (evidence[n] && worker.capacity.acceptsWork)
-            history.add(lost[n]->version.runEpoch(), *evidence[n]);
+            history.add(lost[n]->version.runEpoch(), *evidence[n], true);
         record.crashedRuns = history.runs();
         record.failedOn = event.host;
         record.state = history.isCause() ? TaskState::Failed : TaskState::Waiting;
--- a/tests/unit/unit-crash-history.cpp
+++ b/tests/unit/unit-crash-history.cpp
@@ -45,42 +45,60 @@
 TEST(CrashHistory, SuspectsATaskAfterOneLikelyCrashOrTwoBesideOthers)
 {
     auto history = CrashHistory();
-    EXPECT_TRUE(history.add(1, CrashEvidence::Beside));
+    EXPECT_TRUE(history.add(1, CrashEvidence::Beside, true));
     EXPECT_FALSE(history.isSuspect());
-    EXPECT_FALSE(history.add(1, CrashEvidence::Likely)); // the same crash, reported again
+    EXPECT_FALSE(history.add(1, CrashEvidence::Likely, true)); // the same crash, reported again
     EXPECT_FALSE(history.isSuspect());
-    EXPECT_TRUE(history.add(2, CrashEvidence::Beside));
+    EXPECT_TRUE(history.add(2, CrashEvidence::Beside, true));
     EXPECT_TRUE(history.isSuspect());
     EXPECT_TRUE(history.needsIsolation());
     EXPECT_TRUE(history.withdraw(2));
     EXPECT_FALSE(history.isSuspect());
-    history.add(3, CrashEvidence::Likely);
+    history.add(3, CrashEvidence::Likely, true);
     EXPECT_TRUE(history.isSuspect());
-    history.add(4, CrashEvidence::Sole);
+    history.add(4, CrashEvidence::Sole, true);
     EXPECT_FALSE(history.withdraw(4));
 }
 
 TEST(CrashHistory, NeedsMoreCrashesIfTheyComeLate)
 {
     auto early = CrashHistory();
-    early.add(1, CrashEvidence::Likely);
+    early.add(1, CrashEvidence::Likely, true);
     EXPECT_FALSE(early.isCause());
-    early.add(2, CrashEvidence::Sole);
+    early.add(2, CrashEvidence::Sole, true);
     EXPECT_TRUE(early.isCause());
     auto late = CrashHistory();
-    late.add(1, CrashEvidence::Beside);
-    late.add(2, CrashEvidence::Beside);
-    late.add(3, CrashEvidence::Isolated);
+    late.add(1, CrashEvidence::Beside, true);
+    late.add(2, CrashEvidence::Beside, true);
+    late.add(3, CrashEvidence::Isolated, true);
     EXPECT_FALSE(late.isCause());
-    late.add(4, CrashEvidence::Isolated);
+    late.add(4, CrashEvidence::Isolated, true);
     EXPECT_TRUE(late.isCause());
 }
 
+// A worker that crashed before the start order arrived had another reason.
+TEST(CrashHistory, NeedsAnotherCrashIfTheRunsWereNotConfirmed)
+{
+    auto once = CrashHistory();
+    once.add(1, CrashEvidence::Likely, false);
+    EXPECT_TRUE(once.isSuspect());
+    once.add(2, CrashEvidence::Sole, true);
+    EXPECT_FALSE(once.isCause());
+    once.add(3, CrashEvidence::Sole, true);
+    EXPECT_TRUE(once.isCause());
+    auto never = CrashHistory();
+    never.add(1, CrashEvidence::Likely, false);
+    never.add(2, CrashEvidence::Sole, false);
+    EXPECT_FALSE(never.isCause());
+    never.add(3, CrashEvidence::Sole, false);
+    EXPECT_TRUE(never.isCause());
+}
+
 TEST(CrashHistory, BlamesNoTaskForCrashesBesideOthers)
 {
     auto history = CrashHistory();
     for (std::uint64_t run = 0; run < 20; ++run)
-        history.add(run, run % 2 == 0 ? CrashEvidence::Beside : CrashEvidence::Likely);
+        history.add(run, run % 2 == 0 ? CrashEvidence::Beside : CrashEvidence::Likely, true);
     EXPECT_FALSE(history.isCause());
 }
 
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -91,6 +91,24 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// The first worker crashes before the start order arrives, so that only one has crashed under the
+// task when its second run is lost.
+TEST(CrashingTasks, AreNotBlamedForACrashBeforeTheyHadStarted)
+{
+    auto fleet = FakeFleet(6);
+    fleet.crashesWorker = isCrashingTask;
+    fleet.addSteward();
+    fleet.run(1s);
+    fleet.deliveries = {test::Delivery::Delayed};
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    fleet.endWorkers({0});
+    for (auto n = 0; n < 400 && fleet.outcome("crashing") == JobOutcome::Open; ++n)
+        fleet.run(100ms);
+    EXPECT_EQ(fleet.outcome("crashing"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.crashes(crashingTask), 2U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 // The other tasks of its job serve users of their own.
 TEST(CrashingTasks, LeaveTheOtherTasksOfALongRunningJobAlone)
 {
