Hold the end of a worker that was cut off less against a suspect

Found by reading: a run on a worker that can't be reached isn't known to be established, so that a suspect that had started a moment before a cut counted as just started when the worker ended seconds later, and was given up. The list of the hosts tells of such an end as of any other. Now such an end counts like a late crash: it takes four, two of them under test. Evidence: CrashingTasks.AreNotBlamedForTheEndOfAWorkerThatWasCutOff failed before (the job failed) and passes; 3,000 cases of AreGivenUpWhateverElseFails pass.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -256,7 +256,7 @@
     auto findWorker(const WorkerName &name) -> Worker *;
 
     // Crashes of workers: steward_crashes.cpp
-    auto recordCrash(const Worker &worker) -> void;
+    auto recordCrash(const Worker &worker, bool wasCutOff) -> void;
     auto settleRecentCrashes() -> void;
     auto withdrawCrashes(const DataCentreName &dataCentre, BootTime lostAt) -> void;
     auto applyVerdicts() -> void;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -70,7 +70,7 @@
 }
 
 /// Attributes the crash of a worker to the runs that were lost there.
-auto Steward::recordCrash(const Worker &worker) -> void
+auto Steward::recordCrash(const Worker &worker, bool wasCutOff) -> void
 {
     auto tasks = std::vector<Task *>();
     std::ranges::copy_if(worker.runs, std::back_inserter(tasks), [](const Task *it) {
@@ -90,10 +90,14 @@
         auto &task = *tasks[n];
         if (!evidence[n])
             continue;
+        auto strength = *evidence[n];
+        // A run on a worker that can't be reached isn't known to be established, however long.
+        if (wasCutOff && strength == CrashEvidence::Sole)
+            strength = CrashEvidence::Isolated;
         // A long-running task meets so many failures of hosts that only its starts tell anything.
-        const auto isWeak = task.spec().isLongRunning && *evidence[n] == CrashEvidence::Isolated;
-        if (!task.crashes.add(task.run, isWeak ? CrashEvidence::Beside : *evidence[n],
-                              task.activeAtMilliseconds.has_value()))
+        if (task.spec().isLongRunning && strength == CrashEvidence::Isolated)
+            strength = CrashEvidence::Beside;
+        if (!task.crashes.add(task.run, strength, task.activeAtMilliseconds.has_value()))
             continue;
         markChanged(*task.job, task.crashes.isSuspect());
         task.crashChange = task.job->change;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -154,7 +154,7 @@
         || (cause == RunLoss::LeaseExpired && !wasCutOff && m_hasHostList
             && !m_expectedWorkers.contains(worker.report.name));
     if (hasCrashed)
-        recordCrash(worker);
+        recordCrash(worker, wasCutOff);
     for (auto *task : worker.runs)
         task->isRunLost = true;
 }
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -172,6 +172,26 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// A suspect starts on a worker that is cut off a moment later and ends seconds after that.
+TEST(CrashingTasks, AreNotBlamedForTheEndOfAWorkerThatWasCutOff)
+{
+    auto fleet = FakeFleet(2);
+    fleet.runTime = 20s;
+    fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("job", test::shortStep(1)));
+    fleet.run(100ms);
+    fleet.endWorkers({0});
+    fleet.run(FakeFleet::EndReportDelay + 100ms);
+    EXPECT_EQ(fleet.activeRuns("job"), 1U);
+    fleet.makeUnresponsive(1, 4s);
+    fleet.run(3s);
+    fleet.endWorkers({1});
+    fleet.run(60s);
+    EXPECT_EQ(fleet.outcome("job"), JobOutcome::Completed);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 // Two of six workers go down and up by turns, whatever runs there.
 TEST(CrashingTasks, AreNotSuspectedBecauseOfWorkersThatFlap)
 {
