Don't replace hosts that a task has crashed by those of other pools

Cause: the pool replaced each host that was down by an idle one of another pool, and crashed that as well; the other pool's peak then found fewer hosts. Now, while a pool has crashing tasks (for 10 s after a crash under test), a host that is down counts for its pool for 4 s; it is back after seconds. Hosts that fail by themselves are replaced as before. Evidence: PoolSizer.TakesNoIdleHostsOfOthersForThoseThatTasksHaveCrashed failed before and passes; CrashingTasks.ShowInTheLoadOfTheirPool.

--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -27,7 +27,9 @@
 /// times its mean, more than its own pool provides, and next to nothing in between. A pool is sized
 /// for the work that its queues accept per second, because the tasks that wait show a peak only
 /// after a part of it. A pool at its peak gets idle hosts of other pools first and standby hosts
-/// next. Hosts that stay idle for long go to standby.
+/// next. Hosts that stay idle for long go to standby. Where tasks crash their workers, hosts that
+/// are down aren't replaced at once: that would take the idle hosts of other pools one by one,
+/// while one of these may be about to have its peak.
 class PoolSizer
 {
 public:
@@ -53,6 +55,8 @@
     static constexpr std::size_t HostsPerMove = 2;
     /// Target for the use of a pool's resources; the remainder is lost to fragmentation.
     static constexpr double TargetUtilization = 0.85;
+    /// A host that a task has crashed counts for its pool for this long: it is back after seconds.
+    static constexpr Milliseconds ReturnTime{4'000};
     /// Additional hosts in each pool for the next tasks.
     static constexpr std::size_t SpareHosts = 1;
 
@@ -96,11 +100,13 @@
         std::deque<Sample> samples;
     };
 
+    auto isBrieflyDown(const HostReport &report, BootTime now) -> bool;
     static auto arrivingResources(const Demand &demand) -> Resources;
     auto updateDemand(Demand &demand, const PoolLoad &load, const Resources &host, BootTime now)
         -> void;
 
     std::map<HostName, BootTime> m_idleSince;
+    std::map<HostName, BootTime> m_downSince;
     std::map<PoolName, Demand> m_demand;
     std::map<PoolName, PoolSize> m_sizes;
     BootTime m_holdUntil;
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -46,6 +46,8 @@
     Resources acceptedWork;
     /// Number of workers that long-running tasks need because of their limit per worker.
     std::size_t minWorkers = 0;
+    /// A task of the pool has crashed its worker lately, so that others probably will.
+    bool hasCrashingTasks = false;
 };
 
 /// Load of one worker, for decisions about its host.
@@ -267,6 +269,7 @@
     [[nodiscard]] auto isEstablished(const Task &task) const -> bool;
     [[nodiscard]] auto isUnderTest(const Task &task) const -> bool;
     [[nodiscard]] auto hasRunUnderTest(const Worker &worker) const -> bool;
+    [[nodiscard]] auto hasCrashingTasks(const PoolName &pool) const -> bool;
     [[nodiscard]] auto isLossOfDataCentre(const RecentCrash &first) const -> bool;
     [[nodiscard]] auto isLostWithDataCentre(const Worker &worker) const -> bool;
 
@@ -310,6 +313,8 @@
     Quarantine m_quarantine;
     std::deque<RecentCrash> m_recentCrashes;
     std::map<DataCentreName, BootTime> m_lostDataCentres;
+    /// When a run under test last crashed its worker.
+    std::map<PoolName, BootTime> m_testCrashedAt;
     std::vector<Verdict> m_verdicts;
     std::uint64_t m_lastChange = 0;
     BootTime m_startedAt;
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -72,6 +72,16 @@
         hosts > demand.smoothed ? hosts : demand.smoothed + (hosts - demand.smoothed) * weight;
 }
 
+/// Whether the host has been down for a short time only.
+auto PoolSizer::isBrieflyDown(const HostReport &report, BootTime now) -> bool
+{
+    if (report.state != HostState::Down) {
+        m_downSince.erase(report.host);
+        return false;
+    }
+    return now < m_downSince.try_emplace(report.host, now).first->second + ReturnTime;
+}
+
 auto PoolSizer::step(std::span<const HostView> hosts, const std::map<PoolName, PoolLoad> &loads,
                      const SchedulingRules &rules, const std::set<HostName> &blocked, BootTime now)
     -> std::vector<HostMove>
@@ -98,7 +108,10 @@
         // A host that is drained for its upkeep, or is in upkeep, gets no new work.
         const auto isServing =
             report.state == HostState::Moving || (report.state == HostState::Up && !it.isDraining);
-        if (isServing)
+        const auto load = loads.find(report.pool);
+        const auto isReturning =
+            isBrieflyDown(report, now) && load != loads.end() && load->second.hasCrashingTasks;
+        if (isServing || isReturning)
             ++pool.hosts;
         if (!it.isIdle()) {
             m_idleSince.erase(report.host);
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds DataCentreLossReportTime{15'000};
 // A suspect prefers workers that have been up for this long: others may fail by themselves again.
 constexpr milliseconds StableTime{10'000};
+// A pool has crashing tasks for this long after the last crash under test.
+constexpr milliseconds CrashingTasksTime{10'000};
 // A worker is reserved for a suspect for at most this long.
 constexpr milliseconds SuspectReservation{1'000};
 // At most one in this many workers of a pool is reserved for suspects or has only a run under test.
@@ -69,6 +71,12 @@
     return std::ranges::any_of(worker.runs, [this](const Task *it) { return isUnderTest(*it); });
 }
 
+auto Steward::hasCrashingTasks(const PoolName &pool) const -> bool
+{
+    const auto it = m_testCrashedAt.find(pool);
+    return it != m_testCrashedAt.end() && m_now < it->second + CrashingTasksTime;
+}
+
 /// Attributes the crash of a worker to the runs that were lost there.
 auto Steward::recordCrash(const Worker &worker, bool wasCutOff) -> void
 {
@@ -97,6 +105,8 @@
         // A long-running task meets so many failures of hosts that only its starts tell anything.
         if (task.spec().isLongRunning && strength == CrashEvidence::Isolated)
             strength = CrashEvidence::Beside;
+        if (strength == CrashEvidence::Sole)
+            m_testCrashedAt[worker.report.pool] = m_now;
         if (!task.crashes.add(task.run, strength, task.activeAtMilliseconds.has_value()))
             continue;
         markChanged(*task.job, task.crashes.isSuspect());
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -377,6 +377,7 @@
         loads[pool].acceptedWork = accepted.work;
     }
     for (const auto &[pool, workers] : m_poolWorkers) {
+        loads[pool].hasCrashingTasks = hasCrashingTasks(pool);
         for (const auto *worker : workers) {
             loads[pool].used += worker->used;
             for (const auto *task : worker->runs) {
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -109,6 +109,27 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// The pool's size depends on whether its tasks or its hosts fail.
+TEST(CrashingTasks, ShowInTheLoadOfTheirPool)
+{
+    auto fleet = FakeFleet(6);
+    const auto steward = fleet.addSteward();
+    fleet.run(1s);
+    const auto hasCrashingTasks = [&fleet, steward] {
+        return fleet.steward(steward).poolLoads()->at(PoolName(test::TestPool)).hasCrashingTasks;
+    };
+    fleet.addJob(test::oneStepJob("before", test::shortStep(12)));
+    fleet.endWorkers({0});
+    fleet.run(5s);
+    EXPECT_FALSE(hasCrashingTasks());
+    fleet.crashesWorker = isCrashingTask;
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    fleet.run(5s);
+    EXPECT_TRUE(hasCrashingTasks());
+    fleet.run(10s);
+    EXPECT_FALSE(hasCrashingTasks());
+}
+
 // The other tasks of its job serve users of their own.
 TEST(CrashingTasks, LeaveTheOtherTasksOfALongRunningJobAlone)
 {
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -225,6 +225,36 @@
     EXPECT_EQ(moves.size(), 2U);
 }
 
+// Tasks of one pool crash its hosts, which are back after seconds. The idle hosts of the others
+// must not be lost in the same way, one after the other.
+TEST(PoolSizer, TakesNoIdleHostsOfOthersForThoseThatTasksHaveCrashed)
+{
+    auto sizer = PoolSizer();
+    auto hosts = std::vector<HostView>();
+    for (std::size_t n = 0; n < 4; ++n)
+        hosts.push_back(idleHost(n, "a"));
+    for (std::size_t n = 4; n < 8; ++n)
+        hosts.push_back(idleHost(n, "b"));
+    for (std::size_t n = 0; n < 4; ++n)
+        hosts[n].otherRuns = 1;
+    auto loads = std::map<PoolName, PoolLoad>();
+    loads[PoolName("a")].waiting = {20'000, 20'000, 0};
+    auto now = BootTime(1h);
+    sizer.step(hosts, loads, poolRules(), {}, now);
+    for (std::size_t n = 0; n < 2; ++n) {
+        hosts[n].report.state = HostState::Down;
+        hosts[n].otherRuns = 0;
+    }
+    now += PoolSizer::IdleBeforeMove;
+    auto crashing = loads;
+    crashing[PoolName("a")].hasCrashingTasks = true;
+    EXPECT_TRUE(sizer.step(hosts, crashing, poolRules(), {}, now).empty());
+    // Hosts that failed by themselves are replaced at once, and so are those that stay down.
+    EXPECT_FALSE(sizer.step(hosts, loads, poolRules(), {}, now).empty());
+    now += PoolSizer::ReturnTime;
+    EXPECT_FALSE(sizer.step(hosts, crashing, poolRules(), {}, now).empty());
+}
+
 TEST(PoolSizer, MovesLongIdleHostsToStandby)
 {
     auto sizer = PoolSizer();
