Refuse a job whose tasks don't fit into a member's memory

Same class of fault as the crashing tasks, found by looking for a job that ends our own processes one after the other: 64 steps of 1,000 tasks with 10,000 occurrences were accepted and stored. A steward opens all occurrences that are due, each task takes some hundred bytes, a member has 160 MB, and the next steward reads the same record. Its record would exceed the store's values of 1 MB as well. Now a job may have 20,000 tasks in all, and more are refused at once as malformed (901), also when a record is read. Evidence: JobRecords.JobsThatDontFitIntoAMemberAreRefused failed before and passes. Open: many large jobs at a time are not bounded.

--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t MaxSteps = 64;
 constexpr std::uint32_t MaxTasksPerStep = 1'000;
 constexpr std::uint32_t MaxOccurrences = 10'000;
+// Tasks of all occurrences. A steward keeps each in memory, and all of a job are in one record.
+constexpr std::uint64_t MaxTasks = 20'000;
 // No task is larger or longer. The bounds keep sums over all tasks within 64 bits.
 constexpr Resources MaxTaskResources{100'000'000, 100'000'000, 1'000'000};
 constexpr std::int64_t MaxEstimatedMilliseconds = 100'000'000'000; // about three years
@@ -94,8 +96,10 @@
         return malformed(fmt::format("{} steps, expected 1 to {}", spec.steps.size(), MaxSteps));
     if (spec.occurrences == 0 || spec.occurrences > MaxOccurrences)
         return malformed(fmt::format("{} occurrences are out of range", spec.occurrences));
+    auto tasks = std::uint64_t{0};
     for (std::size_t n = 0; n < spec.steps.size(); ++n) {
         const auto &step = spec.steps[n];
+        tasks += std::uint64_t{step.taskCount} * spec.occurrences;
         if (step.isGang) {
             return tl::unexpected(
                 JobError{JobError::Kind::Unsupported,
@@ -112,6 +116,8 @@
         if (std::ranges::any_of(step.after, [n](auto earlier) { return earlier >= n; }))
             return malformed(fmt::format("step {} depends on a step that does not precede it", n));
     }
+    if (tasks > MaxTasks)
+        return malformed(fmt::format("{} tasks in all, expected at most {}", tasks, MaxTasks));
     return {};
 }
 
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -643,6 +643,29 @@
     EXPECT_FALSE(checkJob(spec).has_value());
 }
 
+// Ten million tasks take gigabytes, and each steward in turn would read the job.
+TEST(JobRecords, JobsThatDontFitIntoAMemberAreRefused)
+{
+    constexpr std::size_t StoredBytes = 1'048'576; // the largest value of the platform's store
+    auto spec = JobSpec();
+    spec.steps.resize(2);
+    spec.steps[0].taskCount = 1'000;
+    spec.steps[1].taskCount = 1'000;
+    spec.occurrences = 10'000;
+    EXPECT_EQ(checkJob(spec).error().kind, JobError::Kind::Malformed);
+    EXPECT_FALSE(decodeJob(encodeJob(spec)).has_value());
+    spec.occurrences = 11;
+    EXPECT_FALSE(checkJob(spec).has_value());
+    spec.occurrences = 10;
+    EXPECT_TRUE(checkJob(spec).has_value());
+    auto progress = JobProgress();
+    for (std::uint32_t n = 0; n < 20'000; ++n) {
+        progress.tasks.push_back(
+            {n / 2'000, n / 1'000 % 2, n % 1'000, false, {n}, "00000bb87a21d94b", {{n, 1, true}}});
+    }
+    EXPECT_LT(encodeProgress(progress).size(), StoredBytes);
+}
+
 } // namespace
 
 } // namespace shallotproxy
