Persist the crash of a suspect before it starts again

Cause: a suspect with one crash was started at once, so that the next steward knew of neither; and a busy steward read the worker's answer to a start only after it had learned of the crash, so that the crash counted as one of an unconfirmed run. Now a suspect waits until its crash is persisted, for 500 ms at most while it has only one. An answer that is read late confirms the run that was lost; a suspect with two crashes waits a second for it.

--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -48,6 +48,8 @@
 
     /// Adds a crash; a run that was added before counts once. Returns whether it is new.
     auto add(std::uint64_t run, CrashEvidence evidence, bool wasConfirmed) -> bool;
+    /// Notes that the worker had confirmed a run. Returns whether that is new.
+    auto confirm(std::uint64_t run) -> bool;
     /// Removes a crash that had another cause, unless the run was under test: few are, and they
     /// would hardly meet it by chance. Returns whether it was removed.
     auto withdraw(std::uint64_t run) -> bool;
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -259,6 +259,8 @@
 
     // Crashes of workers: steward_crashes.cpp
     auto recordCrash(const Worker &worker, bool wasCutOff) -> void;
+    auto confirmCrash(Task &task, std::uint64_t run) -> void;
+    auto crashesChanged(Task &task) -> void;
     auto settleRecentCrashes() -> void;
     auto withdrawCrashes(const DataCentreName &dataCentre, BootTime lostAt) -> void;
     auto applyVerdicts() -> void;
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace shallotproxy {
 
@@ -37,6 +38,12 @@
     return true;
 }
 
+auto CrashHistory::confirm(std::uint64_t run) -> bool
+{
+    const auto it = std::ranges::find(m_runs, run, &CrashedRun::run);
+    return it != m_runs.end() && !std::exchange(it->wasConfirmed, true);
+}
+
 auto CrashHistory::withdraw(std::uint64_t run) -> bool
 {
     const auto isWithdrawn = [run](const CrashedRun &it) {
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -31,6 +31,11 @@
 constexpr milliseconds StableTime{10'000};
 // A pool has crashing tasks for this long after the last crash under test.
 constexpr milliseconds CrashingTasksTime{10'000};
+// A suspect isn't started again before its last crash is persisted, but waits for this long at most
+// while it may well be innocent.
+constexpr milliseconds MaxPersistTime{500};
+// The answer to a start order has been read after this time, also by a busy steward.
+constexpr milliseconds AnswerTime{1'000};
 // A worker is reserved for a suspect for at most this long.
 constexpr milliseconds SuspectReservation{1'000};
 // At most one in this many workers of a pool is reserved for suspects or has only a run under test.
@@ -107,15 +112,28 @@
             strength = CrashEvidence::Beside;
         if (strength == CrashEvidence::Sole)
             m_testCrashedAt[worker.report.pool] = m_now;
-        if (!task.crashes.add(task.run, strength, task.activeAtMilliseconds.has_value()))
-            continue;
-        markChanged(*task.job, task.crashes.isSuspect());
-        task.crashChange = task.job->change;
-        if (task.crashes.isCause())
-            m_verdicts.push_back({m_now + DataCentreLossWindow, task.id()});
+        if (task.crashes.add(task.run, strength, task.activeAtMilliseconds.has_value()))
+            crashesChanged(task);
     }
 }
 
+/// Notes that a worker had confirmed a run before it crashed. A busy steward may read the answer
+/// after it has learned of the crash.
+auto Steward::confirmCrash(Task &task, std::uint64_t run) -> void
+{
+    if (task.job->outcome == JobOutcome::Open && task.crashes.confirm(run))
+        crashesChanged(task);
+}
+
+auto Steward::crashesChanged(Task &task) -> void
+{
+    markChanged(*task.job, task.crashes.isSuspect());
+    task.crashChange = task.job->change;
+    const auto pending = std::ranges::find(m_verdicts, task.id(), &Verdict::task);
+    if (task.crashes.isCause() && pending == m_verdicts.end())
+        m_verdicts.push_back({m_now + DataCentreLossWindow, task.id()});
+}
+
 /// Withdraws the crashes that turn out to be the loss of a data centre, once its other workers have
 /// had the time to answer.
 auto Steward::settleRecentCrashes() -> void
@@ -204,13 +222,16 @@
     markChanged(*task.job, false);
 }
 
-/// Whether the task is a suspect that may be started. It isn't started again before its crashes are
-/// persisted, so that the next steward knows of them; many tasks have a single one, which may be
-/// forgotten.
+/// Whether the task is a suspect that may be started. Its crashes have to be persisted, so that the
+/// next steward knows of them. If another crash would decide, the worker's answer has to be known.
 auto Steward::mayPlaceSuspect(const Task &task) const -> bool
 {
-    return task.crashes.isSuspect() && !task.crashes.isCause() && isWaitingToStart(task)
-        && (!task.crashes.needsIsolation() || task.job->persistedChange >= task.crashChange);
+    if (!task.crashes.isSuspect() || task.crashes.isCause() || !isWaitingToStart(task))
+        return false;
+    const auto isPersisted = task.job->persistedChange >= task.crashChange;
+    if (task.crashes.needsIsolation())
+        return isPersisted && m_now >= task.orderedAt + AnswerTime;
+    return isPersisted || m_now >= task.phaseSince + MaxPersistTime;
 }
 
 /// Places waiting suspects, and keeps workers free for those that find none.
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -305,7 +305,7 @@
         return worker.isUp ? applyStart(worker, token, order) : OrderOutcome::NotSent;
     };
     const auto answer = [this, steward, order, name](OrderOutcome outcome, Duration delay) {
-        schedule(delay, [this, steward, order, name, outcome] {
+        schedule(delay + startAnswerDelay, [this, steward, order, name, outcome] {
             const auto isAnswered =
                 outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent;
             const auto clock = isAnswered ? clockOf(find(name)) : 0;
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -54,6 +54,8 @@
     /// How the next orders are delivered. Later ones are delivered normally.
     std::deque<Delivery> deliveries;
     bool isStoreUp = true;
+    /// Added to the time until a steward reads the answer to a start order.
+    Duration startAnswerDelay{};
     /// Unix time that all stewards read.
     std::int64_t wallMilliseconds = 1'000'000;
     /// Whether workers refuse runs that exceed their capacity. Otherwise such a start is a
--- a/tests/unit/unit-crash-history.cpp
+++ b/tests/unit/unit-crash-history.cpp
@@ -86,6 +86,13 @@
     EXPECT_FALSE(once.isCause());
     once.add(3, CrashEvidence::Sole, true);
     EXPECT_TRUE(once.isCause());
+    auto later = CrashHistory();
+    later.add(1, CrashEvidence::Likely, false);
+    later.add(2, CrashEvidence::Sole, true);
+    EXPECT_FALSE(later.confirm(2));
+    EXPECT_FALSE(later.confirm(3));
+    EXPECT_TRUE(later.confirm(1));
+    EXPECT_TRUE(later.isCause());
     auto never = CrashHistory();
     never.add(1, CrashEvidence::Likely, false);
     never.add(2, CrashEvidence::Sole, false);
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -65,6 +65,30 @@
     expectOnlyTheCrashingJobFails(fleet);
 }
 
+// Each steward learns of one crash while the store is down, and is killed before it can write it.
+TEST(CrashingTasks, CrashOneWorkerAtMostForEachStewardThatDies)
+{
+    auto fleet = FakeFleet(6);
+    fleet.crashesWorker = isCrashingTask;
+    auto steward = fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    for (auto n = 0U; n < 3; ++n) {
+        for (auto i = 0; i < 100 && fleet.crashes(crashingTask) == n; ++i)
+            fleet.run(50ms);
+        EXPECT_EQ(fleet.crashes(crashingTask), n + 1);
+        fleet.isStoreUp = false;
+        fleet.run(FakeFleet::EndReportDelay + 300ms);
+        fleet.killSteward(steward);
+        fleet.isStoreUp = true;
+        steward = fleet.addSteward();
+    }
+    fleet.run(20s);
+    EXPECT_EQ(fleet.outcome("crashing"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.crashes(crashingTask), 5U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 // The run works for a while before it ends its worker, so that others have started beside it.
 TEST(CrashingTasks, AreGivenUpIfTheyCrashTheirWorkersLate)
 {
@@ -109,6 +133,20 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// A busy steward reads the answer of the worker after it has learned of the crash.
+TEST(CrashingTasks, AreGivenUpAsSoonIfAnswersAreReadLate)
+{
+    auto fleet = FakeFleet(6);
+    fleet.crashesWorker = isCrashingTask;
+    fleet.startAnswerDelay = 800ms;
+    fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    fleet.run(40s);
+    EXPECT_EQ(fleet.outcome("crashing"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.crashes(crashingTask), 2U);
+}
+
 // The pool's size depends on whether its tasks or its hosts fail.
 TEST(CrashingTasks, ShowInTheLoadOfTheirPool)
 {
