--- a/packages/job/include/shallotproxy/job/job_progress.hpp
+++ b/packages/job/include/shallotproxy/job/job_progress.hpp
@@ -7,6 +7,11 @@
 
 enum class JobOutcome : std::uint8_t { Open = 0, Completed = 1, Failed = 2, Cancelled = 3 };
 
+/// When a changed record is written.
+///
+/// `Relaxed`: soon, together with others. `Urgent`: at once. `First`: before all others that wait.
+enum class WriteUrgency : std::uint8_t { Relaxed, Urgent, First };
+
 /// The persisted state of one task. Tasks without any such state have no entry.
 struct TaskProgress
 {
--- a/packages/job/include/shallotproxy/job/progress_writer.hpp
+++ b/packages/job/include/shallotproxy/job/progress_writer.hpp
@@ -52,7 +52,7 @@
     /// The record is deleted from the store.
     auto removed(const std::string &job) -> void { m_revisions.erase(job); }
     /// The job has a change to be persisted.
-    auto changed(const std::string &job, bool isUrgent, BootTime now) -> void;
+    auto changed(const std::string &job, WriteUrgency urgency, BootTime now) -> void;
     /// Returns the next write, if one is due and none is in flight.
     auto next(BootTime now, const RecordSource &source) -> std::optional<Batch>;
     /// Returns when next() should be called again; no value while nothing waits or a write is in
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -215,7 +215,7 @@
     auto finishTask(Task &task) -> void;
     auto failTask(Task &task, std::uint64_t run) -> void;
     auto endJob(Job &job, JobOutcome outcome) -> void;
-    auto markChanged(Job &job, bool isUrgent) -> void;
+    auto markChanged(Job &job, WriteUrgency urgency) -> void;
     auto findTask(const JobTaskId &id) -> Task *;
     [[nodiscard]] auto rulesOf(const Job &job) const -> const QueueRules *;
     [[nodiscard]] auto poolOf(const Job &job) const -> const PoolName &;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -274,7 +274,7 @@
 struct PersistProgress
 {
     std::string job;
-    bool isUrgent = false;
+    WriteUrgency urgency = WriteUrgency::Relaxed;
 };
 /// Reports runs that were lost with their worker. Nothing has to be done.
 struct ReportLostRuns
--- a/packages/job/src/progress_writer.cpp
+++ b/packages/job/src/progress_writer.cpp
@@ -7,9 +7,18 @@
     m_revisions[job] = revision;
 }
 
-auto ProgressWriter::changed(const std::string &job, bool isUrgent, BootTime now) -> void
+auto ProgressWriter::changed(const std::string &job, WriteUrgency urgency, BootTime now) -> void
 {
-    schedule(job, now + (isUrgent ? UrgentDelay : RelaxedDelay));
+    switch (urgency) {
+    case WriteUrgency::Relaxed:
+        schedule(job, now + RelaxedDelay);
+        return;
+    case WriteUrgency::Urgent:
+        schedule(job, now + UrgentDelay);
+        return;
+    case WriteUrgency::First:
+        schedule(job, BootTime());
+    }
 }
 
 /// Makes the job due at `at`, or leaves it due earlier.
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -204,7 +204,7 @@
             auto *task = findTask(it.task);
             if (task != nullptr && task->job->outcome == JobOutcome::Open
                 && task->crashes.withdraw(it.run))
-                markChanged(*task->job, false);
+                markChanged(*task->job, WriteUrgency::Relaxed);
         }
     }
 }
@@ -237,7 +237,7 @@
     if (task.crashes.isEmpty() || m_now < task.attachedAt + ExonerationTime)
         return;
     task.crashes.clear();
-    markChanged(*task.job, false);
+    markChanged(*task.job, WriteUrgency::Relaxed);
 }
 
 /// Whether the task is a suspect that may be started. Its crashes have to be persisted, so that the
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -191,7 +191,7 @@
     detach(task);
     task.phase = TaskPhase::Done;
     task.phaseSince = m_now;
-    markChanged(job, false);
+    markChanged(job, WriteUrgency::Relaxed);
     auto &occurrence = job.occurrences.at(task.occurrence);
     if (--occurrence.remainingTasks[task.step] > 0)
         return;
@@ -216,7 +216,7 @@
     if (task.spec().isLongRunning || isCounted)
         return;
     task.failedRuns.push_back(run);
-    markChanged(job, false);
+    markChanged(job, WriteUrgency::Relaxed);
     const auto *rules = rulesOf(job);
     if (rules != nullptr && task.failedRuns.size() >= rules->attempts)
         endJob(job, JobOutcome::Failed);
@@ -230,7 +230,7 @@
     m_endedJobs.push_back(&job);
     auto &open = m_openJobs[poolOf(job)];
     std::erase(open, &job);
-    markChanged(job, true);
+    markChanged(job, WriteUrgency::Urgent);
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
             for (auto &task : step) {
@@ -241,10 +241,10 @@
     }
 }
 
-auto Steward::markChanged(Job &job, bool isUrgent) -> void
+auto Steward::markChanged(Job &job, WriteUrgency urgency) -> void
 {
     job.change = ++m_lastChange;
-    m_actions.emplace_back(steward_action::PersistProgress{job.spec.id, isUrgent});
+    m_actions.emplace_back(steward_action::PersistProgress{job.spec.id, urgency});
 }
 
 auto Steward::handle(const steward_event::ProgressPersisted &event) -> void
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -155,7 +155,7 @@
     task.job->hasStarted = true;
     if (isNewest && !end.checkpoint.empty() && end.end != RunEnd::Done) {
         task.checkpoint = end.checkpoint;
-        markChanged(*task.job, false);
+        markChanged(*task.job, WriteUrgency::Relaxed);
     }
     const auto host = HostName(worker.report.name.value());
     const auto taskId = TaskId(end.task.job + '.' + std::to_string(end.task.step) + '.'
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -614,7 +614,7 @@
 
 auto StewardDuty::perform(const steward_action::PersistProgress &action) -> void
 {
-    m_writer.changed(action.job, action.isUrgent, BootClock::now());
+    m_writer.changed(action.job, action.urgency, BootClock::now());
 }
 
 auto StewardDuty::perform(const steward_action::ReportLostRuns &action) -> void
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -397,7 +397,7 @@
 
 auto FakeFleet::perform(std::size_t steward, const steward_action::PersistProgress &action) -> void
 {
-    m_stewards[steward].writer.changed(action.job, action.isUrgent, m_now);
+    m_stewards[steward].writer.changed(action.job, action.urgency, m_now);
 }
 
 auto FakeFleet::perform(std::size_t steward, const steward_action::StepDown &) -> void
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -438,8 +438,8 @@
     auto writer = ProgressWriter();
     auto now = BootTime(1h);
     for (auto n = 0; n < 20; ++n)
-        writer.changed("slow-" + std::to_string(n), false, now);
-    writer.changed("urgent", true, now);
+        writer.changed("slow-" + std::to_string(n), WriteUrgency::Relaxed, now);
+    writer.changed("urgent", WriteUrgency::Urgent, now);
     EXPECT_FALSE(writer.next(now, emptyRecord).has_value());
     now += ProgressWriter::UrgentDelay;
     const auto first = writer.next(now, emptyRecord);
@@ -452,12 +452,29 @@
     EXPECT_TRUE(writer.next(now, emptyRecord).has_value());
 }
 
+// A takeover changes the records of all jobs that run, and their writes take seconds. The crash of
+// a suspect must not wait for them: the steward may die before.
+TEST(ProgressWriter, WritesACrashBeforeABacklog)
+{
+    auto writer = ProgressWriter();
+    auto now = BootTime(1h);
+    for (auto n = 0; n < 200; ++n)
+        writer.changed("urgent-" + std::to_string(n), WriteUrgency::Urgent, now);
+    writer.changed("crash", WriteUrgency::Relaxed, now);
+    now += 1s;
+    writer.changed("crash", WriteUrgency::First, now);
+    const auto first = writer.next(now, emptyRecord);
+    ASSERT_TRUE(first.has_value());
+    EXPECT_EQ(first->front().job, "crash");
+    EXPECT_EQ(first->size(), ProgressWriter::MaxJobsPerWrite);
+}
+
 TEST(ProgressWriter, RetriesWithTheRevisionsOfAConflict)
 {
     auto writer = ProgressWriter();
     auto now = BootTime(1h);
     writer.loaded("a", 10);
-    writer.changed("a", true, now);
+    writer.changed("a", WriteUrgency::Urgent, now);
     now += 1s;
     EXPECT_EQ(writer.next(now, emptyRecord)->front().revision, 10U);
     // The write is carried out without an answer, and refused when it is sent again.
