Let new workers decide where tasks crash their workers

Cause: after some crashes most workers of a small pool are new, so that nearly every crashing task cost one worker more. Now that holds only until a task has been found to crash its workers, and for 10 s after the last one.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -316,7 +316,7 @@
     Quarantine m_quarantine;
     std::deque<RecentCrash> m_recentCrashes;
     std::map<DataCentreName, BootTime> m_lostDataCentres;
-    /// When a run under test last crashed its worker.
+    /// When a task was last found to crash its workers.
     std::map<PoolName, BootTime> m_testCrashedAt;
     std::vector<Verdict> m_verdicts;
     std::uint64_t m_lastChange = 0;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -121,16 +121,17 @@
         // A long-running task meets so many failures of hosts that only its starts tell anything.
         if (task.spec().isLongRunning && strength == CrashEvidence::Isolated)
             strength = CrashEvidence::Beside;
-        if (isNew(worker)) {
+        // Where tasks crash their workers, most workers are new for that reason.
+        if (isNew(worker) && !hasCrashingTasks(worker.report.pool)) {
             if (strength == CrashEvidence::Sole)
                 strength = CrashEvidence::SoleOnNewWorker;
             if (strength == CrashEvidence::Isolated)
                 strength = CrashEvidence::IsolatedOnNewWorker;
         }
-        if (strength == CrashEvidence::Sole || strength == CrashEvidence::SoleOnNewWorker)
-            m_testCrashedAt[worker.report.pool] = m_now;
         if (task.crashes.add(task.run, strength, task.activeAtMilliseconds.has_value()))
             crashesChanged(task);
+        if (strength == CrashEvidence::Sole || task.crashes.isCause())
+            m_testCrashedAt[worker.report.pool] = m_now;
     }
 }
 
