Leave room beside long-running suspects

Found by reading, while looking for a task that could run and didn't: after two crashes nothing is started beside a task for 3 to 30 s, so that its crash would tell. For long-running tasks such a crash decides nothing, but the task of each worker that had failed repeatedly kept all others off it, and suspects with two crashes were kept off every worker with another suspect. Now a long-running task is under test right after its start only, and a suspect prefers workers without others of its kind.

--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "steward_state.hpp"
 
@@ -79,7 +80,10 @@
 {
     if (!task.crashes.isSuspect())
         return false;
-    return !isEstablished(task) || m_now < task.attachedAt + isolationTime(task.crashes);
+    if (!isEstablished(task))
+        return true;
+    // Late crashes of long-running tasks decide nothing.
+    return !task.spec().isLongRunning && m_now < task.attachedAt + isolationTime(task.crashes);
 }
 
 auto Steward::hasRunUnderTest(const Worker &worker) const -> bool
@@ -267,18 +271,19 @@
 }
 
 /// Returns the worker on which the suspect may start now: all runs there are established, and none
-/// is under test. Prefers workers that have been up for long, then those with few runs. If there is
-/// none, reserves a worker and returns null.
+/// is under test. Prefers workers without other suspects, which might crash them as well, then
+/// workers that have been up for long, then those with few runs. If there is none, reserves a
+/// worker and returns null.
 auto Steward::chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *
 {
-    const auto isQuiet = [this, &task](const Worker &worker) {
-        return std::ranges::all_of(worker.runs, [this, &task](const Task *it) {
-            const auto isOtherSuspect = task.crashes.needsIsolation() && it->crashes.isSuspect();
-            return isEstablished(*it) && !isOtherSuspect;
-        });
+    const auto isQuiet = [this](const Worker &worker) {
+        return std::ranges::all_of(worker.runs,
+                                   [this](const Task *it) { return isEstablished(*it); });
     };
     const auto rank = [this](const Worker &worker) {
-        return std::pair(isNew(worker), worker.runs.size());
+        const auto suspects = std::ranges::count_if(
+            worker.runs, [](const Task *it) { return it->crashes.isSuspect(); });
+        return std::tuple(suspects, isNew(worker), worker.runs.size());
     };
     const auto isBetter = [&rank](const Worker *worker, const Worker *best) {
         return best == nullptr || rank(*worker) < rank(*best);
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -285,6 +285,31 @@
         checkWorkersThatFlap(time);
 }
 
+// Both workers have failed several times by themselves, so that the long-running task of each is a
+// suspect. Other tasks must not wait for that.
+TEST(CrashingTasks, LeaveRoomBesideLongRunningSuspects)
+{
+    auto fleet = FakeFleet(2);
+    fleet.runTime = 300s;
+    fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(2)));
+    for (auto n = 0; n < 4; ++n) {
+        fleet.run(4s);
+        fleet.endWorkers({n % 2});
+    }
+    fleet.run(6s);
+    EXPECT_EQ(fleet.activeRuns("long"), 2U);
+    fleet.addJob(test::oneStepJob("job", test::shortStep(1)));
+    fleet.run(500ms);
+    EXPECT_EQ(fleet.activeRuns("job"), 1U);
+    fleet.endWorkers({0});
+    fleet.run(4s);
+    fleet.endWorkers({1});
+    fleet.run(2s);
+    EXPECT_EQ(fleet.activeRuns("job"), 1U);
+}
+
 // Only the task that crashes the workers is blamed, however many run beside it each time.
 TEST(CrashingTasks, AreToldFromTheTasksBesideThem)
 {
