Split what a crash proves from recording it

No change of behaviour: Steward::weighEvidence() out of recordCrash(), and a clearer name for the time at which a pool was found to have crashing tasks.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -267,6 +267,8 @@
     auto exonerate(Task &task) -> void;
     auto placeSuspects(const PoolName &pool, const Candidate &candidate) -> void;
     auto chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *;
+    [[nodiscard]] auto weighEvidence(CrashEvidence evidence, const Task &task, bool wasCutOff) const
+        -> CrashEvidence;
     [[nodiscard]] auto mayPlaceSuspect(const Task &task) const -> bool;
     [[nodiscard]] auto isNew(const Worker &worker) const -> bool;
     [[nodiscard]] auto isEstablished(const Task &task) const -> bool;
@@ -317,7 +319,7 @@
     std::deque<RecentCrash> m_recentCrashes;
     std::map<DataCentreName, BootTime> m_lostDataCentres;
     /// When a task was last found to crash its workers.
-    std::map<PoolName, BootTime> m_testCrashedAt;
+    std::map<PoolName, BootTime> m_crashingTasksSeenAt;
     std::vector<Verdict> m_verdicts;
     std::uint64_t m_lastChange = 0;
     BootTime m_startedAt;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -93,8 +93,28 @@
 
 auto Steward::hasCrashingTasks(const PoolName &pool) const -> bool
 {
-    const auto it = m_testCrashedAt.find(pool);
-    return it != m_testCrashedAt.end() && m_now < it->second + CrashingTasksTime;
+    const auto it = m_crashingTasksSeenAt.find(pool);
+    return it != m_crashingTasksSeenAt.end() && m_now < it->second + CrashingTasksTime;
+}
+
+/// Returns what the crash of the task's worker proves, as the worker may have had another reason to
+/// end.
+auto Steward::weighEvidence(CrashEvidence evidence, const Task &task, bool wasCutOff) const
+    -> CrashEvidence
+{
+    // A run on a worker that can't be reached isn't known to be established, however long.
+    if (wasCutOff && evidence == CrashEvidence::Sole)
+        evidence = CrashEvidence::Isolated;
+    // A long-running task meets so many failures of hosts that only its starts tell anything.
+    if (task.spec().isLongRunning && evidence == CrashEvidence::Isolated)
+        evidence = CrashEvidence::Beside;
+    // Where tasks crash their workers, most workers are new for that reason.
+    const auto &worker = *task.worker;
+    if (!isNew(worker) || hasCrashingTasks(worker.report.pool))
+        return evidence;
+    if (evidence == CrashEvidence::Sole)
+        return CrashEvidence::SoleOnNewWorker;
+    return evidence == CrashEvidence::Isolated ? CrashEvidence::IsolatedOnNewWorker : evidence;
 }
 
 /// Attributes the crash of a worker to the runs that were lost there.
@@ -118,24 +138,11 @@
         auto &task = *tasks[n];
         if (!evidence[n])
             continue;
-        auto strength = *evidence[n];
-        // A run on a worker that can't be reached isn't known to be established, however long.
-        if (wasCutOff && strength == CrashEvidence::Sole)
-            strength = CrashEvidence::Isolated;
-        // A long-running task meets so many failures of hosts that only its starts tell anything.
-        if (task.spec().isLongRunning && strength == CrashEvidence::Isolated)
-            strength = CrashEvidence::Beside;
-        // Where tasks crash their workers, most workers are new for that reason.
-        if (isNew(worker) && !hasCrashingTasks(worker.report.pool)) {
-            if (strength == CrashEvidence::Sole)
-                strength = CrashEvidence::SoleOnNewWorker;
-            if (strength == CrashEvidence::Isolated)
-                strength = CrashEvidence::IsolatedOnNewWorker;
-        }
+        const auto strength = weighEvidence(*evidence[n], task, wasCutOff);
         if (task.crashes.add(task.run, strength, task.activeAtMilliseconds.has_value()))
             crashesChanged(task);
         if (strength == CrashEvidence::Sole || task.crashes.isCause())
-            m_testCrashedAt[worker.report.pool] = m_now;
+            m_crashingTasksSeenAt[worker.report.pool] = m_now;
     }
 }
 
--- a/packages/request/src/task/task_scheduler.cpp
+++ b/packages/request/src/task/task_scheduler.cpp
@@ -174,7 +174,8 @@
     for (std::size_t n = 0; n < lost.size(); ++n) {
         auto record = lost[n]->version.record;
         auto history = CrashHistory(record.crashedRuns);
-        // A worker that is out of service was rebooted on purpose.
+        // A worker that is out of service was rebooted on purpose. A run without an answer was
+        // ordered at least twice.
         if (evidence[n] && worker.capacity.acceptsWork)
             history.add(lost[n]->version.runEpoch(), *evidence[n], true);
         record.crashedRuns = history.runs();
