--- a/review/4/scenario.cpp
+++ b/review/4/scenario.cpp
@@ -1,5 +1,5 @@
-// The executors of a service, which are idle, crash and start again under their ids, one rack after
-// the other. Then a job is handed in.
+// Two executors after the other two are cut off for some seconds, so that their entries are removed
+// from the store and come back as they were. Then a job is handed in.
 
 #include <iostream>
 
@@ -10,22 +10,21 @@
 using namespace review;
 
 constexpr auto Executors = 8;
-constexpr auto ExecutorsPerRack = 4;
-constexpr auto Downtime = Milliseconds(300);
-constexpr auto Pause = Milliseconds(6'000);
+constexpr auto CutAtOnce = 2;
+constexpr auto CutTime = Milliseconds(5'500);
+constexpr auto Pause = Milliseconds(3'000);
 constexpr auto FinishTime = Milliseconds(40'000);
 
-auto restartRack(Deployment &deployment, int rack) -> void
+auto cutOff(Deployment &deployment, int first) -> void
 {
-    const auto first = rack * ExecutorsPerRack;
-    for (auto n = first; n < first + ExecutorsPerRack; ++n)
-        deployment.executors[static_cast<std::size_t>(n)]->crash();
-    deployment.note("the executors of rack " + std::to_string(rack) + " have crashed");
-    Deployment::sleep(Downtime);
-    for (auto n = first; n < first + ExecutorsPerRack; ++n)
-        deployment.executors[static_cast<std::size_t>(n)]->restart();
-    deployment.note("the executors of rack " + std::to_string(rack)
-                    + " have started again under their ids");
+    for (auto n = first; n < first + CutAtOnce; ++n)
+        deployment.executors[static_cast<std::size_t>(n)]->setCutOff(true);
+    deployment.note(std::to_string(CutAtOnce) + " executors are cut off");
+    Deployment::sleep(CutTime);
+    for (auto n = first; n < first + CutAtOnce; ++n)
+        deployment.executors[static_cast<std::size_t>(n)]->setCutOff(false);
+    deployment.note("the cut is over");
+    Deployment::sleep(Pause);
 }
 
 auto play(Deployment &deployment, bool hasTrouble) -> int
@@ -34,19 +33,12 @@
         return 2;
     if (!watchJob(deployment, jobId(1), Milliseconds(10'000)).isCompleted)
         return 2;
-    Deployment::sleep(Pause);
     if (hasTrouble) {
-        for (auto rack = 0; rack < Executors / ExecutorsPerRack; ++rack) {
-            // The restart falls between two readings of the list of machines, which are 1.5 s
-            // apart.
-            const auto lists = deployment.listCalls.load();
-            deployment.waitFor(Milliseconds(4'000),
-                               [&] { return deployment.listCalls.load() > lists; });
-            Deployment::sleep(Milliseconds(100));
-            restartRack(deployment, rack);
-            Deployment::sleep(Pause);
-        }
+        for (auto n = 0; n < Executors; n += CutAtOnce)
+            cutOff(deployment, n);
     }
+    deployment.note("entries of executors in the store: "
+                    + std::to_string(deployment.store.keys("servers/").size()));
     if (!deployment.submit(jobId(2), simpleJob(6)))
         return 2;
     const auto watch = watchJob(deployment, jobId(2), FinishTime);
