Reckon with the longest lease after a worker's restart

Cause: the first poll that reached the new incarnation carried a lease end on the clock of the one before. The worker shortens such a lease to the longest one, 10 s, while the steward reckoned with 5 s.

The steward now reckons with the longest lease from the moment at which the last call by the earlier clock may be carried out. That holds however the new incarnation learned of the lease, as no worker holds a longer one. Adopted runs are treated alike, and runs that the new incarnation may have confirmed are stopped there instead of being taken for lost.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -74,6 +74,8 @@
     Milliseconds runLease{5'000};
     /// Upper bound of leases that workers grant; set by the platform.
     Milliseconds maxRunLease{10'000};
+    /// A call that had no answer may be carried out this long after it was sent.
+    Milliseconds lateCallTime{12'000};
     /// How long a worker may hold its answer to a poll back until a run ends.
     Milliseconds pollWait{900};
     /// The same for workers with tasks on spare cores: half of the window over which the reported
@@ -242,12 +244,13 @@
     auto requeue(Task &task) -> void;
     auto requeueAll(Worker &worker) -> void;
     auto handleLostRuns(const Worker &worker, RunLoss loss) -> void;
-    auto handleRestart(Worker &worker) -> void;
+    auto handleRestart(Worker &worker, BootTime sentAt) -> void;
     auto stopTask(Task &task) -> void;
     auto sendStop(Task &task) -> void;
     auto sendStart(Task &task) -> void;
     auto renewLease(Worker &worker) -> std::int64_t;
     [[nodiscard]] auto latestLeaseEnd(Duration lease, Duration clockAge) const -> BootTime;
+    [[nodiscard]] auto latestLeaseEndAfterRestart(const Worker &worker) const -> BootTime;
     auto tickWorker(Worker &worker) -> void;
     auto drain(Worker &worker) -> void;
     auto endRecoveryIfDone() -> void;
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -20,7 +20,7 @@
     worker->isPolling = false;
     if (worker->startedMilliseconds != 0 && event.startedMilliseconds != 0
         && worker->startedMilliseconds != event.startedMilliseconds) {
-        handleRestart(*worker);
+        handleRestart(*worker, event.sentAt);
     }
     worker->failedPolls = 0;
     worker->unansweredPolls = 0;
@@ -125,8 +125,9 @@
     task->mayHaveUnknownRun = false; // this is the newest run
     attach(*task, worker);
     task->activeAtMilliseconds = worker.latestClockMilliseconds;
-    // The earlier steward's lease may last as long as a lease that is granted now.
-    renewLease(worker);
+    // The earlier steward may have granted the longest lease, if the worker had restarted.
+    worker.leaseEndsAt =
+        std::max(worker.leaseEndsAt, latestLeaseEnd(m_settings.maxRunLease, {}));
 }
 
 auto Steward::applyEndedRun(Worker &worker, const EndedRun &end) -> void
@@ -209,8 +210,10 @@
         m_actions.emplace_back(steward_action::StepDown{event.worker});
         return;
     }
+    if (event.outcome == OrderOutcome::Unanswered)
+        worker->lastUnansweredAt = m_now;
     if (event.outcome == OrderOutcome::StaleIncarnation)
-        handleRestart(*worker);
+        handleRestart(*worker, event.sentAt);
     ++worker->failedPolls;
     worker->unansweredPolls =
         event.outcome == OrderOutcome::Unanswered ? worker->unansweredPolls + 1 : 0;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -150,6 +150,8 @@
     BootTime busySince;
     /// The worker gets no new work until then because it refused an order.
     BootTime backoffUntil;
+    /// When a call to the worker was last found to have no answer; it may still be carried out.
+    BootTime lastUnansweredAt;
     /// Number of polls in a row that failed, and of those that had no answer at all.
     int failedPolls = 0;
     int unansweredPolls = 0;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -162,14 +162,17 @@
 /// Handles the restart of a worker under the same name.
 ///
 /// An earlier start order may still reach the new incarnation, whose clock may still accept the old
-/// lease. Runs with such orders are therefore stopped there before they are placed elsewhere.
-auto Steward::handleRestart(Worker &worker) -> void
+/// lease. Runs with such orders are therefore stopped there before they are placed elsewhere. The
+/// same holds for runs that were confirmed after `sentAt`, when the call that showed the restart
+/// was sent: the new incarnation may have confirmed them.
+auto Steward::handleRestart(Worker &worker, BootTime sentAt) -> void
 {
     handleLostRuns(worker, RunLoss::Restarted);
     worker.firstSeenAt = m_now;
+    worker.leaseEndsAt = std::max(worker.leaseEndsAt, latestLeaseEndAfterRestart(worker));
     const auto runs = worker.runs;
     for (auto *task : runs) {
-        if (task->phase == TaskPhase::Running) {
+        if (task->phase == TaskPhase::Running && task->confirmedAt < sentAt) {
             requeue(*task);
             continue;
         }
@@ -196,7 +199,10 @@
     if (worker == nullptr || task == nullptr || task->worker != worker || task->run != event.run)
         return;
     task->isOrderPending = false;
-    if (event.clockMilliseconds != 0) {
+    if (event.outcome == OrderOutcome::Unanswered)
+        worker->lastUnansweredAt = m_now;
+    // The answer about an earlier run may be that of the incarnation before.
+    if (event.clockMilliseconds != 0 && task->attachedAt >= worker->firstSeenAt) {
         worker->clockMilliseconds = event.clockMilliseconds;
         worker->clockReadAt = m_now;
         worker->hasClock = true;
@@ -324,6 +330,18 @@
     return m_now + lease + error + LeaseSlack;
 }
 
+/// Returns the latest time at which a lease can end on a worker whose restart became known now.
+/// Calls that grant a lease by the clock of the incarnation before grant the longest one there, as
+/// the new clock starts anew.
+auto Steward::latestLeaseEndAfterRestart(const Worker &worker) const -> BootTime
+{
+    const auto isOpen = worker.isPolling
+        || std::ranges::any_of(worker.runs, [](const Task *it) { return it->isOrderPending; });
+    const auto lastUnansweredAt = isOpen ? m_now : worker.lastUnansweredAt;
+    const auto lastArrival = std::max(m_now, lastUnansweredAt + m_settings.lateCallTime);
+    return latestLeaseEnd(m_settings.maxRunLease, {}) + (lastArrival - m_now);
+}
+
 /// Grants a new lease and returns its end on the worker's clock. Records the latest time at which
 /// it can end on this steward's clock.
 auto Steward::renewLease(Worker &worker) -> std::int64_t
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "fake_fleet.hpp"
+#include "single_worker.hpp"
 
 namespace shallotproxy {
 
@@ -10,6 +11,8 @@
 using namespace std::chrono_literals;
 using test::Delivery;
 using test::FakeFleet;
+using test::firstOf;
+using test::SingleWorker;
 
 auto toDeliveries(const std::vector<std::uint8_t> &numbers) -> std::deque<Delivery>
 {
@@ -21,74 +24,6 @@
     return deliveries;
 }
 
-/// Returns the first action of this type, or null.
-template <typename T>
-auto firstOf(const Steward::Actions &actions) -> const T *
-{
-    for (const auto &it : actions) {
-        if (const auto *found = std::get_if<T>(&it))
-            return found;
-    }
-    return nullptr;
-}
-
-/// One steward with one worker, driven event by event.
-class SingleWorker
-{
-public:
-    explicit SingleWorker(StepSpec step, std::uint32_t attempts = 2)
-        : steward(7, StewardSettings(), now)
-    {
-        steward.step(steward_event::Ticked{1'000'000}, now);
-        steward.step(steward_event::RulesChanged{test::testRules(attempts)}, now);
-        steward.step(steward_event::JobAccepted{test::oneStepJob("job", std::move(step)), {}, true},
-                     now);
-        steward.step(steward_event::WorkerReported{test::workerReport(0)}, now);
-    }
-
-    auto poll(std::vector<ActiveRun> active, std::vector<EndedRun> ended) -> Steward::Actions
-    {
-        auto event = steward_event::WorkerPolled();
-        event.worker = test::workerName(0);
-        event.sentAt = now;
-        event.clockMilliseconds = 5'000;
-        event.startedMilliseconds = 1;
-        event.active = std::move(active);
-        event.ended = std::move(ended);
-        now += 2ms;
-        return step(event);
-    }
-
-    /// Polls the worker for the first time. Returns the number of the run that is started; 0 if
-    /// none.
-    auto startRun() -> std::uint64_t
-    {
-        steward.expectWorkers({test::workerName(0)});
-        const auto actions = poll({}, {});
-        const auto *start = firstOf<steward_action::StartRun>(actions);
-        return start == nullptr ? 0 : start->run;
-    }
-
-    /// Applies the event and then places the waiting tasks.
-    auto step(const StewardEvent &event) -> Steward::Actions
-    {
-        auto actions = steward.step(event, now);
-        for (const auto &it : steward.step(steward_event::PlacementDue(), now))
-            actions.push_back(it);
-        return actions;
-    }
-
-    auto tick(Duration time) -> Steward::Actions
-    {
-        now += time;
-        return step(steward_event::Ticked{1'000'000});
-    }
-
-    BootTime now{1h};
-    Steward steward;
-    const JobTaskId task{"job", 0, 0, 0};
-};
-
 TEST(Steward, CompletesAJob)
 {
     auto fleet = FakeFleet(3);
--- /dev/null
+++ b/tests/unit/unit-worker-incarnations.cpp
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+
+#include "single_worker.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::firstOf;
+using test::SingleWorker;
+
+// A task that was lost in a crash starts again after this time.
+constexpr auto SuspicionTime = 600ms;
+// An unanswered call may be carried out this late.
+constexpr auto LateCallTime = 12s;
+
+/// Registers the next incarnation of the worker, whose clock starts anew.
+auto restart(SingleWorker &single) -> Steward::Actions
+{
+    single.clockMilliseconds = 1'000;
+    auto report = test::workerReport(0);
+    report.startedMilliseconds = ++single.startedMilliseconds;
+    return single.step(steward_event::WorkerReported{report});
+}
+
+auto confirmStart(SingleWorker &single, std::uint64_t run) -> void
+{
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Accepted, single.clockMilliseconds});
+}
+
+/// Adds a second worker, leaves the first one without answers, and returns when the task starts on
+/// the second one.
+auto timeOfStartElsewhere(SingleWorker &single) -> BootTime
+{
+    single.step(steward_event::WorkerReported{test::workerReport(1)});
+    auto idle = steward_event::WorkerPolled();
+    idle.worker = test::workerName(1);
+    idle.clockMilliseconds = 1;
+    const auto begin = single.now;
+    while (single.now < begin + 60s) {
+        idle.sentAt = single.now;
+        single.step(idle);
+        const auto actions = single.tick(250ms);
+        const auto *start = firstOf<steward_action::StartRun>(actions);
+        if (start != nullptr && start->worker == test::workerName(1))
+            break;
+        single.step(
+            steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::Unanswered});
+    }
+    return single.now;
+}
+
+// A poll with a lease by the clock of the life before reached a worker that had restarted, which
+// granted itself the longest lease. Its runs were started elsewhere while they went on.
+TEST(WorkerIncarnations, StartNothingElsewhereWhileARestartedWorkerMayHoldTheLongestLease)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    confirmStart(single, single.startRun());
+    single.poll({{single.task, 7'001, {}, 10, 0}}, {});
+    restart(single);
+    const auto restartKnownAt = single.now;
+    single.poll({}, {});
+    const auto actions = single.tick(SuspicionTime);
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    ASSERT_NE(start, nullptr);
+    confirmStart(single, start->run);
+    EXPECT_GE(timeOfStartElsewhere(single), restartKnownAt + StewardSettings().maxRunLease);
+}
+
+// The call with that lease had no answer, and the new incarnation carries it out seconds later.
+TEST(WorkerIncarnations, StartNothingElsewhereWhileALateCallMayProlongTheLease)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    confirmStart(single, single.startRun());
+    single.poll({{single.task, 7'001, {}, 10, 0}}, {});
+    single.step(
+        steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::Unanswered});
+    const auto unansweredAt = single.now;
+    restart(single);
+    single.poll({}, {});
+    const auto actions = single.tick(SuspicionTime);
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    ASSERT_NE(start, nullptr);
+    confirmStart(single, start->run);
+    EXPECT_GE(timeOfStartElsewhere(single),
+              unansweredAt + LateCallTime + StewardSettings().maxRunLease);
+}
+
+// The steward before may have granted that lease, too.
+TEST(WorkerIncarnations, StartNothingElsewhereWhileAnAdoptedRunMayHoldTheLongestLease)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto adoptedAt = single.now;
+    single.poll({{single.task, 5, {}, 10, 0}}, {});
+    EXPECT_GE(timeOfStartElsewhere(single), adoptedAt + StewardSettings().maxRunLease);
+}
+
+// The new incarnation confirms a start after it was polled, and the answer to the start arrives
+// first: the run isn't one of those that were lost.
+TEST(WorkerIncarnations, KeepARunThatTheNewOneHasConfirmed)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    const auto pollSentAt = single.now;
+    single.now += 5ms;
+    single.clockMilliseconds = 1'000;
+    confirmStart(single, run);
+    auto answer = steward_event::WorkerPolled();
+    answer.worker = test::workerName(0);
+    answer.sentAt = pollSentAt;
+    answer.clockMilliseconds = 990;
+    answer.startedMilliseconds = 2;
+    auto actions = single.step(answer);
+    EXPECT_EQ(firstOf<steward_action::StartRun>(actions), nullptr);
+    EXPECT_NE(firstOf<steward_action::StopRun>(actions), nullptr);
+}
+
+// The order was answered by the incarnation before, and its answer is read after the restart.
+TEST(WorkerIncarnations, GrantNoLeaseByAnEarlierClock)
+{
+    auto single = SingleWorker(test::shortStep(2));
+    single.clockMilliseconds = 500'000;
+    const auto run = single.startRun();
+    const auto pollSentAt = single.now;
+    single.now += 5ms;
+    auto answer = steward_event::WorkerPolled();
+    answer.worker = test::workerName(0);
+    answer.sentAt = pollSentAt;
+    answer.clockMilliseconds = 1'000;
+    answer.startedMilliseconds = 2;
+    single.step(answer);
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Accepted, 500'005});
+    const auto actions = single.step(
+        steward_event::StopAnswered{test::workerName(0), single.task, run, OrderOutcome::Accepted});
+    const auto *poll = firstOf<steward_action::PollWorker>(actions);
+    ASSERT_NE(poll, nullptr);
+    EXPECT_LT(poll->leaseEndMilliseconds, 100'000);
+}
+
+} // namespace
+
+} // namespace shallotproxy
