End a worker only by a list that is newer than its last sign of life

Callers saw tasks run twice: a worker restarted under its name while a list of the hosts was under way that said `down`.

Cause: each list was compared with the one before only, so that an old list acted on a worker that had started after it was made.

WorkerIncarnations.EndByNoListThatIsOlderThanTheirLastSignOfLife fails without the comparison (trial on a scratch copy) and passes with it.

An end now carries the time at which the call was sent that showed it, and counts only if the worker hasn't answered or registered since. ListedWorkers returns an end with each list until it is applied, so that a worker that is gone is ended by the next list.

--- a/packages/job/include/shallotproxy/job.hpp
+++ b/packages/job/include/shallotproxy/job.hpp
@@ -6,6 +6,7 @@
 #include "job/job_progress.hpp"
 #include "job/job_spec.hpp"
 #include "job/latency_guard.hpp"
+#include "job/listed_workers.hpp"
 #include "job/pool_sizer.hpp"
 #include "job/progress_writer.hpp"
 #include "job/steward.hpp"
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -206,6 +206,9 @@
     WorkerName worker;
     /// The steward ordered it, or the host is being moved or maintained.
     bool isPlanned = false;
+    /// When the call was sent that showed it. Proves nothing about a worker that has given a sign
+    /// of life since: another incarnation may have started under the name.
+    BootTime asOf = BootTime::max();
 };
 /// Starts or ends the drain of a worker. A draining worker gets no new work, and its runs are
 /// stopped as far as their jobs allow.
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -126,8 +126,7 @@
     attach(*task, worker);
     task->activeAtMilliseconds = worker.latestClockMilliseconds;
     // The earlier steward may have granted the longest lease, if the worker had restarted.
-    worker.leaseEndsAt =
-        std::max(worker.leaseEndsAt, latestLeaseEnd(m_settings.maxRunLease, {}));
+    worker.leaseEndsAt = std::max(worker.leaseEndsAt, latestLeaseEnd(m_settings.maxRunLease, {}));
 }
 
 auto Steward::applyEndedRun(Worker &worker, const EndedRun &end) -> void
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -121,6 +121,8 @@
 
     WorkerReport report;
     bool isRegistered = true;
+    /// When its registration was last written.
+    BootTime reportedAt;
     /// When the present incarnation became known.
     BootTime firstSeenAt;
     /// This steward has polled the worker successfully, so that the worker knows its token.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -44,6 +44,7 @@
     if (event.report.isLeaving && !worker.report.isLeaving && !worker.isDraining)
         worker.drainingSince = m_now;
     worker.report = event.report;
+    worker.reportedAt = m_now;
     worker.isRegistered = true;
     if (isMoved)
         m_poolWorkers[worker.report.pool].push_back(&worker);
@@ -62,7 +63,7 @@
 auto Steward::handle(const steward_event::WorkerEnded &event) -> void
 {
     auto *worker = findWorker(event.worker);
-    if (worker == nullptr)
+    if (worker == nullptr || event.asOf < std::max(worker->lastAnswerAt, worker->reportedAt))
         return;
     m_expectedWorkers.erase(event.worker);
     handleLostRuns(*worker, event.isPlanned ? RunLoss::Planned : RunLoss::Ended);
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -20,6 +20,14 @@
 
 } // namespace
 
+/// An order that may be sent several times.
+struct HostDuty::UpkeepOrder
+{
+    UpkeepStart start;
+    BootTime firstSentAt;
+    bool isRepeat = false;
+};
+
 HostDuty::HostDuty(RuntimeContext &context, StewardDuty &steward)
     : m_context(context)
     , m_steward(steward)
@@ -133,17 +141,18 @@
         const auto isMoving = std::ranges::any_of(self->m_hosts, [](const auto &it) {
             return it.state == HostState::Moving || it.state == HostState::InUpkeep;
         });
+        const auto isRecovering = steward != nullptr && steward->isRecovering();
         const auto isBusy =
-            isMoving || self->m_upkeep.hasWork() || (steward != nullptr && steward->isRecovering());
+            isMoving || self->m_upkeep.hasWork() || isRecovering || self->m_hasUnconfirmedEnds;
         self->m_nextListAt = BootClock::now() + (isBusy ? BusyListInterval : IdleListInterval);
     });
 }
 
 auto HostDuty::applyHostList(std::vector<HostReport> hosts, BootTime sentAt) -> void
 {
-    reportEndedWorkers(hosts);
     m_hosts = std::move(hosts);
     m_listedAt = sentAt;
+    reportEndedWorkers(sentAt);
     if (auto *steward = m_steward.steward()) {
         auto expected = std::set<WorkerName>();
         auto capacities = std::vector<Resources>();
@@ -165,29 +174,32 @@
     }
 }
 
-/// Reports a worker as ended if its host is no longer up or has another worker now.
-auto HostDuty::reportEndedWorkers(const std::vector<HostReport> &hosts) -> void
+/// Reports the workers as ended that the last list shows as gone, with each list until the steward
+/// takes it: the list may be older than the present incarnation of a worker.
+auto HostDuty::reportEndedWorkers(BootTime listSentAt) -> void
 {
-    auto present = std::map<HostName, const HostReport *>();
-    for (const auto &it : hosts)
-        present[it.host] = &it;
-    for (const auto &before : m_hosts) {
-        if (before.worker.isEmpty())
-            continue;
-        const auto it = present.find(before.host);
-        if (it == present.end())
-            continue; // a host that is missing from the list may still run its worker
-        const auto hasEnded = it->second->state != HostState::Up
-            || (!it->second->worker.isEmpty() && it->second->worker != before.worker);
-        if (!hasEnded)
+    m_hasUnconfirmedEnds = false;
+    for (const auto &it : m_listedWorkers.step(m_hosts)) {
+        const auto *before = m_steward.steward();
+        if (before == nullptr)
+            return;
+        if (!before->workerLoad(it.worker)) {
+            m_listedWorkers.forget(it.worker);
             continue;
-        m_context.log.info("event=worker-ended worker={} host={} state={}", before.worker.value(),
-                           before.host.value(), static_cast<int>(it->second->state));
-        const auto isUnderOrder = m_upkeep.isClaimed(before.host)
-            || m_pendingOrders.contains(before.host) || m_unansweredMoves.contains(before.host);
-        const auto isMaintained = it->second->state == HostState::Moving
-            || it->second->state == HostState::InUpkeep || it->second->pool != before.pool;
-        m_steward.dispatch(steward_event::WorkerEnded{before.worker, isUnderOrder || isMaintained});
+        }
+        const auto &host = it.host.host;
+        const auto isUnderOrder = m_upkeep.isClaimed(host) || m_pendingOrders.contains(host)
+            || m_unansweredMoves.contains(host);
+        m_steward.dispatch(
+            steward_event::WorkerEnded{it.worker, isUnderOrder || it.isMaintained, listSentAt});
+        const auto *after = m_steward.steward();
+        const auto isConfirmed = after != nullptr && !after->workerLoad(it.worker);
+        m_context.log.info("event={} worker={} host={} state={}",
+                           isConfirmed ? "worker-ended" : "worker-end-unconfirmed",
+                           it.worker.value(), host.value(), static_cast<int>(it.host.state));
+        if (isConfirmed)
+            m_listedWorkers.forget(it.worker);
+        m_hasUnconfirmedEnds = m_hasUnconfirmedEnds || !isConfirmed;
     }
 }
 
@@ -242,7 +254,7 @@
         setDraining(host, true);
     for (const auto &start : orders.start) {
         if (!m_pendingOrders.contains(start.host) && isIdleNow(start.host))
-            startUpkeep(start, false);
+            startUpkeep({start, BootClock::now()});
     }
     for (const auto wave : orders.completed) {
         m_context.log.info("event=wave-completed wave={}", wave);
@@ -279,33 +291,34 @@
         m_steward.dispatch(steward_event::WorkerDrainChanged{it->worker, isDraining});
 }
 
-auto HostDuty::startUpkeep(const UpkeepStart &start, bool isRepeat) -> void
+auto HostDuty::startUpkeep(const UpkeepOrder &order) -> void
 {
+    const auto &start = order.start;
     const auto token = m_steward.stewardship().token();
     if (!token || !m_waves.contains(start.wave))
         return;
     if (!m_steward.stewardship().mayOrder(BootClock::now())) {
-        if (isRepeat)
-            repeatUpkeep(start);
+        if (order.isRepeat)
+            repeatUpkeep(order);
         return;
     }
     m_upkeep.startSent(start);
     m_pendingOrders.insert(start.host);
     m_context.log.info("event=upkeep-ordered host={} wave={}", start.host.value(), start.wave);
-    m_context.hosts.startUpkeep(start, *token,
-                                [self = QPointer(this), start, isRepeat](HostOutcome outcome) {
-                                    if (self)
-                                        self->upkeepAnswered(start, isRepeat, outcome);
-                                });
+    m_context.hosts.startUpkeep(start, *token, [self = QPointer(this), order](HostOutcome outcome) {
+        if (self)
+            self->upkeepAnswered(order, outcome);
+    });
 }
 
-auto HostDuty::upkeepAnswered(const UpkeepStart &start, bool isRepeat, HostOutcome outcome) -> void
+auto HostDuty::upkeepAnswered(const UpkeepOrder &order, HostOutcome outcome) -> void
 {
+    const auto &start = order.start;
     m_pendingOrders.erase(start.host);
     if (outcome == HostOutcome::Accepted) {
         m_upkeep.startAccepted(start, BootClock::now());
         if (!start.worker.isEmpty())
-            m_steward.dispatch(steward_event::WorkerEnded{start.worker, true});
+            m_steward.dispatch(steward_event::WorkerEnded{start.worker, true, order.firstSentAt});
         writeStatus(start.wave, false);
         m_nextListAt = {};
         return;
@@ -314,8 +327,8 @@
                        start.wave, static_cast<int>(outcome));
     if (outcome == HostOutcome::Superseded) {
         m_steward.superseded(start.host.value());
-    } else if (outcome == HostOutcome::Unanswered || isRepeat) {
-        repeatUpkeep(start);
+    } else if (outcome == HostOutcome::Unanswered || order.isRepeat) {
+        repeatUpkeep(order);
     } else {
         m_upkeep.startRefused(start);
     }
@@ -323,9 +336,11 @@
 
 /// Repeats an order without an answer until it is accepted: one that was carried out is accepted
 /// again, and the refusal of a repetition doesn't tell what became of the first order.
-auto HostDuty::repeatUpkeep(const UpkeepStart &start) -> void
+auto HostDuty::repeatUpkeep(const UpkeepOrder &order) -> void
 {
-    QTimer::singleShot(BusyListInterval, this, [this, start] { startUpkeep(start, true); });
+    auto repeat = order;
+    repeat.isRepeat = true;
+    QTimer::singleShot(BusyListInterval, this, [this, repeat] { startUpkeep(repeat); });
 }
 
 auto HostDuty::move(const HostMove &move) -> void
@@ -342,14 +357,15 @@
         return;
     }
     m_context.log.info("event=move-ordered host={} to={}", move.host.value(), move.to.value());
-    m_context.hosts.move(move, *token, [self = QPointer(this), move, worker](HostOutcome outcome) {
+    const auto sentAt = BootClock::now();
+    const auto answered = [self = QPointer(this), move, worker, sentAt](HostOutcome outcome) {
         if (!self)
             return;
         self->m_pendingOrders.erase(move.host);
         const auto now = BootClock::now();
         if (outcome == HostOutcome::Accepted) {
             if (!worker.isEmpty())
-                self->m_steward.dispatch(steward_event::WorkerEnded{worker, true});
+                self->m_steward.dispatch(steward_event::WorkerEnded{worker, true, sentAt});
             const auto entry = std::ranges::find(self->m_hosts, move.host, &HostReport::host);
             if (entry != self->m_hosts.end()) {
                 entry->state = HostState::Moving;
@@ -369,7 +385,8 @@
         } else if (!worker.isEmpty()) {
             self->m_steward.dispatch(steward_event::WorkerDrainChanged{worker, false});
         }
-    });
+    };
+    m_context.hosts.move(move, *token, answered);
 }
 
 auto HostDuty::writeStatus(std::uint64_t wave, bool isCompleted) -> void
--- a/packages/member/src/host_duty.hpp
+++ b/packages/member/src/host_duty.hpp
@@ -22,15 +22,16 @@
     auto step() -> void;
     auto readList() -> void;
     auto applyHostList(std::vector<HostReport> hosts, BootTime sentAt) -> void;
-    auto reportEndedWorkers(const std::vector<HostReport> &hosts) -> void;
+    auto reportEndedWorkers(BootTime listSentAt) -> void;
     [[nodiscard]] auto viewOfHost(const HostReport &report) const -> HostView;
     [[nodiscard]] auto views() const -> std::vector<HostView>;
     auto plan() -> void;
     auto planUpkeep(const std::vector<HostView> &hosts) -> void;
     auto planMoves(const std::vector<HostView> &hosts) -> void;
-    auto startUpkeep(const UpkeepStart &start, bool isRepeat) -> void;
-    auto upkeepAnswered(const UpkeepStart &start, bool isRepeat, HostOutcome outcome) -> void;
-    auto repeatUpkeep(const UpkeepStart &start) -> void;
+    struct UpkeepOrder;
+    auto startUpkeep(const UpkeepOrder &order) -> void;
+    auto upkeepAnswered(const UpkeepOrder &order, HostOutcome outcome) -> void;
+    auto repeatUpkeep(const UpkeepOrder &order) -> void;
     auto endUnansweredMoves(BootTime now) -> void;
     [[nodiscard]] auto hostsUnderOrder() const -> std::set<HostName>;
     auto move(const HostMove &move) -> void;
@@ -46,6 +47,9 @@
     PoolSizer m_sizer;
     QTimer m_timer;
     std::vector<HostReport> m_hosts;
+    ListedWorkers m_listedWorkers;
+    /// The last list showed workers as gone that have given signs of life since it was requested.
+    bool m_hasUnconfirmedEnds = false;
     BootTime m_listedAt;
     BootTime m_startedAt;
     BootTime m_nextListAt;
--- a/tests/unit/single_worker.hpp
+++ b/tests/unit/single_worker.hpp
@@ -24,8 +24,7 @@
     {
         steward.step(steward_event::Ticked{1'000'000}, now);
         steward.step(steward_event::RulesChanged{testRules(attempts)}, now);
-        steward.step(steward_event::JobAccepted{oneStepJob("job", std::move(step)), {}, true},
-                     now);
+        steward.step(steward_event::JobAccepted{oneStepJob("job", std::move(step)), {}, true}, now);
         steward.step(steward_event::WorkerReported{workerReport(0)}, now);
     }
 
--- a/tests/unit/unit-worker-incarnations.cpp
+++ b/tests/unit/unit-worker-incarnations.cpp
@@ -140,6 +140,28 @@
     EXPECT_LT(poll->leaseEndMilliseconds, 100'000);
 }
 
+// A list of the hosts was requested while the worker was down and arrived after it had restarted.
+// The tasks of the new incarnation were started elsewhere while they ran on it.
+TEST(WorkerIncarnations, EndByNoListThatIsOlderThanTheirLastSignOfLife)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    confirmStart(single, single.startRun());
+    const auto listSentAt = single.now;
+    single.now += 50ms;
+    restart(single);
+    single.poll({}, {});
+    const auto actions = single.tick(SuspicionTime);
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    ASSERT_NE(start, nullptr);
+    confirmStart(single, start->run);
+    single.step(steward_event::WorkerEnded{test::workerName(0), false, listSentAt});
+    ASSERT_TRUE(single.steward.workerLoad(test::workerName(0)).has_value());
+    EXPECT_EQ(single.steward.workerLoad(test::workerName(0))->otherRuns, 1U);
+    single.now += 10ms;
+    single.step(steward_event::WorkerEnded{test::workerName(0), false, single.now});
+    EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
+}
+
 } // namespace
 
 } // namespace shallotproxy
