--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -194,12 +194,15 @@
             steward_event::WorkerEnded{it.worker, isUnderOrder || it.isMaintained, listSentAt});
         const auto *after = m_steward.steward();
         const auto isConfirmed = after != nullptr && !after->workerLoad(it.worker);
-        m_context.log.info("event={} worker={} host={} state={}",
-                           isConfirmed ? "worker-ended" : "worker-end-unconfirmed",
-                           it.worker.value(), host.value(), static_cast<int>(it.host.state));
-        if (isConfirmed)
+        if (isConfirmed) {
+            m_context.log.info("event=worker-ended worker={} host={} state={}", it.worker.value(),
+                               host.value(), static_cast<int>(it.host.state));
             m_listedWorkers.forget(it.worker);
-        m_hasUnconfirmedEnds = m_hasUnconfirmedEnds || !isConfirmed;
+        } else {
+            m_context.log.info("event=worker-end-unconfirmed worker={} host={}", it.worker.value(),
+                               host.value());
+            m_hasUnconfirmedEnds = true;
+        }
     }
 }
 
