Poll a worker whose registration tells of another incarnation

Cause: nothing starts on a worker until the incarnation of its registration has answered, and an idle worker was polled only for reasons that the incarnation before had left.

GetWorkAfterARestartWhileTheyAreIdle fails without the new condition (trial on a scratch copy).

Three more places of the same kind are closed with it; a property test over random orders of restarts, registrations, lists and late calls helped to find them.

The simulated workers have clocks that start anew, and orders and polls that the next incarnation may or may not carry out. The property excuses a start after an end that was acknowledged after the lease had expired, as the users' rule TWICE does. The other tests stay as strict as before.

--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -18,6 +18,13 @@
     if (worker == nullptr)
         return;
     worker->isPolling = false;
+    const auto isOfEarlierIncarnation = event.sentAt < worker->firstSeenAt
+        && event.startedMilliseconds != 0 && worker->report.startedMilliseconds != 0
+        && event.startedMilliseconds != worker->report.startedMilliseconds;
+    if (isOfEarlierIncarnation) {
+        pollIfDue(*worker);
+        return;
+    }
     if (worker->startedMilliseconds != 0 && event.startedMilliseconds != 0
         && worker->startedMilliseconds != event.startedMilliseconds) {
         handleRestart(*worker, event.sentAt);
@@ -25,6 +32,7 @@
     worker->failedPolls = 0;
     worker->unansweredPolls = 0;
     worker->lastAnswerAt = m_now;
+    worker->isEndSuspected = false;
     if (event.startedMilliseconds != 0)
         worker->startedMilliseconds = event.startedMilliseconds;
     worker->clockMilliseconds = event.clockMilliseconds;
@@ -44,9 +52,13 @@
     if (event.ended.size() < EndedRunsPerPoll)
         requeueMissingRuns(*worker, event);
     adjustRunSpeeds(*worker);
-    worker->nextPoll = m_now
-        + std::max<Duration>(m_settings.minPollInterval,
-                             m_settings.pollIntervalPerWorker * static_cast<int>(m_workers.size()));
+    auto interval =
+        std::max<Duration>(m_settings.minPollInterval,
+                           m_settings.pollIntervalPerWorker * static_cast<int>(m_workers.size()));
+    // The registration of the new incarnation follows.
+    if (!worker->isReportCurrent() && worker->runs.empty())
+        interval = std::max<Duration>(interval, m_settings.resendInterval);
+    worker->nextPoll = m_now + interval;
     endRecoveryIfDone();
     drain(*worker);
     pollIfDue(*worker);
@@ -214,6 +226,7 @@
     if (event.outcome == OrderOutcome::StaleIncarnation)
         handleRestart(*worker, event.sentAt);
     ++worker->failedPolls;
+    worker->acknowledged = 0; // the poll may not have been carried out
     worker->unansweredPolls =
         event.outcome == OrderOutcome::Unanswered ? worker->unansweredPolls + 1 : 0;
     const auto backoff =
@@ -261,14 +274,15 @@
 }
 
 /// Polls the worker if it is time. A worker with runs is polled continually, an idle one only until
-/// its last ends are acknowledged.
+/// its last ends are acknowledged and its registered incarnation has answered.
 auto Steward::pollIfDue(Worker &worker) -> void
 {
     if (worker.isPolling || m_now < worker.nextPoll)
         return;
     const auto acknowledged = highestAcknowledgeable(worker);
     const auto isNeeded = !worker.isPolled || !worker.runs.empty() || worker.hasDetachedRuns()
-        || acknowledged > worker.acknowledged || worker.failedPolls > 0;
+        || acknowledged > worker.acknowledged || worker.failedPolls > 0
+        || !worker.isReportCurrent();
     const auto mayHaveRuns =
         worker.isRegistered || !worker.runs.empty() || worker.hasDetachedRuns();
     if (!isNeeded || !mayHaveRuns)
@@ -279,7 +293,11 @@
     // An unresponsive worker gets no new lease, so that the end of its runs is known.
     const auto needsLease =
         worker.hasClock && !worker.runs.empty() && worker.failedPolls < MaxFailedPolls;
-    worker.acknowledged = acknowledged;
+    // Another incarnation numbers its ends anew: it must not take an acknowledgement for its own.
+    const auto mayHaveRestarted = worker.failedPolls > 0 || !worker.isReportCurrent();
+    const auto isNews = acknowledged > worker.acknowledged && !mayHaveRestarted;
+    if (isNews)
+        worker.acknowledged = acknowledged;
     // The speed of tasks on spare cores depends on the latencies that each poll reports.
     const auto hasSpareCoreRuns =
         std::ranges::any_of(worker.runs, [](const Task *it) { return it->spec().usesSpareCores; });
@@ -287,9 +305,9 @@
     // Other tasks wait until a run under test is known to be active.
     if (hasRunUnderTest(worker))
         wait = m_settings.testedPollWait;
-    m_actions.emplace_back(
-        steward_action::PollWorker{worker.report.name, needsLease ? renewLease(worker) : 0,
-                                   acknowledged, mayWait ? static_cast<int>(wait.count()) : 0});
+    m_actions.emplace_back(steward_action::PollWorker{
+        worker.report.name, needsLease ? renewLease(worker) : 0, isNews ? acknowledged : 0,
+        mayWait ? static_cast<int>(wait.count()) : 0});
 }
 
 /// Whether a worker that never answered is on no listed host. The registration of a worker whose
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -34,6 +34,8 @@
     BootTime attachedAt;
     /// When the last start or stop order was sent.
     BootTime orderedAt;
+    /// When the last start order was sent.
+    BootTime startSentAt;
     /// When the worker last confirmed the run or its stop.
     BootTime confirmedAt;
     /// The start order was sent again because the first one had no answer.
@@ -121,6 +123,9 @@
 
     WorkerReport report;
     bool isRegistered = true;
+    /// A list of the hosts shows that it has ended, but a start order was sent later than the list
+    /// was requested.
+    bool isEndSuspected = false;
     /// When its registration was last written.
     BootTime reportedAt;
     /// When the present incarnation became known.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -70,11 +70,17 @@
     worker.report = report;
     worker.reportedAt = m_now;
     worker.isRegistered = true;
+    worker.isEndSuspected = false;
     if (isMoved)
         m_poolWorkers[worker.report.pool].push_back(&worker);
     markDirty(worker.report.pool);
     if (isNew)
         m_quarantine.workerAdded(HostName(report.name.value()));
+    if (!worker.isReportCurrent()) {
+        // The next poll shows which incarnation is there. Until then its clock isn't known.
+        worker.hasClock = false;
+        worker.nextPoll = m_now;
+    }
     return worker;
 }
 
@@ -107,6 +113,14 @@
     auto *worker = findWorker(event.worker);
     if (worker == nullptr || event.asOf < std::max(worker->lastAnswerAt, worker->reportedAt))
         return;
+    // The next incarnation may carry out an order that was sent after that time.
+    const auto isOrderedLater = [&event](const Task *it) {
+        return it->startSentAt > event.asOf && it->phase != TaskPhase::Running;
+    };
+    if (std::ranges::any_of(worker->runs, isOrderedLater)) {
+        worker->isEndSuspected = true;
+        return;
+    }
     m_expectedWorkers.erase(event.worker);
     handleLostRuns(*worker, event.isPlanned ? RunLoss::Planned : RunLoss::Ended);
     requeueAll(*worker);
@@ -254,6 +268,7 @@
         worker->latestClockMilliseconds =
             std::max(worker->latestClockMilliseconds, event.clockMilliseconds);
         worker->lastAnswerAt = m_now;
+        worker->isEndSuspected = false;
     }
     const auto wasStarting = task->phase == TaskPhase::Starting;
     switch (event.outcome) {
@@ -346,6 +361,7 @@
 auto Steward::sendStart(Task &task) -> void
 {
     task.orderedAt = m_now;
+    task.startSentAt = m_now;
     task.isOrderPending = true;
     m_actions.emplace_back(steward_action::StartRun{task.worker->report.name, task.id(), task.run,
                                                     task.job->spec.payload, task.checkpoint,
@@ -480,7 +496,7 @@
 auto Steward::isReachable(const Worker &worker) const -> bool
 {
     return worker.isRegistered && worker.isPolled && worker.hasClock && !worker.report.isLeaving
-        && worker.isReportCurrent() && worker.failedPolls < MaxFailedPolls
+        && !worker.isEndSuspected && worker.isReportCurrent() && worker.failedPolls < MaxFailedPolls
         && !m_closedDataCentres.contains(worker.report.dataCentre)
         && (worker.runs.empty()
             || m_now
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -17,6 +17,9 @@
 // A task that has ended this many workers may be started at most twice more.
 constexpr std::uint32_t CrashLimit = 3;
 constexpr std::uint32_t StartsAfterCrashLimit = 2;
+constexpr std::int64_t ClockAtStart = 1'000;
+// Workers shorten longer leases to this one.
+constexpr auto MaxLease = 10s;
 constexpr std::int64_t WorkerCores = 8'000;
 constexpr std::int64_t WorkerMemory = 16'000;
 
@@ -167,7 +170,7 @@
     }
 }
 
-auto FakeFleet::nextDelivery() -> Delivery
+auto FakeFleet::nextDelivery(std::deque<Delivery> &deliveries) -> Delivery
 {
     if (deliveries.empty())
         return Delivery::Delivered;
@@ -185,8 +188,8 @@
 
 auto FakeFleet::clockOf(const FakeWorker &worker) const -> std::int64_t
 {
-    return worker.incarnation
-        + std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch()).count();
+    return ClockAtStart
+        + std::chrono::duration_cast<std::chrono::milliseconds>(m_now - worker.bornAt).count();
 }
 
 auto FakeFleet::isResponsive(const FakeWorker &worker) const -> bool
@@ -207,7 +210,7 @@
     it.used = {};
 }
 
-auto FakeFleet::restartWorker(int worker) -> void
+auto FakeFleet::restartWorker(int worker, Duration registrationDelay) -> void
 {
     auto &it = m_workers[static_cast<std::size_t>(worker)];
     const auto report = it.report;
@@ -215,6 +218,40 @@
     it = {};
     it.report = report;
     it.incarnation = incarnation + 1;
+    it.report.startedMilliseconds = it.incarnation;
+    it.bornAt = m_now;
+    schedule(registrationDelay, [this, report = it.report] {
+        for (std::size_t n = 0; n < m_stewards.size(); ++n)
+            send(n, steward_event::WorkerReported{report});
+    });
+}
+
+auto FakeFleet::setRegistered(int worker, bool isRegistered) -> void
+{
+    const auto &report = m_workers[static_cast<std::size_t>(worker)].report;
+    for (std::size_t n = 0; n < m_stewards.size(); ++n) {
+        if (isRegistered) {
+            send(n, steward_event::WorkerReported{report});
+        } else {
+            send(n, steward_event::WorkerRemoved{report.name});
+        }
+    }
+}
+
+auto FakeFleet::listWorkers(Duration delay) -> void
+{
+    auto down = std::vector<WorkerName>();
+    for (const auto &it : m_workers) {
+        if (!it.isUp)
+            down.push_back(it.report.name);
+    }
+    schedule(delay, [this, down, up = workersUp(), sentAt = m_now] {
+        for (std::size_t n = 0; n < m_stewards.size(); ++n) {
+            for (const auto &name : down)
+                send(n, steward_event::WorkerEnded{name, false, sentAt});
+            m_stewards[n].steward->expectWorkers(up, {}, sentAt);
+        }
+    });
 }
 
 auto FakeFleet::setDataCentre(int worker, const std::string &dataCentre) -> void
@@ -297,12 +334,14 @@
 auto FakeFleet::perform(std::size_t steward, const steward_action::StartRun &order) -> void
 {
     ++starts;
-    const auto delivery = nextDelivery();
+    const auto delivery = nextDelivery(deliveries);
     const auto token = m_stewards[steward].steward->token();
     const auto name = order.worker;
-    const auto apply = [this, token, order, name] {
+    const auto incarnation = find(name).isUp ? find(name).incarnation : 0;
+    const auto apply = [this, token, order, name, incarnation] {
         auto &worker = find(name);
-        return worker.isUp ? applyStart(worker, token, order) : OrderOutcome::NotSent;
+        const auto isReceiver = doOrdersOutliveIncarnations || worker.incarnation == incarnation;
+        return worker.isUp && isReceiver ? applyStart(worker, token, order) : OrderOutcome::NotSent;
     };
     const auto answer = [this, steward, order, name](OrderOutcome outcome, Duration delay) {
         schedule(delay + startAnswerDelay, [this, steward, order, name, outcome] {
@@ -331,7 +370,7 @@
 
 auto FakeFleet::perform(std::size_t steward, const steward_action::StopRun &order) -> void
 {
-    const auto delivery = nextDelivery();
+    const auto delivery = nextDelivery(deliveries);
     const auto token = m_stewards[steward].steward->token();
     auto outcome = OrderOutcome::Unanswered;
     if (isResponsive(find(order.worker)) && delivery != Delivery::Delayed
@@ -365,19 +404,45 @@
         return;
     }
     const auto token = m_stewards[steward].steward->token();
+    const auto delivery = nextDelivery(pollDeliveries);
+    if (delivery != Delivery::Delivered) {
+        const auto arrival = delivery == Delivery::Delayed ? Duration(OrderDelay) : Duration(0);
+        if (delivery != Delivery::NotSent) {
+            schedule(arrival, [this, order, token, incarnation = worker.incarnation] {
+                auto &it = find(order.worker);
+                const auto isReceiver =
+                    doOrdersOutliveIncarnations || it.incarnation == incarnation;
+                if (it.isUp && isReceiver && token >= it.token)
+                    answerPoll(it, order);
+            });
+        }
+        schedule(LostReplyTimeout, [this, steward, order, sentAt] {
+            send(steward,
+                 steward_event::PollFailed{order.worker, sentAt, OrderOutcome::Unanswered});
+        });
+        return;
+    }
     if (token < worker.token) {
         send(steward, steward_event::PollFailed{order.worker, sentAt, OrderOutcome::Superseded});
         return;
     }
     worker.token = token;
-    if (order.leaseEndMilliseconds != 0) {
-        const auto left = std::chrono::milliseconds(order.leaseEndMilliseconds - clockOf(worker));
-        worker.leaseEndsAt = std::max(worker.leaseEndsAt, m_now + left);
-    }
+    auto poll = answerPoll(worker, order);
+    poll.sentAt = sentAt;
+    schedule(ReplyDelay, [this, steward, poll] { send(steward, poll); });
+}
+
+auto FakeFleet::answerPoll(FakeWorker &worker, const steward_action::PollWorker &order)
+    -> steward_event::WorkerPolled
+{
+    if (order.leaseEndMilliseconds != 0)
+        extendLease(worker, order.leaseEndMilliseconds);
     for (const auto &end : worker.ended) {
         if (end.sequence > order.acknowledged)
             continue;
-        if (end.end == RunEnd::Done)
+        const auto isExcused =
+            areEndsBeforeExpiryExcused && end.sequence <= worker.lastEndBeforeExpiry;
+        if (end.end == RunEnd::Done && !isExcused)
             m_completed[end.task] = true;
         if (end.end == RunEnd::Failed)
             ++m_failures[end.task];
@@ -386,13 +451,18 @@
                   [&order](const auto &it) { return it.sequence <= order.acknowledged; });
     auto poll = steward_event::WorkerPolled();
     poll.worker = order.worker;
-    poll.sentAt = sentAt;
     poll.clockMilliseconds = clockOf(worker);
     poll.startedMilliseconds = worker.incarnation;
     for (const auto &run : worker.active)
         poll.active.push_back({run.task, run.number, {}, 100, 0});
     poll.ended = worker.ended;
-    schedule(ReplyDelay, [this, steward, poll] { send(steward, poll); });
+    return poll;
+}
+
+auto FakeFleet::extendLease(FakeWorker &worker, std::int64_t endMilliseconds) const -> void
+{
+    const auto left = std::chrono::milliseconds(endMilliseconds - clockOf(worker));
+    worker.leaseEndsAt = std::max(worker.leaseEndsAt, m_now + std::min<Duration>(left, MaxLease));
 }
 
 auto FakeFleet::perform(std::size_t steward, const steward_action::PersistProgress &action) -> void
@@ -479,7 +549,7 @@
         violations.push_back("exceeds the capacity: " + describe(order.task));
     }
     checkStart(order);
-    worker.leaseEndsAt = std::max(worker.leaseEndsAt, m_now + left);
+    extendLease(worker, order.leaseEndMilliseconds);
     worker.used += spec.resources;
     auto run = Run();
     run.task = order.task;
@@ -526,6 +596,8 @@
 
 auto FakeFleet::tickWorker(FakeWorker &worker) -> void
 {
+    if (m_now >= worker.leaseEndsAt)
+        worker.lastEndBeforeExpiry = worker.lastEnd;
     for (auto n = worker.active.size(); n-- > 0;) {
         const auto &run = worker.active[n];
         if (m_now >= worker.leaseEndsAt) {
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -35,6 +35,8 @@
     static constexpr auto OrderDelay = 4s;
     /// Time until stewards learn that a worker has ended.
     static constexpr auto EndReportDelay = 500ms;
+    /// Time until stewards read a registration.
+    static constexpr auto RegistrationDelay = 100ms;
     /// Time until another worker takes the place of one that ended.
     static constexpr auto Downtime = 3s;
 
@@ -53,6 +55,8 @@
 
     /// How the next orders are delivered. Later ones are delivered normally.
     std::deque<Delivery> deliveries;
+    /// The same for polls.
+    std::deque<Delivery> pollDeliveries;
     bool isStoreUp = true;
     /// Added to the time until a steward reads the answer to a start order.
     Duration startAnswerDelay{};
@@ -61,13 +65,24 @@
     /// Whether workers refuse runs that exceed their capacity. Otherwise such a start is a
     /// violation.
     bool isCapacityGuarded = true;
+    /// Whether an order that was sent to one incarnation of a worker may be carried out by the
+    /// next.
+    bool doOrdersOutliveIncarnations = true;
+    /// Whether a task may start again after an end that was acknowledged only after the worker's
+    /// lease had expired.
+    bool areEndsBeforeExpiryExcused = false;
     /// Duration of the runs of tasks that aren't long-running.
     Duration runTime = 400ms;
     std::function<bool(const JobTaskId &)> fails = [](const auto &) { return false; };
     auto makeUnresponsive(int worker, Duration time) -> void;
     auto crash(int worker) -> void;
-    /// Restarts the worker under the same name and without any state.
-    auto restartWorker(int worker) -> void;
+    /// Restarts the worker under the same name and without any state, also if it is down. Stewards
+    /// read its new registration after the delay.
+    auto restartWorker(int worker, Duration registrationDelay = RegistrationDelay) -> void;
+    /// Removes the registration of a worker, or writes it again as it was.
+    auto setRegistered(int worker, bool isRegistered) -> void;
+    /// Lists the workers that are up now. The list reaches the stewards after the delay.
+    auto listWorkers(Duration delay) -> void;
     /// Ends the workers at once. Stewards learn of it a while later, and another worker takes the
     /// place of each one a few seconds later.
     auto endWorkers(const std::vector<int> &workers) -> void;
@@ -87,6 +102,10 @@
     [[nodiscard]] auto outcome(const std::string &job) const -> JobOutcome;
     [[nodiscard]] auto activeRuns(const std::string &job) const -> std::size_t;
     [[nodiscard]] auto now() const -> BootTime { return m_now; }
+    [[nodiscard]] auto isUp(int worker) const -> bool
+    {
+        return m_workers[static_cast<std::size_t>(worker)].isUp;
+    }
 
 private:
     struct Run
@@ -108,12 +127,16 @@
         bool isRefusing = false;
         BootTime unresponsiveUntil;
         std::int64_t incarnation = 1;
+        /// The worker's clock starts anew with each incarnation.
+        BootTime bornAt;
         std::uint64_t token = 0;
         BootTime leaseEndsAt;
         Resources used;
         std::vector<Run> active;
         std::vector<EndedRun> ended;
         std::uint64_t lastEnd = 0;
+        /// The last end before the worker's lease expired.
+        std::uint64_t lastEndBeforeExpiry = 0;
         std::map<JobTaskId, std::uint64_t> highestEnded;
     };
 
@@ -142,7 +165,10 @@
     auto tickWorker(FakeWorker &worker) -> void;
     auto write(std::size_t steward) -> void;
     auto schedule(Duration delay, std::function<void()> action) -> void;
-    auto nextDelivery() -> Delivery;
+    static auto nextDelivery(std::deque<Delivery> &deliveries) -> Delivery;
+    auto answerPoll(FakeWorker &worker, const steward_action::PollWorker &order)
+        -> steward_event::WorkerPolled;
+    auto extendLease(FakeWorker &worker, std::int64_t endMilliseconds) const -> void;
     [[nodiscard]] auto clockOf(const FakeWorker &worker) const -> std::int64_t;
     [[nodiscard]] auto isResponsive(const FakeWorker &worker) const -> bool;
     /// Returns a worker that is down if none has this name any more.
--- a/tests/unit/unit-worker-incarnations.cpp
+++ b/tests/unit/unit-worker-incarnations.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "single_worker.hpp"
 
@@ -7,6 +8,8 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::Delivery;
+using test::FakeFleet;
 using test::firstOf;
 using test::SingleWorker;
 
@@ -190,6 +193,174 @@
     EXPECT_NE(firstOf<steward_action::StartRun>(single.poll({}, {})), nullptr);
 }
 
+// An idle worker that had restarted under its name got no work any more, as only workers with runs
+// were polled.
+TEST(WorkerIncarnations, GetWorkAfterARestartWhileTheyAreIdle)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    confirmStart(single, run);
+    single.now += 1s;
+    single.poll({}, {{1, single.task, run, RunEnd::Done, {}}});
+    single.step(steward_event::ProgressPersisted{"job", 1'000});
+    single.tick(100ms);
+    single.poll({}, {});
+    EXPECT_EQ(firstOf<steward_action::PollWorker>(single.tick(1s)), nullptr);
+    const auto actions = restart(single);
+    const auto *poll = firstOf<steward_action::PollWorker>(actions);
+    ASSERT_NE(poll, nullptr);
+    EXPECT_EQ(poll->leaseEndMilliseconds, 0);
+    single.poll({}, {});
+    const auto onJob = single.step(
+        steward_event::JobAccepted{test::oneStepJob("next", test::shortStep(1)), {}, false});
+    EXPECT_NE(firstOf<steward_action::StartRun>(onJob), nullptr);
+}
+
+// The registration of the next incarnation is read before a late answer of the one before.
+TEST(WorkerIncarnations, IgnoreAnAnswerOfAnEarlierOne)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    single.poll({}, {});
+    single.now += 5ms;
+    auto late = steward_event::WorkerPolled();
+    late.worker = test::workerName(0);
+    late.sentAt = single.now;
+    late.clockMilliseconds = 500'000;
+    late.startedMilliseconds = 1;
+    late.active = {{single.task, 7'001, {}, 10, 0}};
+    single.now += 5ms;
+    restart(single);
+    single.step(late);
+    EXPECT_EQ(single.steward.workerLoad(test::workerName(0))->otherRuns, 0U);
+    single.steward.expectWorkers({test::workerName(0)});
+    const auto actions = single.poll({}, {});
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    ASSERT_NE(start, nullptr);
+    EXPECT_LT(start->leaseEndMilliseconds, 100'000);
+}
+
+// The ends of a new incarnation are numbered from one again: it would take the acknowledgement of
+// earlier ends for one of its own, and a task that is done would start again.
+TEST(WorkerIncarnations, GetNoAcknowledgementOfEarlierEnds)
+{
+    auto single = SingleWorker(test::shortStep(2));
+    single.steward.expectWorkers({test::workerName(0)});
+    single.poll({}, {});
+    single.now += 1s;
+    single.poll({{{"job", 0, 0, 1}, 7'001, {}, 50, 0}},
+                {{1, single.task, 7'001, RunEnd::Done, {}}});
+    single.step(steward_event::ProgressPersisted{"job", 1'000});
+    single.step(
+        steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::Unanswered});
+    const auto *poll = firstOf<steward_action::PollWorker>(single.tick(500ms));
+    ASSERT_NE(poll, nullptr);
+    EXPECT_EQ(poll->acknowledged, 0U);
+    const auto actions = single.poll({{{"job", 0, 0, 1}, 7'001, {}, 50, 0}}, {});
+    const auto later = single.tick(100ms);
+    const auto *next = firstOf<steward_action::PollWorker>(actions);
+    next = next == nullptr ? firstOf<steward_action::PollWorker>(later) : next;
+    ASSERT_NE(next, nullptr);
+    EXPECT_EQ(next->acknowledged, 1U);
+}
+
+// A start order was sent after the list was requested that shows the worker as down: the next
+// incarnation may carry it out, so that the task must not start elsewhere yet.
+TEST(WorkerIncarnations, EndOnlyByAListThatIsNewerThanTheirLastStartOrder)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    confirmStart(single, run);
+    single.now += 1s;
+    single.poll({}, {{1, single.task, run, RunEnd::Done, {}}});
+    single.now += 1ms;
+    const auto listSentAt = single.now;
+    single.now += 2ms;
+    const auto next = test::oneStepJob("next", test::shortStep(1));
+    ASSERT_NE(
+        firstOf<steward_action::StartRun>(single.step(steward_event::JobAccepted{next, {}, false})),
+        nullptr);
+    single.step(steward_event::WorkerEnded{test::workerName(0), false, listSentAt});
+    ASSERT_TRUE(single.steward.workerLoad(test::workerName(0)).has_value());
+    EXPECT_EQ(single.steward.workerLoad(test::workerName(0))->otherRuns, 1U);
+    EXPECT_FALSE(single.steward.workerLoad(test::workerName(0))->isUsable);
+    single.step(steward_event::WorkerEnded{test::workerName(0), false, single.now});
+    EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
+}
+
+/// One disturbance of a random worker. Afterwards some time passes.
+auto disturb(FakeFleet &fleet, std::uint8_t kind, int worker, std::chrono::milliseconds delay)
+    -> void
+{
+    switch (kind % 8) {
+    case 0:
+        fleet.restartWorker(worker, delay);
+        break;
+    case 1:
+        fleet.crash(worker);
+        break;
+    case 2:
+        fleet.makeUnresponsive(worker, delay * 10);
+        break;
+    case 3:
+        fleet.listWorkers(delay);
+        break;
+    case 4:
+        fleet.setRegistered(worker, false);
+        break;
+    case 5:
+        fleet.setRegistered(worker, true);
+        break;
+    case 6:
+        fleet.deliveries.push_back(Delivery::Delayed);
+        fleet.pollDeliveries.push_back(Delivery::ReplyLost);
+        break;
+    default:
+        fleet.deliveries.push_back(Delivery::ReplyLost);
+        fleet.pollDeliveries.push_back(Delivery::Delayed);
+        break;
+    }
+}
+
+// Restarts under the same name, lost and returning registrations, old lists of the hosts, and calls
+// without an answer or carried out late, in any order. What was learned about one incarnation must
+// not act on another.
+RC_GTEST_PROP(WorkerIncarnations, RunNothingTwiceAndAllGetWorkWhenCalm,
+              (const std::vector<std::uint8_t> &kinds, const std::vector<std::uint8_t> &delays,
+               bool isReplaced))
+{
+    constexpr auto Workers = 3;
+    auto fleet = FakeFleet(Workers);
+    fleet.runTime = 1500ms;
+    fleet.doOrdersOutliveIncarnations = false; // a worker that restarts knows nothing of before
+    fleet.areEndsBeforeExpiryExcused = true;
+    const auto steward = fleet.addSteward();
+    fleet.addJob(test::oneStepJob("a", test::shortStep(30)));
+    fleet.addJob(test::oneStepJob("b", test::longRunningStep(2)));
+    fleet.run(1s);
+    for (std::size_t n = 0; n < kinds.size(); ++n) {
+        const auto delay = std::chrono::milliseconds(n < delays.size() ? delays[n] * 2 : 50);
+        disturb(fleet, kinds[n], kinds[n] / 8 % Workers, delay);
+        fleet.run(delay * 2);
+        if (isReplaced && n == kinds.size() / 2) {
+            fleet.killSteward(steward);
+            fleet.addSteward();
+        }
+    }
+    fleet.run(20s);
+    for (auto worker = 0; worker < Workers; ++worker) {
+        if (!fleet.isUp(worker))
+            fleet.restartWorker(worker);
+        fleet.setRegistered(worker, true);
+    }
+    fleet.listWorkers(10ms);
+    fleet.run(60s);
+    fleet.addJob(test::oneStepJob("calm", test::longRunningStep(Workers)));
+    fleet.run(5s);
+    RC_ASSERT(fleet.violations == std::vector<std::string>());
+    RC_ASSERT(fleet.outcome("a") != JobOutcome::Open);
+    RC_ASSERT(fleet.activeRuns("calm") == static_cast<std::size_t>(Workers));
+}
+
 } // namespace
 
 } // namespace shallotproxy
