Take no entry with odd numbers, addresses or sizes for a worker

Other operators saw processes end, or stop following the list of workers, over one odd entry of another writer. Here no process ended, but entries with a port out of range or a capacity of -1, 2^63 or 1e300 were taken for workers: they were polled, and sums of capacities overflowed. A megabyte of brackets took 0.2 s of a core to parse, which a steward on an eighth of a core can't spare beside a lease of 1.6 s.

Cause: decodeWorker() checked the types of the fields, but neither their range nor the size of the entry.

--- a/tests/unit/unit-platform-wire.cpp
+++ b/tests/unit/unit-platform-wire.cpp
@@ -76,6 +76,65 @@
     EXPECT_FALSE(codec.decodeWorker(record("servers/i-2", unknownState)));
 }
 
+/// Returns a registration with one field replaced.
+auto registrationWith(const std::string &field, const std::string &value) -> std::string
+{
+    auto fields = std::map<std::string, std::string>{
+        {"service", R"("s1")"},  {"address", R"("10.0.0.1:80")"}, {"zone", R"("north")"},
+        {"state", R"("ready")"}, {"capacity", R"({"cpu":1000})"}, {"labels", "[]"},
+        {"born", "17"}};
+    fields[field] = value;
+    auto text = std::string();
+    for (const auto &[name, it] : fields)
+        text += fmt::format(R"({}"{}":{})", text.empty() ? "{" : ",", name, it);
+    return text + '}';
+}
+
+// An entry of another writer with a port out of range or a number too large was taken for a worker:
+// it was sent calls, and sums of capacities overflowed.
+TEST(PlatformWire, RejectsWorkersWithNumbersOutOfRange)
+{
+    const auto codec = JsonRecordCodec();
+    const auto isValid = [&codec](const std::string &field, const std::string &value) {
+        const auto text = registrationWith(field, value);
+        return codec.decodeWorker(record("servers/i-1", text)).has_value();
+    };
+    EXPECT_TRUE(isValid("address", R"("10.0.0.1:65535")"));
+    for (const auto *it : {"", ":80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536",
+                           "10.0.0.1:-1", "10.0.0.1:0.5", "10.0.0.1:80x", "10.0.0.1:1e3",
+                           "10.0.0.1:18446744073709551696", "host.example:80"})
+        EXPECT_FALSE(isValid("address", fmt::format(R"("{}")", it))) << it;
+    EXPECT_TRUE(isValid("capacity", R"({"cpu":0,"mem_mb":0.5,"gpu":64000})"));
+    for (const auto *it :
+         {"1e400", "1e300", "-1", "9223372036854775808", "-1e300", "\"8\"", "[]"}) {
+        EXPECT_FALSE(isValid("capacity", fmt::format(R"({{"cpu":{}}})", it))) << it;
+        EXPECT_FALSE(isValid("capacity", fmt::format(R"({{"mem_mb":{}}})", it))) << it;
+        EXPECT_FALSE(isValid("born", it)) << it;
+    }
+    EXPECT_FALSE(isValid("born", "0.5"));
+    EXPECT_FALSE(codec.decodeWorker(record("servers/a\r\nb", registrationWith("born", "1"))));
+    EXPECT_FALSE(codec.decodeWorker(record("servers/", registrationWith("born", "1"))));
+}
+
+// Parsing a megabyte of brackets took a fifth of a second, longer than a small steward may pause.
+TEST(PlatformWire, RejectsVeryDeepAndVeryLargeRecordsWithoutACrash)
+{
+    constexpr std::size_t Size = 1'000'000;
+    constexpr std::size_t SmallSize = 5'000;
+    const auto codec = JsonRecordCodec();
+    const auto nested = std::string(Size, '[') + std::string(Size, ']');
+    const auto small = std::string(SmallSize, '[') + std::string(SmallSize, ']');
+    EXPECT_FALSE(codec.decodeWorker(record("servers/i-1", registrationWith("zone", small))));
+    EXPECT_TRUE(codec.decodeWorker(record("servers/i-1", registrationWith("other", small))));
+    EXPECT_FALSE(codec.decodeWorker(record("servers/i-1", std::string(Size, '['))));
+    EXPECT_FALSE(codec.decodeWorker(record("servers/i-1", nested)));
+    EXPECT_FALSE(codec.decodeWorker(record("servers/i-1", registrationWith("zone", nested))));
+    EXPECT_FALSE(codec.decodeWorker(record("servers/i-1", registrationWith("capacity", nested))));
+    EXPECT_FALSE(codec.decodeWorker(record("servers/i-1", registrationWith("other", nested))));
+    const auto large = '"' + std::string(Size, 'x') + '"';
+    EXPECT_FALSE(codec.decodeWorker(record("servers/i-1", registrationWith("address", large))));
+}
+
 RC_GTEST_PROP(PlatformWire, DecodesArbitraryBytesWithoutACrash, (const std::string &bytes))
 {
     const auto codec = JsonRecordCodec();
--- a/tests/unit/unit-steward-duty.cpp
+++ b/tests/unit/unit-steward-duty.cpp
@@ -73,6 +73,41 @@
     int m_nextJob = 0;
 };
 
+// Another writer's entries stand among those of the workers when they are read, come and change
+// later: the worker behind them in the list goes on to get work.
+TEST(StewardDuty, GivesWorkToWorkersBesideOddRegistrations)
+{
+    auto member = SingleMember();
+    const auto valid = registration(1);
+    auto entries = std::vector<std::string>{"",
+                                            "{",
+                                            "\xff\xfe",
+                                            "[]",
+                                            "null",
+                                            "1e400",
+                                            std::string(1'000'000, '['),
+                                            std::string(1'000'000, 'x')};
+    for (const auto *it : {"0", "70000", "-1", "x"}) {
+        auto text = valid;
+        entries.push_back(text.replace(text.find(":9"), 2, fmt::format(":{}", it)));
+    }
+    for (const auto *it : {"1e400", "1e300", "-1", "9223372036854775808"}) {
+        auto text = valid;
+        entries.push_back(text.replace(text.find("8000"), 4, it));
+    }
+    for (std::size_t n = 0; n < entries.size(); ++n) {
+        member.store.put(fmt::format("servers/a-{}", n), entries[n]);
+        member.store.put(fmt::format("servers/z-{}", n), entries[n]);
+    }
+    EXPECT_TRUE(member.startsTasks());
+    member.store.compact();
+    EXPECT_TRUE(member.startsTasks());
+    for (std::size_t n = 0; n < entries.size(); ++n)
+        member.store.put("servers/a-0", n % 2 == 0 ? valid : entries[n]);
+    EXPECT_TRUE(member.startsTasks());
+    EXPECT_EQ(member.workers.polls.size(), 2U); // the odd ones are asked nothing
+}
+
 // A worker that was cut off for a while got no work any more: its registration came back unchanged.
 TEST(StewardDuty, GivesWorkToAWorkerWhoseRegistrationReturnsUnchanged)
 {
