Open earlier occurrences of a job after a change of stewards

Cause: the record of a job names only tasks that have ended, failed or saved progress, and the next steward opened just the occurrences that it names.

Steward.KeepsEarlierOccurrencesAfterATakeover fails without the change (trial) and passes with it. All occurrences before the last recorded one are opened now; one that is done has an entry for each of its tasks, so that none runs again.

--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -171,6 +171,9 @@
         if (job.outcome != JobOutcome::Open)
             return;
     }
+    // Progress is recorded of tasks with an end only: earlier occurrences may have none yet.
+    for (std::uint32_t n = 0; n < job.nextOccurrence; ++n)
+        openOccurrence(job, n);
 }
 
 auto Steward::handle(const steward_event::JobCancelled &event) -> void
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -444,6 +444,33 @@
     EXPECT_FALSE(fleet.steward(steward).workerLoad(test::workerName(0))->hasUnpersistedEnds);
 }
 
+// The second occurrence of a job is done and the first still runs when the steward changes: the
+// next one stopped the run and never started it again.
+TEST(Steward, KeepsEarlierOccurrencesAfterATakeover)
+{
+    auto fleet = FakeFleet(2);
+    fleet.wallMilliseconds = 1'000'000;
+    fleet.runTime = 1h;
+    const auto first = fleet.addSteward();
+    auto job = test::oneStepJob("a", test::shortStep(1));
+    job.occurrences = 2;
+    job.firstDueMilliseconds = 1'000'000;
+    job.intervalMilliseconds = 1'000;
+    fleet.addJob(job);
+    fleet.run(1s);
+    fleet.runTime = 100ms;
+    fleet.wallMilliseconds += 1'000;
+    fleet.run(3s);
+    ASSERT_EQ(fleet.starts, 2U);
+    ASSERT_EQ(fleet.activeRuns("a"), 1U);
+    fleet.killSteward(first);
+    fleet.addSteward();
+    fleet.run(5s);
+    EXPECT_EQ(fleet.activeRuns("a"), 1U);
+    EXPECT_EQ(fleet.starts, 2U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 TEST(Steward, EvictsEndedJobsOnceOldAndPersisted)
 {
     auto fleet = FakeFleet(1);
