Count a job as begun once a worker has confirmed a start

Cause: a job counted as begun when its first start order was sent, and stayed so when the order was refused.

Evidence: Steward.CountsAJobAsPendingUntilAWorkerHasConfirmedAStart fails without the change (trial) and passes with it.

--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -74,6 +74,7 @@
             adopt(worker, run);
             continue;
         }
+        task->job->hasStarted = true;
         if (!run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
         if (!task->activeAtMilliseconds)
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -273,6 +273,7 @@
     const auto wasStarting = task->phase == TaskPhase::Starting;
     switch (event.outcome) {
     case OrderOutcome::Accepted:
+        task->job->hasStarted = true;
         task->confirmedAt = m_now;
         if (!task->activeAtMilliseconds)
             task->activeAtMilliseconds = event.clockMilliseconds;
@@ -371,7 +372,6 @@
 auto Steward::startTask(Task &task, Worker &worker) -> void
 {
     --task.job->waitingTasks;
-    task.job->hasStarted = true;
     task.run = std::max(task.run + 1, m_token * RunsPerToken + 1);
     task.phase = TaskPhase::Starting;
     task.phaseSince = m_now;
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -159,6 +159,27 @@
     EXPECT_GE(*start, begin + StewardSettings().maxRunLease);
 }
 
+// A worker that refused all starts made jobs count as begun that had no run.
+TEST(Steward, CountsAJobAsPendingUntilAWorkerHasConfirmedAStart)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    ASSERT_NE(run, 0U);
+    const auto answer = [&single](std::uint64_t number, OrderOutcome outcome) {
+        return single.step(
+            steward_event::StartAnswered{test::workerName(0), single.task, number, outcome, 5'000});
+    };
+    answer(run, OrderOutcome::Unhealthy);
+    EXPECT_EQ(single.steward.pendingJobs(QueueName("quotes")), 1U);
+    EXPECT_EQ(single.steward.view("job").state, JobState::Queued);
+    const auto actions = single.tick(2s);
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    ASSERT_NE(start, nullptr);
+    answer(start->run, OrderOutcome::Accepted);
+    EXPECT_EQ(single.steward.pendingJobs(QueueName("quotes")), 0U);
+    EXPECT_EQ(single.steward.view("job").state, JobState::Running);
+}
+
 // Right after a takeover, the tasks that run on workers that haven't been polled look like waiting
 // ones, and a quiet pool would get half of the fleet.
 TEST(Steward, ReportsNoPoolLoadsDuringRecovery)
