--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -186,6 +186,7 @@
             return at >= lostAt && lastAnswerAt <= lostAt;
         }
     };
+    /// An incarnation that has ended while it was registered.
     struct EndedWorker
     {
         WorkerReport report;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -10,7 +10,8 @@
 
 namespace shallotproxy {
 
-/// Identifies one incarnation of a worker process. A host that restarts gets a new one.
+/// Identifies a worker process. A worker that restarts mostly gets a new name; under the same name,
+/// `WorkerReport::startedMilliseconds` tells its incarnations apart.
 using WorkerName = Name<struct WorkerTag>;
 
 /// The configured rules of a queue of jobs.
--- a/tests/unit/fake_ports.cpp
+++ b/tests/unit/fake_ports.cpp
@@ -5,9 +5,9 @@
 namespace {
 
 template <typename Function>
-auto later(Function function, std::chrono::milliseconds delay = {}) -> void
+auto later(Function function) -> void
 {
-    QTimer::singleShot(delay, std::move(function));
+    QTimer::singleShot(0, std::move(function));
 }
 
 auto clockMilliseconds() -> std::int64_t
@@ -161,14 +161,6 @@
                           const steward_action::PollWorker &order, PollReply reply) -> void
 {
     ++polls[worker.name];
-    if (silentWorkers.contains(worker.name)) {
-        later(
-            [reply] {
-                reply({OrderOutcome::Unanswered, 0}, std::nullopt);
-            },
-            std::chrono::milliseconds(50));
-        return;
-    }
     auto result = steward_event::WorkerPolled();
     result.worker = worker.name;
     result.clockMilliseconds = clockMilliseconds();
--- a/tests/unit/fake_ports.hpp
+++ b/tests/unit/fake_ports.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 
 #include <QTimer>
 
@@ -9,7 +8,7 @@
 
 namespace shallotproxy::test {
 
-/// A store in memory. Answers from the event loop.
+/// A store in memory, without leases. Answers from the event loop.
 class FakeRecordStore final : public RecordStore
 {
 public:
@@ -47,7 +46,7 @@
     std::vector<Watch> m_watches;
 };
 
-/// Workers that confirm each order, end runs as soon as they have begun, and can be silent.
+/// Workers that confirm each order and end runs as soon as they have begun.
 class FakeWorkerPort final : public WorkerPort
 {
 public:
@@ -61,7 +60,6 @@
               const steward_action::PollWorker &order, PollReply reply) -> void override;
     auto closeIdle(BootTime) -> void override { }
 
-    std::set<WorkerName> silentWorkers;
     std::map<WorkerName, std::size_t> polls;
     std::map<WorkerName, std::size_t> starts;
 
@@ -69,6 +67,7 @@
     std::map<WorkerName, std::vector<EndedRun>> m_ended;
 };
 
+/// Lists the given hosts and refuses orders about them.
 class FakeHostPort final : public HostPort
 {
 public:
