Keep the actions that a test of acknowledgements looks at

The address sanitizer found a read of freed memory in WorkerIncarnations.GetNoAcknowledgementOfEarlierEnds: it looked at an action of a temporary. The check is the same; the plain run had passed.

--- a/tests/unit/unit-worker-incarnations.cpp
+++ b/tests/unit/unit-worker-incarnations.cpp
@@ -252,7 +252,8 @@
     single.step(steward_event::ProgressPersisted{"job", 1'000});
     single.step(
         steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::Unanswered});
-    const auto *poll = firstOf<steward_action::PollWorker>(single.tick(500ms));
+    const auto retried = single.tick(500ms);
+    const auto *poll = firstOf<steward_action::PollWorker>(retried);
     ASSERT_NE(poll, nullptr);
     EXPECT_EQ(poll->acknowledged, 0U);
     const auto actions = single.poll({{{"job", 0, 0, 1}, 7'001, {}, 50, 0}}, {});
