End a worker once another one answers at its address

Cause: a worker crashes before it answers a start order, and another one, with another name, takes its address. Its refusal (421) says that the incarnation that the call names is gone, but was handled like a restart under the same name: the run was stopped on the dead worker, and held until every lease that the next incarnation could have taken from a late call had ended, 22 s, anew with each refusal. A late call to the dead worker is refused as well, so that nothing is left to wait for. Besides, the clock in a refused start order was that of the other worker, and counted as a sign of life of the dead one.

Fix: such an answer ends the worker like a list of the hosts does, unless the worker has given a sign of life since the call was sent. The refusal of an order asks for a poll at once.

Red before: WorkerIncarnations.AreGoneOnceAnotherWorkerAnswersAtTheirAddress, AreNotAliveBecauseAnotherWorkerRefusesTheirOrders and ArePolledOnceAnotherWorkerRefusesAStop.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -258,6 +258,7 @@
     auto requeueAll(Worker &worker) -> void;
     auto handleLostRuns(const Worker &worker, RunLoss loss) -> void;
     auto handleRestart(Worker &worker, BootTime sentAt) -> void;
+    auto endWorker(Worker &worker, RunLoss loss, BootTime asOf) -> bool;
     auto stopTask(Task &task) -> void;
     auto sendStop(Task &task) -> void;
     auto sendStart(Task &task) -> void;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -124,6 +124,12 @@
 /// didn't answer until the leases of its runs had expired.
 enum class RunLoss { Planned, Ended, Restarted, LeaseExpired };
 
+/// What shows the end of a worker to the steward itself.
+///
+/// `Replaced`: another worker answers at its address. `NeverListed`: it doesn't answer, and no list
+/// of the hosts has ever shown it.
+enum class EndEvidence { Replaced, NeverListed };
+
 /// A run that was lost with its worker.
 struct LostRun
 {
@@ -287,6 +293,12 @@
     RunLoss loss = RunLoss::Ended;
     std::vector<LostRun> runs;
 };
+/// Reports a worker whose end the steward has found itself. Nothing has to be done.
+struct ReportWorkerEnd
+{
+    WorkerName worker;
+    EndEvidence evidence = EndEvidence::Replaced;
+};
 /// Reports a task that is given up because it crashes the workers that start it. Nothing has to be
 /// done.
 struct ReportCrashingTask
@@ -302,9 +314,10 @@
 
 } // namespace steward_action
 
-using StewardAction = std::variant<steward_action::StartRun, steward_action::StopRun,
-                                   steward_action::PollWorker, steward_action::SetRunSpeed,
-                                   steward_action::PersistProgress, steward_action::ReportLostRuns,
-                                   steward_action::ReportCrashingTask, steward_action::StepDown>;
+using StewardAction =
+    std::variant<steward_action::StartRun, steward_action::StopRun, steward_action::PollWorker,
+                 steward_action::SetRunSpeed, steward_action::PersistProgress,
+                 steward_action::ReportLostRuns, steward_action::ReportWorkerEnd,
+                 steward_action::ReportCrashingTask, steward_action::StepDown>;
 
 } // namespace shallotproxy
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -224,8 +224,13 @@
     }
     if (event.outcome == OrderOutcome::Unanswered)
         worker->lastUnansweredAt = m_now;
-    if (event.outcome == OrderOutcome::StaleIncarnation)
-        handleRestart(*worker, event.sentAt);
+    const auto isGone = event.outcome == OrderOutcome::StaleIncarnation
+        && endWorker(*worker, RunLoss::Ended, event.sentAt);
+    if (isGone) {
+        m_actions.emplace_back(
+            steward_action::ReportWorkerEnd{event.worker, EndEvidence::Replaced});
+        return;
+    }
     ++worker->failedPolls;
     worker->acknowledged = 0; // the poll may not have been carried out
     worker->unansweredPolls =
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -110,26 +110,35 @@
 
 auto Steward::handle(const steward_event::WorkerEnded &event) -> void
 {
-    auto *worker = findWorker(event.worker);
-    if (worker == nullptr || event.asOf < std::max(worker->lastAnswerAt, worker->reportedAt))
-        return;
-    // The next incarnation may carry out an order that was sent after that time.
-    const auto isOrderedLater = [&event](const Task *it) {
-        return it->startSentAt > event.asOf && it->phase != TaskPhase::Running;
+    if (auto *worker = findWorker(event.worker))
+        endWorker(*worker, event.isPlanned ? RunLoss::Planned : RunLoss::Ended, event.asOf);
+}
+
+/// Ends an incarnation that a call shows as gone, and frees its runs. `asOf` is when the call was
+/// sent. Does nothing if the worker has given a sign of life since; suspects the end if the next
+/// incarnation may carry out an order that was sent later. Returns whether the worker has ended.
+auto Steward::endWorker(Worker &worker, RunLoss loss, BootTime asOf) -> bool
+{
+    if (asOf < std::max(worker.lastAnswerAt, worker.reportedAt))
+        return false;
+    const auto isOrderedLater = [asOf](const Task *it) {
+        return it->startSentAt > asOf && it->phase != TaskPhase::Running;
     };
-    if (std::ranges::any_of(worker->runs, isOrderedLater)) {
-        worker->isEndSuspected = true;
-        return;
+    if (std::ranges::any_of(worker.runs, isOrderedLater)) {
+        worker.isEndSuspected = true;
+        return false;
     }
-    m_expectedWorkers.erase(event.worker);
-    handleLostRuns(*worker, event.isPlanned ? RunLoss::Planned : RunLoss::Ended);
-    requeueAll(*worker);
-    if (worker->isRegistered)
-        m_endedWorkers[event.worker] = {worker->report, m_now};
-    std::erase(m_poolWorkers[worker->report.pool], worker);
-    m_workers.erase(event.worker);
-    m_quarantine.workerRemoved(HostName(event.worker.value()));
+    const auto name = worker.report.name;
+    m_expectedWorkers.erase(name);
+    handleLostRuns(worker, loss);
+    requeueAll(worker);
+    if (worker.isRegistered)
+        m_endedWorkers[name] = {worker.report, m_now};
+    std::erase(m_poolWorkers[worker.report.pool], &worker);
+    m_workers.erase(name);
+    m_quarantine.workerRemoved(HostName(name.value()));
     endRecoveryIfDone();
+    return true;
 }
 
 auto Steward::handle(const steward_event::WorkerDrainChanged &event) -> void
@@ -260,8 +269,11 @@
     task->isOrderPending = false;
     if (event.outcome == OrderOutcome::Unanswered)
         worker->lastUnansweredAt = m_now;
-    // The answer about an earlier run may be that of the incarnation before.
-    if (event.clockMilliseconds != 0 && task->attachedAt >= worker->firstSeenAt) {
+    // The answer may be that of another worker at this address, or, if it is about an earlier run,
+    // that of the incarnation before.
+    const auto isOfIncarnation =
+        event.outcome != OrderOutcome::StaleIncarnation && task->attachedAt >= worker->firstSeenAt;
+    if (event.clockMilliseconds != 0 && isOfIncarnation) {
         worker->clockMilliseconds = event.clockMilliseconds;
         worker->clockReadAt = m_now;
         worker->hasClock = true;
@@ -333,11 +345,16 @@
     if (worker == nullptr || task == nullptr || task->worker != worker || task->run != event.run)
         return;
     task->isOrderPending = false;
-    if (task->phase != TaskPhase::Stopping || event.outcome != OrderOutcome::Accepted)
+    const auto isConfirmed =
+        task->phase == TaskPhase::Stopping && event.outcome == OrderOutcome::Accepted;
+    if (!isConfirmed && event.outcome != OrderOutcome::StaleIncarnation)
         return;
-    // The next poll reports the end of the run or lists it no longer.
-    task->isStopConfirmed = true;
-    task->confirmedAt = m_now;
+    if (isConfirmed) {
+        task->isStopConfirmed = true;
+        task->confirmedAt = m_now;
+    }
+    // The next poll reports the end of the run or lists it no longer, or shows that the worker has
+    // ended.
     worker->nextPoll = m_now;
     pollIfDue(*worker);
 }
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -67,6 +67,7 @@
     auto perform(const steward_action::SetRunSpeed &action) -> void;
     auto perform(const steward_action::PersistProgress &action) -> void;
     auto perform(const steward_action::ReportLostRuns &action) -> void;
+    auto perform(const steward_action::ReportWorkerEnd &action) -> void;
     auto perform(const steward_action::ReportCrashingTask &action) -> void;
     auto perform(const steward_action::StepDown &action) -> void;
     auto writeProgress() -> void;
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -634,6 +634,13 @@
     }
 }
 
+auto StewardDuty::perform(const steward_action::ReportWorkerEnd &action) -> void
+{
+    const auto isReplaced = action.evidence == EndEvidence::Replaced;
+    m_context.log.info("event=worker-ended worker={} evidence={}", action.worker.value(),
+                       isReplaced ? "replaced" : "never-listed");
+}
+
 auto StewardDuty::perform(const steward_action::ReportCrashingTask &action) -> void
 {
     m_context.metrics.count("shallotproxy_crashing_tasks_total", {});
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -291,6 +291,17 @@
     schedule(EndReportDelay, [this, ended] { reportEnds(ended); });
 }
 
+auto FakeFleet::endWorkersOf(const std::string &job) -> void
+{
+    auto workers = std::vector<int>();
+    for (std::size_t n = 0; n < m_workers.size(); ++n) {
+        const auto isOfJob = [&job](const Run &it) { return it.task.job == job; };
+        if (std::ranges::any_of(m_workers[n].active, isOfJob))
+            workers.push_back(static_cast<int>(n));
+    }
+    endWorkers(workers);
+}
+
 auto FakeFleet::reportEnds(const std::vector<WorkerName> &ended) -> void
 {
     for (std::size_t n = 0; n < m_stewards.size(); ++n) {
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -86,6 +86,8 @@
     /// Ends the workers at once. Stewards learn of it a while later, and another worker takes the
     /// place of each one a few seconds later.
     auto endWorkers(const std::vector<int> &workers) -> void;
+    /// Ends all workers that have a run of the job.
+    auto endWorkersOf(const std::string &job) -> void;
     /// Requires that no steward has been added yet.
     auto setDataCentre(int worker, const std::string &dataCentre) -> void;
     /// Whether a run of the task ends its worker, and how long after its start.
@@ -154,6 +156,7 @@
     auto perform(std::size_t, const steward_action::SetRunSpeed &) -> void { }
     auto perform(std::size_t steward, const steward_action::PersistProgress &action) -> void;
     auto perform(std::size_t, const steward_action::ReportLostRuns &) -> void { }
+    auto perform(std::size_t, const steward_action::ReportWorkerEnd &) -> void { }
     auto perform(std::size_t, const steward_action::ReportCrashingTask &) -> void { }
     auto perform(std::size_t steward, const steward_action::StepDown &) -> void;
     auto applyStart(FakeWorker &worker, std::uint64_t token, const steward_action::StartRun &order)
--- a/tests/unit/unit-worker-incarnations.cpp
+++ b/tests/unit/unit-worker-incarnations.cpp
@@ -288,6 +288,90 @@
     EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
 }
 
+/// Adds a second worker, which is idle, and lets the call to the first one that starts a
+/// long-running task have no answer. Returns the number of the run.
+auto leaveStartUnanswered(SingleWorker &single, std::set<WorkerName> listed) -> std::uint64_t
+{
+    single.steward.expectWorkers(std::move(listed));
+    const auto actions = single.poll({}, {});
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    const auto run = start == nullptr ? 0 : start->run;
+    single.step(steward_event::WorkerReported{test::workerReport(1)});
+    auto idle = steward_event::WorkerPolled();
+    idle.worker = test::workerName(1);
+    idle.sentAt = single.now;
+    idle.clockMilliseconds = 1;
+    single.step(idle);
+    single.now += 500ms;
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Unanswered, 0});
+    return run;
+}
+
+// The worker had crashed. Another one answered at its address, which was taken for a restart, with
+// each answer anew: a long-running task waited for 22 s and more for a lease that nobody held.
+TEST(WorkerIncarnations, AreGoneOnceAnotherWorkerAnswersAtTheirAddress)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    ASSERT_NE(leaveStartUnanswered(single, {test::workerName(0)}), 0U);
+    single.tick(100ms);
+    single.now += 1s;
+    const auto answeredAt = single.now;
+    single.step(
+        steward_event::PollFailed{test::workerName(0), answeredAt, OrderOutcome::StaleIncarnation});
+    EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
+    auto startedAt = BootTime::max();
+    while (single.now < answeredAt + 2s && startedAt == BootTime::max()) {
+        const auto actions = single.tick(100ms);
+        const auto *start = firstOf<steward_action::StartRun>(actions);
+        if (start != nullptr && start->worker == test::workerName(1))
+            startedAt = single.now;
+    }
+    EXPECT_NE(startedAt, BootTime::max());
+}
+
+// The answer belongs to a call that was sent to the address before.
+TEST(WorkerIncarnations, AreNotGoneIfTheyHaveMovedToAnotherAddressSince)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    confirmStart(single, single.startRun());
+    const auto sentAt = single.now;
+    single.now += 5ms;
+    auto moved = test::workerReport(0);
+    moved.address = "10.0.0.2:8080";
+    single.step(steward_event::WorkerReported{moved});
+    single.step(
+        steward_event::PollFailed{test::workerName(0), sentAt, OrderOutcome::StaleIncarnation});
+    ASSERT_TRUE(single.steward.workerLoad(test::workerName(0)).has_value());
+    EXPECT_EQ(single.steward.workerLoad(test::workerName(0))->otherRuns, 1U);
+}
+
+// A call that refers to an ended worker is answered with the clock of the next one at its address.
+TEST(WorkerIncarnations, AreNotAliveBecauseAnotherWorkerRefusesTheirOrders)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    const auto run = leaveStartUnanswered(single, {test::workerName(0)});
+    single.tick(100ms);
+    const auto listSentAt = single.now;
+    single.now += 10ms;
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::StaleIncarnation, 900'000});
+    single.step(steward_event::WorkerEnded{test::workerName(0), false, listSentAt});
+    EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
+}
+
+// The refusal of a stop order tells of the end, too, and polls ask for it at once.
+TEST(WorkerIncarnations, ArePolledOnceAnotherWorkerRefusesAStop)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    const auto run = leaveStartUnanswered(single, {test::workerName(0)});
+    single.step(steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::NotSent});
+    single.step(steward_event::JobCancelled{"job"});
+    const auto actions = single.step(steward_event::StopAnswered{
+        test::workerName(0), single.task, run, OrderOutcome::StaleIncarnation});
+    EXPECT_NE(firstOf<steward_action::PollWorker>(actions), nullptr);
+}
+
 /// One disturbance of a random worker. Afterwards some time passes.
 auto disturb(FakeFleet &fleet, std::uint8_t kind, int worker, std::chrono::milliseconds delay)
     -> void
