End an unresponsive worker that no list of the hosts has shown

Cause: a list of the hosts ended only workers that an earlier list had shown as up. If nothing takes its address, its runs wait for their leases instead.

Fix: a worker that doesn't answer, and that two lists in a row don't show which were requested after its last sign of life, has ended, provided that no list ever showed it. One list isn't enough, as a worker may register before it is listed.

Red before: WorkerIncarnations.AreGoneIfNoListEverShowsThem.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -275,6 +275,7 @@
     auto findWorker(const WorkerName &name) -> Worker *;
     auto registerWorker(const WorkerReport &report) -> Worker &;
     auto restoreListedWorkers(BootTime asOf) -> void;
+    auto endUnlistedWorkers() -> void;
 
     // Crashes of workers: steward_crashes.cpp
     auto recordCrash(const Worker &worker, bool wasCutOff) -> void;
@@ -347,6 +348,8 @@
     BootTime m_recoveryDeadline;
     bool m_isRecovering = true;
     bool m_hasHostList = false;
+    /// When the last list of the hosts was requested.
+    BootTime m_hostsListedAt;
     std::vector<Resources> m_hostCapacities;
 };
 
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -89,6 +89,7 @@
 {
     m_wallMilliseconds = event.wallMilliseconds;
     endRecoveryIfDone();
+    endUnlistedWorkers();
     for (const auto &[name, worker] : m_workers)
         tickWorker(*worker);
     settleRecentCrashes();
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -126,6 +126,10 @@
     /// A list of the hosts shows that it has ended, but a start order was sent later than the list
     /// was requested.
     bool isEndSuspected = false;
+    /// A list of the hosts has shown it, and the number of lists in a row that didn't although it
+    /// was unresponsive.
+    bool wasListed = false;
+    int listsWithout = 0;
     /// When its registration was last written.
     BootTime reportedAt;
     /// When the present incarnation became known.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -13,6 +13,8 @@
 constexpr double MaxClockError = 0.03;
 // Added to a lease for the time until the worker reads its clock and is scheduled.
 constexpr milliseconds LeaseSlack{100};
+// A worker may register before the list shows it.
+constexpr int ListsBeforeEnd = 2;
 // Size of the range of run numbers that one steward uses for a task; ranges rise with the token.
 constexpr std::uint64_t RunsPerToken = 1'000;
 
@@ -536,10 +538,34 @@
     m_expectedWorkers = std::move(workers);
     m_hostCapacities = std::move(hostCapacities);
     m_hasHostList = true;
+    m_hostsListedAt = asOf;
+    for (const auto &[name, worker] : m_workers) {
+        worker->wasListed = worker->wasListed || m_expectedWorkers.contains(name);
+        const auto isOutdated = asOf < std::max(worker->lastAnswerAt, worker->reportedAt);
+        const auto isMissing = !worker->wasListed && worker->failedPolls > 0 && !isOutdated;
+        worker->listsWithout = isMissing ? worker->listsWithout + 1 : 0;
+    }
     restoreListedWorkers(asOf);
     endRecoveryIfDone();
 }
 
+/// Ends unresponsive workers that no list has ever shown: they lived between two lists. A worker
+/// that was listed before is ended by what the list says of its host.
+auto Steward::endUnlistedWorkers() -> void
+{
+    auto missing = std::vector<Worker *>();
+    for (const auto &[name, worker] : m_workers) {
+        if (worker->listsWithout >= ListsBeforeEnd)
+            missing.push_back(worker.get());
+    }
+    for (auto *worker : missing) {
+        const auto name = worker->report.name;
+        if (endWorker(*worker, RunLoss::Ended, m_hostsListedAt)) {
+            m_actions.emplace_back(steward_action::ReportWorkerEnd{name, EndEvidence::NeverListed});
+        }
+    }
+}
+
 /// Restores workers that have been taken for ended and that a later list shows as up. The next tick
 /// polls them.
 auto Steward::restoreListedWorkers(BootTime asOf) -> void
--- a/tests/unit/unit-worker-incarnations.cpp
+++ b/tests/unit/unit-worker-incarnations.cpp
@@ -330,6 +330,37 @@
     EXPECT_NE(startedAt, BootTime::max());
 }
 
+// A worker crashed before any list of the hosts had shown it, so that no list could end it.
+TEST(WorkerIncarnations, AreGoneIfNoListEverShowsThem)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    ASSERT_NE(leaveStartUnanswered(single, {}), 0U);
+    single.steward.expectWorkers({test::workerName(1)}, {}, single.now - 1s);
+    single.steward.expectWorkers({test::workerName(1)}, {}, single.now - 1s);
+    single.step(steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::NotSent});
+    ASSERT_TRUE(single.steward.workerLoad(test::workerName(0)).has_value());
+    single.steward.expectWorkers({test::workerName(1)}, {}, single.now);
+    single.tick(100ms);
+    EXPECT_TRUE(single.steward.workerLoad(test::workerName(0)).has_value());
+    single.steward.expectWorkers({test::workerName(1)}, {}, single.now);
+    single.tick(100ms);
+    EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
+}
+
+// Its host is missing from the list, and the worker may run on.
+TEST(WorkerIncarnations, AreNotGoneBecauseLaterListsShowThemNoMore)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    confirmStart(single, single.startRun());
+    single.step(
+        steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::Unanswered});
+    for (auto n = 0; n < 4; ++n)
+        single.steward.expectWorkers({}, {}, single.now);
+    single.tick(100ms);
+    ASSERT_TRUE(single.steward.workerLoad(test::workerName(0)).has_value());
+    EXPECT_EQ(single.steward.workerLoad(test::workerName(0))->otherRuns, 1U);
+}
+
 // The answer belongs to a call that was sent to the address before.
 TEST(WorkerIncarnations, AreNotGoneIfTheyHaveMovedToAnotherAddressSince)
 {
