Discard what is left of a request that is given up

Cause: a steward behind a cut sent an order for a host. The call was given up after 1.5 s, but its bytes stayed in the kernel, which delivered them when the cut was over, after an order of the next steward.

Fix: a request that fails, or whose connection is destroyed, takes its connection along with a reset, so that bytes that haven't arrived never do. A steward orders nothing for hosts in its first 3 s, longer than such a call lasts.

Red before: TargetConnection.DeliversNothingMoreOfARequestThatHasTimedOut.

--- a/packages/connection/src/target_connection.cpp
+++ b/packages/connection/src/target_connection.cpp
@@ -1,9 +1,27 @@
+#include <sys/socket.h>
+
 #include <QHostAddress>
 
 #include "shallotproxy/connection/target/target_connection.hpp"
 
 namespace shallotproxy {
 
+namespace {
+
+/// Closes the connection without sending what the peer hasn't received yet. Behind a partition, the
+/// kernel would deliver an order long after its sender has given it up.
+auto discard(QTcpSocket &socket) -> void
+{
+    const auto option = linger{1, 0};
+    if (socket.socketDescriptor() >= 0) {
+        setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &option,
+                   sizeof(option));
+    }
+    socket.abort();
+}
+
+} // namespace
+
 auto TargetError::name() const -> std::string_view
 {
     switch (kind) {
@@ -58,6 +76,8 @@
 TargetConnection::~TargetConnection()
 {
     m_socket.disconnect(this);
+    if (m_callback)
+        discard(m_socket);
 }
 
 auto TargetConnection::send(const HttpRequest &request, int timeoutMilliseconds, Callback callback,
@@ -158,7 +178,7 @@
     m_isReusable = false;
     m_responseTimer.stop();
     m_progressTimer.stop();
-    m_socket.abort();
+    discard(m_socket);
     if (callback)
         callback(tl::unexpected(TargetError{kind}));
 }
--- a/tests/unit/unit-http-target.cpp
+++ b/tests/unit/unit-http-target.cpp
@@ -1,3 +1,10 @@
+#include <array>
+#include <cerrno>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -237,6 +244,65 @@
         EXPECT_GE(it, TimeoutMilliseconds - ToleranceMilliseconds);
 }
 
+/// Accepts connections on loopback and reads nothing until it is told to.
+class UnreadTarget
+{
+public:
+    UnreadTarget()
+    {
+        ensureApplication();
+        auto address = sockaddr_in{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto length = socklen_t{sizeof(address)};
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        bind(m_listener, generic, length);
+        listen(m_listener, 1);
+        getsockname(m_listener, generic, &length);
+        m_port = ntohs(address.sin_port);
+    }
+    ~UnreadTarget() { close(m_listener); }
+    UnreadTarget(const UnreadTarget &) = delete;
+    auto operator=(const UnreadTarget &) -> UnreadTarget & = delete;
+
+    [[nodiscard]] auto endpoint() const -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(m_port);
+    }
+    /// Reads the first connection to its end and returns the error that ended it; 0 if the sender
+    /// closed it after all bytes.
+    [[nodiscard]] auto readToEnd() const -> int
+    {
+        const auto connection = accept(m_listener, nullptr, nullptr);
+        auto buf = std::array<char, 65'536>();
+        auto n = ssize_t{0};
+        do {
+            n = recv(connection, buf.data(), buf.size(), 0);
+        } while (n > 0);
+        const auto ec = n < 0 ? errno : 0;
+        close(connection);
+        return ec;
+    }
+
+private:
+    int m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    std::uint16_t m_port = 0;
+};
+
+// The bytes of a request that was given up stayed in the kernel behind a partition: an order
+// reached its receiver two seconds after the sender's successor had given one.
+TEST(TargetConnection, DeliversNothingMoreOfARequestThatHasTimedOut)
+{
+    const auto target = UnreadTarget();
+    auto connection = TargetConnection(target.endpoint(), shortTimeouts());
+    auto request = makeRequest();
+    request.body.assign(1'000'000, 'x');
+    const auto reply = exchange(connection, request, 300);
+    ASSERT_FALSE(reply.has_value());
+    EXPECT_EQ(reply.error().name(), TargetError{TargetError::Kind::TimedOut}.name());
+    EXPECT_EQ(target.readToEnd(), ECONNRESET);
+}
+
 TEST(TargetConnection, WaitsBeyondTheProgressTimeoutForAResponseThatHasNotStarted)
 {
     auto target = FakeTarget([](QTcpSocket &socket, int) {
