Make room for all waiting long-running tasks at once

What callers may see: long-running tasks of a full pool that start one after the other, 1.8 s apart, when several are handed in or lost at a time.

Cause: runs were preempted on one worker of a pool at a time, and its reservation lasted on after the task had started.

Fix: as many workers are reserved as tasks are in need; a reservation ends when its task starts.

Red before: LongRunningTasks.FindRoomInAFullPoolAllAtOnce (twelve tasks, more than 9 s).

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -305,7 +305,9 @@
     [[nodiscard]] auto workersToPlaceOn(const PoolName &pool) const -> std::vector<Worker *>;
     [[nodiscard]] auto chooseWorker(std::span<Worker *const> workers, const Task &task) const
         -> Worker *;
-    auto preemptFor(const PoolName &pool, const Task &task) -> void;
+    auto makeRoom(const PoolName &pool, const Candidate &candidate, std::size_t tasksInNeed)
+        -> std::size_t;
+    auto preemptFor(const PoolName &pool, const Task &task) -> bool;
     auto startTask(Task &task, Worker &worker) -> void;
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
     [[nodiscard]] auto acceptsRuns(const Worker &worker) const -> bool;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -171,6 +171,7 @@
     sortWaiting(waitingSteps, m_now);
     const auto workers = workersToPlaceOn(pool);
     auto unplaceable = UnplaceableResources();
+    auto tasksInNeed = std::size_t{0};
     for (const auto &it : waitingSteps) {
         const auto &step = candidates[it.index].job->spec.steps[candidates[it.index].step];
         const auto resources = step.reservedResources();
@@ -180,13 +181,8 @@
             continue;
         if (!hasPlacementConstraints(step))
             unplaceable.add(resources);
-        if (it.isLongRunning) {
-            auto &tasks = candidates[it.index].occurrence->steps[candidates[it.index].step];
-            const auto waiting =
-                std::ranges::find_if(tasks, [this](const Task &task) { return mayPlace(task); });
-            if (waiting != tasks.end() && m_now >= waiting->phaseSince + m_settings.preemptionDelay)
-                preemptFor(pool, *waiting);
-        }
+        if (it.isLongRunning)
+            tasksInNeed = makeRoom(pool, candidates[it.index], tasksInNeed);
     }
 }
 
@@ -333,16 +329,37 @@
     return best;
 }
 
+/// Preempts runs for the long-running tasks of a step that have waited for long, on one worker for
+/// each task. `tasksInNeed` counts the tasks of earlier steps in the same need, which have the
+/// first claim to the workers that are reserved already. Returns that number with those of this
+/// step.
+auto Steward::makeRoom(const PoolName &pool, const Candidate &candidate, std::size_t tasksInNeed)
+    -> std::size_t
+{
+    auto reserved = static_cast<std::size_t>(std::ranges::count_if(
+        m_poolWorkers[pool], [this](const Worker *it) { return m_now < it->reservedUntil; }));
+    for (const auto &task : candidate.occurrence->steps[candidate.step]) {
+        if (!mayPlace(task) || m_now < task.phaseSince + m_settings.preemptionDelay)
+            continue;
+        ++tasksInNeed;
+        if (reserved >= tasksInNeed)
+            continue;
+        if (!preemptFor(pool, task))
+            break; // the tasks of a step are alike
+        ++reserved;
+    }
+    return tasksInNeed;
+}
+
 /// Stops runs that aren't long-running on one worker so that a long-running task fits there.
-/// Chooses the worker where the fewest runs have to be stopped.
-auto Steward::preemptFor(const PoolName &pool, const Task &task) -> void
+/// Chooses the worker where the fewest runs have to be stopped. Returns whether there is one.
+auto Steward::preemptFor(const PoolName &pool, const Task &task) -> bool
 {
     Worker *best = nullptr;
     auto bestRuns = std::vector<Task *>();
     for (auto *worker : m_poolWorkers[pool]) {
-        if (m_now < worker->reservedUntil)
-            return; // a preemption is already under way
-        if (!takesNewWork(*worker) || !isAllowedOn(*worker, task))
+        const auto isReserved = m_now < worker->reservedUntil;
+        if (isReserved || !takesNewWork(*worker) || !isAllowedOn(*worker, task))
             continue;
         auto runs = std::vector<Task *>();
         std::ranges::copy_if(worker->runs, std::back_inserter(runs), [](const Task *it) {
@@ -362,10 +379,11 @@
         bestRuns = std::move(runs);
     }
     if (best == nullptr)
-        return;
+        return false;
     best->reservedUntil = m_now + milliseconds(m_settings.pollWait * 2);
     for (auto *run : bestRuns)
         stopTask(*run);
+    return true;
 }
 
 auto Steward::poolLoads() const -> std::optional<std::map<PoolName, PoolLoad>>
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -398,6 +398,8 @@
     task.speedPercent = FullSpeedPercent;
     task.mayHaveUnknownRun = false;
     task.wasStartResent = false;
+    if (task.spec().isLongRunning)
+        worker.reservedUntil = m_now; // the reservation has served its purpose
     attach(task, worker);
     sendStart(task);
 }
--- /dev/null
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -0,0 +1,81 @@
+#include <gtest/gtest.h>
+
+#include "fake_fleet.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::FakeFleet;
+
+// Callers miss a long-running task after this time without a run.
+constexpr auto MaxWait = 9s;
+
+/// Returns how long it takes until this many tasks of the job run, at most a minute.
+auto timeUntilActive(FakeFleet &fleet, const std::string &job, std::size_t tasks) -> Duration
+{
+    const auto begin = fleet.now();
+    while (fleet.activeRuns(job) < tasks && fleet.now() < begin + 60s)
+        fleet.run(50ms);
+    return fleet.now() - begin;
+}
+
+// Runs of a full pool were preempted on one worker at a time, 1.8 s each: the last of twelve
+// long-running tasks began after 20 s.
+TEST(LongRunningTasks, FindRoomInAFullPoolAllAtOnce)
+{
+    constexpr auto Workers = 12;
+    auto fleet = FakeFleet(Workers);
+    fleet.runTime = 1h;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
+    fleet.run(2s);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Workers)));
+    EXPECT_LT(timeUntilActive(fleet, "long", Workers), MaxWait);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// Room is made on as many workers as tasks wait, not more.
+TEST(LongRunningTasks, PreemptNoMoreRunsThanTheyNeed)
+{
+    constexpr auto Workers = 6;
+    auto fleet = FakeFleet(Workers);
+    fleet.runTime = 1h;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
+    fleet.run(2s);
+    const auto startsBefore = fleet.starts;
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(3)));
+    fleet.run(20s);
+    EXPECT_EQ(fleet.activeRuns("long"), 3U);
+    EXPECT_EQ(fleet.activeRuns("finite"), Workers * 8U - 3U);
+    EXPECT_EQ(fleet.starts, startsBefore + 3U);
+}
+
+// Each of the tasks had been lost with two workers and waited for a quiet worker of its own, one
+// after the other.
+TEST(LongRunningTasks, RunSoonAfterTheirWorkersHaveFailedTwice)
+{
+    constexpr auto Workers = 24;
+    constexpr auto Tasks = 16;
+    auto fleet = FakeFleet(Workers);
+    fleet.runTime = 1700ms;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
+    fleet.run(2s);
+    auto finite = test::shortStep(4'000);
+    finite.estimatedMilliseconds = 1'700;
+    fleet.addJob(test::oneStepJob("finite", finite));
+    fleet.run(3s);
+    for (auto round = 0; round < 2; ++round) {
+        fleet.endWorkersOf("long");
+        fleet.run(7s);
+    }
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait - 7s);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+} // namespace
+
+} // namespace shallotproxy
