Preempt no more runs than the waiting long-running tasks can use

Tasks claim reserved workers one by one, only those where they fit once the stopped runs have ended, and only as far as the limit of their team lets them start. A reservation ends when a task of at least its size starts there.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -171,6 +171,7 @@
     struct Task;
     struct Worker;
     struct Candidate;
+    struct RoomClaims;
 
     /// The recent crash of a worker and the runs that were lost there.
     struct RecentCrash
@@ -305,9 +306,10 @@
     [[nodiscard]] auto workersToPlaceOn(const PoolName &pool) const -> std::vector<Worker *>;
     [[nodiscard]] auto chooseWorker(std::span<Worker *const> workers, const Task &task) const
         -> Worker *;
-    auto makeRoom(const PoolName &pool, const Candidate &candidate, std::size_t tasksInNeed)
-        -> std::size_t;
-    auto preemptFor(const PoolName &pool, const Task &task) -> bool;
+    auto makeRoom(const PoolName &pool, const Candidate &candidate, RoomClaims &claims) -> void;
+    auto findReservedWorker(const PoolName &pool, const Task &task, const RoomClaims &claims)
+        -> Worker *;
+    auto preemptFor(const PoolName &pool, const Task &task) -> Worker *;
     auto startTask(Task &task, Worker &worker) -> void;
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
     [[nodiscard]] auto acceptsRuns(const Worker &worker) const -> bool;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -171,7 +171,7 @@
     sortWaiting(waitingSteps, m_now);
     const auto workers = workersToPlaceOn(pool);
     auto unplaceable = UnplaceableResources();
-    auto tasksInNeed = std::size_t{0};
+    auto claims = RoomClaims();
     for (const auto &it : waitingSteps) {
         const auto &step = candidates[it.index].job->spec.steps[candidates[it.index].step];
         const auto resources = step.reservedResources();
@@ -182,7 +182,7 @@
         if (!hasPlacementConstraints(step))
             unplaceable.add(resources);
         if (it.isLongRunning)
-            tasksInNeed = makeRoom(pool, candidates[it.index], tasksInNeed);
+            makeRoom(pool, candidates[it.index], claims);
     }
 }
 
@@ -330,30 +330,50 @@
 }
 
 /// Preempts runs for the long-running tasks of a step that have waited for long, on one worker for
-/// each task. `tasksInNeed` counts the tasks of earlier steps in the same need, which have the
-/// first claim to the workers that are reserved already. Returns that number with those of this
-/// step.
-auto Steward::makeRoom(const PoolName &pool, const Candidate &candidate, std::size_t tasksInNeed)
-    -> std::size_t
+/// each task, as far as the limit of the team allows them to start. Tasks claim the workers that
+/// are reserved already first.
+auto Steward::makeRoom(const PoolName &pool, const Candidate &candidate, RoomClaims &claims) -> void
 {
-    auto reserved = static_cast<std::size_t>(std::ranges::count_if(
-        m_poolWorkers[pool], [this](const Worker *it) { return m_now < it->reservedUntil; }));
+    auto &claimed = claims.resources[candidate.job->spec.team];
     for (const auto &task : candidate.occurrence->steps[candidate.step]) {
         if (!mayPlace(task) || m_now < task.phaseSince + m_settings.preemptionDelay)
             continue;
-        ++tasksInNeed;
-        if (reserved >= tasksInNeed)
+        const auto total = claimed + task.spec().resources;
+        if (!isWithinTeamLimit(*candidate.job, total))
+            return;
+        auto *worker = findReservedWorker(pool, task, claims);
+        worker = worker == nullptr ? preemptFor(pool, task) : worker;
+        if (worker == nullptr)
+            return; // the tasks of a step are alike
+        claims.workers.insert(worker);
+        claimed = total;
+    }
+}
+
+/// Returns a worker that is reserved and where the task fits once the runs that are being stopped
+/// have ended; null if all such workers are claimed by other tasks.
+auto Steward::findReservedWorker(const PoolName &pool, const Task &task, const RoomClaims &claims)
+    -> Worker *
+{
+    for (auto *worker : m_poolWorkers[pool]) {
+        const auto isReserved = m_now < worker->reservedUntil;
+        if (!isReserved || claims.workers.contains(worker) || !isAllowedOn(*worker, task))
             continue;
-        if (!preemptFor(pool, task))
-            break; // the tasks of a step are alike
-        ++reserved;
+        auto resources = worker->freeResources();
+        for (const auto *run : worker->runs) {
+            if (run->phase == TaskPhase::Stopping)
+                resources += run->spec().reservedResources();
+        }
+        if (resources.covers(task.spec().reservedResources()))
+            return worker;
     }
-    return tasksInNeed;
+    return nullptr;
 }
 
 /// Stops runs that aren't long-running on one worker so that a long-running task fits there.
-/// Chooses the worker where the fewest runs have to be stopped. Returns whether there is one.
-auto Steward::preemptFor(const PoolName &pool, const Task &task) -> bool
+/// Chooses the worker where the fewest runs have to be stopped, reserves it and returns it; null if
+/// there is none.
+auto Steward::preemptFor(const PoolName &pool, const Task &task) -> Worker *
 {
     Worker *best = nullptr;
     auto bestRuns = std::vector<Task *>();
@@ -379,11 +399,12 @@
         bestRuns = std::move(runs);
     }
     if (best == nullptr)
-        return false;
+        return nullptr;
     best->reservedUntil = m_now + milliseconds(m_settings.pollWait * 2);
+    best->reservedResources = task.spec().reservedResources();
     for (auto *run : bestRuns)
         stopTask(*run);
-    return true;
+    return best;
 }
 
 auto Steward::poolLoads() const -> std::optional<std::map<PoolName, PoolLoad>>
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -102,6 +102,13 @@
     std::uint32_t step = 0;
 };
 
+/// What the long-running tasks that wait for room in a pool claim in one placement.
+struct Steward::RoomClaims
+{
+    std::set<const Worker *> workers;
+    std::map<TeamName, Resources> resources;
+};
+
 struct Steward::Worker
 {
     /// The end of a run, and the change of a job that has to be persisted before the end may be
@@ -123,8 +130,8 @@
 
     WorkerReport report;
     bool isRegistered = true;
-    /// A list of the hosts shows that it has ended, but a start order was sent later than the list
-    /// was requested.
+    /// A list of the hosts or another worker at its address shows that it has ended, but a start
+    /// order was sent later than the call that shows it.
     bool isEndSuspected = false;
     /// A list of the hosts has shown it, and the number of lists in a row that didn't although it
     /// was unresponsive.
@@ -177,6 +184,8 @@
     BootTime drainingSince;
     /// Until then the worker takes long-running tasks only: runs were preempted for one.
     BootTime reservedUntil;
+    /// Of the task that it is reserved for.
+    Resources reservedResources;
     /// Until then the worker takes a suspect only; see CrashHistory.
     BootTime suspectReservedUntil;
 
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -13,7 +13,9 @@
 constexpr double MaxClockError = 0.03;
 // Added to a lease for the time until the worker reads its clock and is scheduled.
 constexpr milliseconds LeaseSlack{100};
-// A worker may register before the list shows it.
+// A worker may register before lists show it: the first list that counts is requested this long
+// after its registration, and two in a row have to miss it.
+constexpr milliseconds ListDelay{1'000};
 constexpr int ListsBeforeEnd = 2;
 // Size of the range of run numbers that one steward uses for a task; ranges rise with the token.
 constexpr std::uint64_t RunsPerToken = 1'000;
@@ -398,8 +400,10 @@
     task.speedPercent = FullSpeedPercent;
     task.mayHaveUnknownRun = false;
     task.wasStartResent = false;
-    if (task.spec().isLongRunning)
-        worker.reservedUntil = m_now; // the reservation has served its purpose
+    const auto usesReservation = task.spec().isLongRunning
+        && task.spec().reservedResources().covers(worker.reservedResources);
+    if (usesReservation)
+        worker.reservedUntil = m_now;
     attach(task, worker);
     sendStart(task);
 }
@@ -543,7 +547,8 @@
     m_hostsListedAt = asOf;
     for (const auto &[name, worker] : m_workers) {
         worker->wasListed = worker->wasListed || m_expectedWorkers.contains(name);
-        const auto isOutdated = asOf < std::max(worker->lastAnswerAt, worker->reportedAt);
+        const auto isOutdated =
+            asOf < std::max<BootTime>(worker->lastAnswerAt, worker->reportedAt + ListDelay);
         const auto isMissing = !worker->wasListed && worker->failedPolls > 0 && !isOutdated;
         worker->listsWithout = isMissing ? worker->listsWithout + 1 : 0;
     }
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -71,6 +71,8 @@
     /// Whether a task may start again after an end that was acknowledged only after the worker's
     /// lease had expired.
     bool areEndsBeforeExpiryExcused = false;
+    /// The limit of the team of all jobs; set before the first steward is added.
+    Resources teamLimit;
     /// Duration of the runs of tasks that aren't long-running.
     Duration runTime = 400ms;
     std::function<bool(const JobTaskId &)> fails = [](const auto &) { return false; };
--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -53,6 +53,39 @@
     EXPECT_EQ(fleet.starts, startsBefore + 3U);
 }
 
+// The limit of the team lets one more task start: room for six would be made in vain.
+TEST(LongRunningTasks, PreemptNoRunsBeyondTheLimitOfTheirTeam)
+{
+    constexpr auto Workers = 6;
+    auto fleet = FakeFleet(Workers);
+    fleet.runTime = 1h;
+    fleet.teamLimit = {Workers * 8'000 + 1'000, 0, 0};
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
+    fleet.run(2s);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Workers)));
+    fleet.run(1500ms);
+    EXPECT_GE(fleet.activeRuns("finite"), Workers * 8U - 2U);
+}
+
+// A task that fits nowhere doesn't count the workers that others have reserved as its own.
+TEST(LongRunningTasks, PreemptNoMoreRunsBesideTasksThatFitNowhere)
+{
+    constexpr auto Workers = 12;
+    auto fleet = FakeFleet(Workers);
+    fleet.runTime = 1h;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
+    fleet.run(2s);
+    auto hopeless = test::longRunningStep(8);
+    hopeless.resources.milliCores = 100'000;
+    fleet.addJob(test::oneStepJob("hopeless", hopeless));
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(2)));
+    fleet.run(10s);
+    EXPECT_EQ(fleet.activeRuns("long"), 2U);
+    EXPECT_EQ(fleet.activeRuns("finite"), Workers * 8U - 2U);
+}
+
 // Each of the tasks had been lost with two workers and waited for a quiet worker of its own, one
 // after the other.
 TEST(LongRunningTasks, RunSoonAfterTheirWorkersHaveFailedTwice)
