Tell the next steward of a crash that this one has no time to record

A steward knows of a crash when the list of the hosts shows it, up to 1.5 s later. If it died before, nobody knew of the crash: each death cost one more worker, without a limit.

Much earlier, a poll finds that the address of the worker refuses connections. The steward now records at that moment which runs a crash would be held against: those that have just started and those of suspects. It removes the entry once the worker answers again or the run is known to have ended. The next steward holds the crash against the task after its recovery, if no worker knows the run and the worker has ended or restarted.

An innocent task is protected as follows. Such a crash proves no more than one on a new worker, so that at least three are needed to give a task up. It doesn't count if the worker answers, if its end was planned, or if no worker of its data centre answers the next steward.

Other designs: - Recording each start before its order costs a write per start; there are hundreds of starts a second, and small sites allow 400 writes.

A crash is still forgotten if the steward dies before this record is stored, or if its worker's connections end without a refusal.

Records grow by one field at the end. Builds before this one skip it and write records without it; this one reads theirs (JobRecords.AreReadableAcrossVersions).

--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -36,6 +37,26 @@
     MSGPACK_DEFINE(run, evidence, wasConfirmed)
 };
 
+/// A run whose worker refused connections, so that it may have crashed. Tells the next steward of a
+/// crash that this one may not live to see.
+struct PossibleCrash
+{
+    std::uint64_t run = 0;
+    /// A CrashEvidence, if the worker has crashed.
+    std::uint8_t evidence = 0;
+    bool wasConfirmed = false;
+    std::string worker;
+    /// Identifies the incarnation of the worker.
+    std::int64_t startedMilliseconds = 0;
+    std::string dataCentre;
+
+    MSGPACK_DEFINE(run, evidence, wasConfirmed, worker, startedMilliseconds, dataCentre)
+};
+
+/// Returns what a crash proves that was concluded from the record of an earlier steward: less, as
+/// that steward didn't see how the worker ended.
+auto weakenEvidence(CrashEvidence evidence) -> CrashEvidence;
+
 /// The crashes of workers while they ran one task.
 ///
 /// Tells a task that crashes every worker that starts it from the tasks that ran beside it and from
--- a/packages/job/include/shallotproxy/job/job_progress.hpp
+++ b/packages/job/include/shallotproxy/job/job_progress.hpp
@@ -24,8 +24,11 @@
     std::string checkpoint;
     /// See CrashHistory.
     std::vector<CrashedRun> crashedRuns;
+    /// At most one.
+    std::vector<PossibleCrash> possibleCrashes{};
 
-    MSGPACK_DEFINE(occurrence, step, index, isDone, failedRuns, checkpoint, crashedRuns)
+    MSGPACK_DEFINE(occurrence, step, index, isDone, failedRuns, checkpoint, crashedRuns,
+                   possibleCrashes)
 };
 
 /// The mutable part of a job's record. It is retained for a while after the job has ended, so that
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -279,6 +279,10 @@
 
     // Crashes of workers: steward_crashes.cpp
     auto recordCrash(const Worker &worker, bool wasCutOff) -> void;
+    auto recordPossibleCrash(const Worker &worker) -> void;
+    auto clearPossibleCrash(Task &task) -> void;
+    auto forgetPossibleCrash(const WorkerName &worker) -> void;
+    auto settlePossibleCrashes() -> void;
     auto confirmCrash(Task &task, std::uint64_t run) -> void;
     auto crashesChanged(Task &task) -> void;
     auto settleRecentCrashes() -> void;
@@ -289,6 +293,10 @@
     auto chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *;
     [[nodiscard]] auto weighEvidence(CrashEvidence evidence, const Task &task, bool wasCutOff) const
         -> CrashEvidence;
+    [[nodiscard]] auto openRuns(const Worker &worker) const -> std::vector<Task *>;
+    [[nodiscard]] auto evidenceIfCrashed(std::span<Task *const> tasks) const
+        -> std::vector<std::optional<CrashEvidence>>;
+    [[nodiscard]] auto hasEnded(const PossibleCrash &crash) const -> bool;
     [[nodiscard]] auto mayPlaceSuspect(const Task &task) const -> bool;
     [[nodiscard]] auto isNew(const Worker &worker) const -> bool;
     [[nodiscard]] auto isEstablished(const Task &task) const -> bool;
@@ -343,6 +351,8 @@
     /// When a task was last found to crash its workers.
     std::map<PoolName, BootTime> m_crashingTasksSeenAt;
     std::vector<Verdict> m_verdicts;
+    /// Tasks with a possible crash that an earlier steward has recorded.
+    std::vector<JobTaskId> m_inheritedCrashes;
     std::uint64_t m_lastChange = 0;
     BootTime m_startedAt;
     BootTime m_recoveryDeadline;
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -33,6 +33,22 @@
 
 } // namespace
 
+auto weakenEvidence(CrashEvidence evidence) -> CrashEvidence
+{
+    switch (evidence) {
+    case CrashEvidence::Sole:
+        return CrashEvidence::SoleOnNewWorker;
+    case CrashEvidence::Isolated:
+        return CrashEvidence::IsolatedOnNewWorker;
+    case CrashEvidence::Beside:
+    case CrashEvidence::Likely:
+    case CrashEvidence::SoleOnNewWorker:
+    case CrashEvidence::IsolatedOnNewWorker:
+        break;
+    }
+    return evidence;
+}
+
 auto CrashHistory::add(std::uint64_t run, CrashEvidence evidence, bool wasConfirmed) -> bool
 {
     if (std::ranges::find(m_runs, run, &CrashedRun::run) != m_runs.end())
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "steward_state.hpp"
 
@@ -117,23 +118,37 @@
     return evidence == CrashEvidence::Isolated ? CrashEvidence::IsolatedOnNewWorker : evidence;
 }
 
-/// Attributes the crash of a worker to the runs that were lost there.
-auto Steward::recordCrash(const Worker &worker, bool wasCutOff) -> void
+/// Returns the tasks whose runs would be lost if the worker ended now.
+auto Steward::openRuns(const Worker &worker) const -> std::vector<Task *>
 {
     auto tasks = std::vector<Task *>();
     std::ranges::copy_if(worker.runs, std::back_inserter(tasks), [](const Task *it) {
         return it->job->outcome == JobOutcome::Open && !it->isRunLost;
     });
+    return tasks;
+}
+
+/// Returns the evidence against each of the tasks if their worker has crashed.
+auto Steward::evidenceIfCrashed(std::span<Task *const> tasks) const
+    -> std::vector<std::optional<CrashEvidence>>
+{
     auto runs = std::vector<RunAtCrash>();
-    auto crash = RecentCrash{m_now, worker.lastAnswerAt, worker.report.dataCentre, {}};
-    for (const auto *task : tasks) {
+    for (const auto *task : tasks)
         runs.push_back({task->crashes.isSuspect(), isEstablished(*task), isUnderTest(*task)});
+    return attributeCrash(runs);
+}
+
+/// Attributes the crash of a worker to the runs that were lost there.
+auto Steward::recordCrash(const Worker &worker, bool wasCutOff) -> void
+{
+    const auto tasks = openRuns(worker);
+    auto crash = RecentCrash{m_now, worker.lastAnswerAt, worker.report.dataCentre, {}};
+    for (const auto *task : tasks)
         crash.runs.push_back({task->id(), task->run});
-    }
     m_recentCrashes.push_back(std::move(crash));
     if (isLostWithDataCentre(worker))
         return;
-    const auto evidence = attributeCrash(runs);
+    const auto evidence = evidenceIfCrashed(tasks);
     for (std::size_t n = 0; n < tasks.size(); ++n) {
         auto &task = *tasks[n];
         if (!evidence[n])
@@ -146,6 +161,90 @@
     }
 }
 
+/// Records which runs a crash would be held against while the worker refuses connections. The list
+/// of the hosts shows a crash much later, and this steward may end before.
+auto Steward::recordPossibleCrash(const Worker &worker) -> void
+{
+    if (worker.isDraining || worker.report.isLeaving || isLostWithDataCentre(worker))
+        return;
+    const auto tasks = openRuns(worker);
+    if (std::ranges::any_of(tasks, [](const Task *it) { return it->possibleCrash.has_value(); }))
+        return;
+    const auto evidence = evidenceIfCrashed(tasks);
+    for (std::size_t n = 0; n < tasks.size(); ++n) {
+        auto &task = *tasks[n];
+        const auto strength =
+            evidence[n] ? weighEvidence(*evidence[n], task, false) : CrashEvidence::Beside;
+        if (strength == CrashEvidence::Beside)
+            continue;
+        task.possibleCrash = {task.run,
+                              static_cast<std::uint8_t>(strength),
+                              task.activeAtMilliseconds.has_value(),
+                              worker.report.name.value(),
+                              worker.startedMilliseconds,
+                              worker.report.dataCentre.value()};
+        markChanged(*task.job, WriteUrgency::First);
+    }
+}
+
+auto Steward::clearPossibleCrash(Task &task) -> void
+{
+    if (!task.possibleCrash)
+        return;
+    task.possibleCrash.reset();
+    if (task.job->outcome == JobOutcome::Open)
+        markChanged(*task.job, WriteUrgency::Relaxed);
+}
+
+/// Forgets the possible crash of a worker that ended for a known reason.
+auto Steward::forgetPossibleCrash(const WorkerName &worker) -> void
+{
+    for (const auto &id : m_inheritedCrashes) {
+        auto *task = findTask(id);
+        if (task != nullptr && task->possibleCrash && task->possibleCrash->worker == worker.value())
+            clearPossibleCrash(*task);
+    }
+}
+
+/// Whether the incarnation of the worker is known to have ended, and its data centre to be up.
+auto Steward::hasEnded(const PossibleCrash &crash) const -> bool
+{
+    const auto isSurvivor = [&crash](const auto &entry) {
+        return entry.second->isPolled
+            && entry.second->report.dataCentre.value() == crash.dataCentre;
+    };
+    if (std::ranges::none_of(m_workers, isSurvivor))
+        return false;
+    const auto name = WorkerName(crash.worker);
+    const auto it = m_workers.find(name);
+    if (it != m_workers.end() && it->second->isPolled) {
+        const auto started = it->second->startedMilliseconds;
+        return started != 0 && crash.startedMilliseconds != 0
+            && started != crash.startedMilliseconds;
+    }
+    return m_hasHostList && !m_expectedWorkers.contains(name);
+}
+
+/// Settles the possible crashes that an earlier steward has recorded, once all workers have told
+/// of their runs: a run that none of them knew was lost if its worker has ended.
+auto Steward::settlePossibleCrashes() -> void
+{
+    if (m_isRecovering)
+        return;
+    for (const auto &id : std::exchange(m_inheritedCrashes, {})) {
+        auto *task = findTask(id);
+        if (task == nullptr || !task->possibleCrash || task->worker != nullptr)
+            continue;
+        const auto crash = *task->possibleCrash;
+        clearPossibleCrash(*task);
+        const auto evidence = weakenEvidence(static_cast<CrashEvidence>(crash.evidence));
+        if (task->job->outcome == JobOutcome::Open && task->phase == TaskPhase::Waiting
+            && hasEnded(crash) && task->crashes.add(crash.run, evidence, crash.wasConfirmed)) {
+            crashesChanged(*task);
+        }
+    }
+}
+
 /// Notes that a worker had confirmed a run before it crashed. A busy steward may read the answer
 /// after it has learned of the crash.
 auto Steward::confirmCrash(Task &task, std::uint64_t run) -> void
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -162,6 +162,10 @@
         auto &task = occurrence.steps[it.step][it.index];
         task.failedRuns = it.failedRuns;
         task.crashes = CrashHistory(it.crashedRuns);
+        if (!it.possibleCrashes.empty()) {
+            task.possibleCrash = it.possibleCrashes.front();
+            m_inheritedCrashes.push_back(task.id());
+        }
         if (task.crashes.isCause())
             m_verdicts.push_back({m_now, task.id()});
         task.checkpoint = it.checkpoint;
@@ -280,12 +284,21 @@
             for (const auto &task : step) {
                 const auto isDone = task.phase == TaskPhase::Done;
                 if (!isDone && task.failedRuns.empty() && task.checkpoint.empty()
-                    && task.crashes.isEmpty())
+                    && task.crashes.isEmpty() && !task.possibleCrash)
                     continue;
-                result.progress.tasks.push_back(
-                    {task.occurrence, task.step, task.index, isDone, task.failedRuns,
-                     isDone ? std::string() : task.checkpoint,
-                     isDone ? std::vector<CrashedRun>() : task.crashes.runs()});
+                auto progress = TaskProgress();
+                progress.occurrence = task.occurrence;
+                progress.step = task.step;
+                progress.index = task.index;
+                progress.isDone = isDone;
+                progress.failedRuns = task.failedRuns;
+                if (!isDone) {
+                    progress.checkpoint = task.checkpoint;
+                    progress.crashedRuns = task.crashes.runs();
+                    if (task.possibleCrash)
+                        progress.possibleCrashes.push_back(*task.possibleCrash);
+                }
+                result.progress.tasks.push_back(std::move(progress));
             }
         }
     }
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -105,6 +105,7 @@
 
 auto Steward::handle(const steward_event::PlacementDue &) -> void
 {
+    settlePossibleCrashes();
     placeDirtyPools();
 }
 
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -75,6 +75,7 @@
             continue;
         }
         task->job->hasStarted = true;
+        clearPossibleCrash(*task);
         if (!run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
         if (!task->activeAtMilliseconds)
@@ -136,6 +137,7 @@
     task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
     task->progressPercent = run.progressPercent;
     task->mayHaveUnknownRun = false; // this is the newest run
+    clearPossibleCrash(*task);
     attach(*task, worker);
     task->activeAtMilliseconds = worker.latestClockMilliseconds;
     // The earlier steward may have granted the longest lease, if the worker had restarted.
@@ -165,6 +167,8 @@
     const auto isNewest = isAssigned || (task.phase == TaskPhase::Waiting && end.run >= task.run);
     if (isNewest)
         task.run = end.run;
+    if (task.possibleCrash && end.run >= task.possibleCrash->run)
+        clearPossibleCrash(task);
     task.job->hasStarted = true;
     if (isNewest && !end.checkpoint.empty() && end.end != RunEnd::Done) {
         task.checkpoint = end.checkpoint;
@@ -235,6 +239,8 @@
     worker->acknowledged = 0; // the poll may not have been carried out
     worker->unansweredPolls =
         event.outcome == OrderOutcome::Unanswered ? worker->unansweredPolls + 1 : 0;
+    if (event.outcome == OrderOutcome::NotSent)
+        recordPossibleCrash(*worker);
     const auto backoff =
         std::min(m_settings.resendInterval * worker->failedPolls, m_settings.pollWait);
     worker->nextPoll = m_now + (isUnlisted(*worker) ? m_settings.unlistedRetryInterval : backoff);
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -24,6 +24,8 @@
     /// Numbers of the failed runs. Workers may report them in any order, and repeatedly.
     std::vector<std::uint64_t> failedRuns;
     CrashHistory crashes;
+    /// Set while the worker of the last run may have crashed.
+    std::optional<PossibleCrash> possibleCrash;
     /// The change of the job that contains the last crash.
     std::uint64_t crashChange = 0;
     std::string checkpoint;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -112,6 +112,8 @@
 
 auto Steward::handle(const steward_event::WorkerEnded &event) -> void
 {
+    if (event.isPlanned)
+        forgetPossibleCrash(event.worker);
     if (auto *worker = findWorker(event.worker))
         endWorker(*worker, event.isPlanned ? RunLoss::Planned : RunLoss::Ended, event.asOf);
 }
@@ -177,6 +179,7 @@
     m_teamUsage[task.job->spec.team] -= task.spec().resources;
     task.worker = nullptr;
     task.isOrderPending = false;
+    clearPossibleCrash(task);
     markDirty(worker.report.pool);
 }
 
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -109,6 +109,90 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+struct LossAtStewardChange
+{
+    std::size_t runs = 0;
+    std::size_t recordedCrashes = 0;
+};
+
+/// Ends workers under a job that has just started, and their steward while they refuse connections.
+/// Returns the lost runs and the crashes that the next steward records.
+auto endWithSteward(FakeFleet &fleet, const std::vector<int> &workers, bool isPlanned)
+    -> LossAtStewardChange
+{
+    constexpr auto Tasks = std::size_t{4};
+    const auto steward = fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("job", test::longRunningStep(Tasks)));
+    fleet.run(100ms);
+    EXPECT_EQ(fleet.activeRuns("job"), Tasks);
+    fleet.endWorkers(workers);
+    auto loss = LossAtStewardChange{Tasks - fleet.activeRuns("job"), 0};
+    fleet.run(200ms);
+    fleet.killSteward(steward);
+    const auto next = fleet.addSteward();
+    for (const auto it : workers) {
+        if (isPlanned)
+            fleet.send(next, steward_event::WorkerEnded{test::workerName(it), true});
+    }
+    fleet.run(5s);
+    EXPECT_EQ(fleet.activeRuns("job"), Tasks);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+    loss.recordedCrashes = fleet.recordedCrashes("job");
+    return loss;
+}
+
+TEST(CrashingTasks, AreSuspectedIfTheirStewardDiesBeforeItKnowsOfTheCrash)
+{
+    auto fleet = FakeFleet(8);
+    for (auto n = 0; n < 4; ++n)
+        fleet.setDataCentre(n, "south");
+    const auto loss = endWithSteward(fleet, {0, 1, 4, 5}, false);
+    EXPECT_GT(loss.runs, 0U);
+    EXPECT_EQ(loss.recordedCrashes, loss.runs);
+}
+
+TEST(CrashingTasks, AreNotSuspectedIfTheirWorkerEndedAsPlannedWhenTheStewardDied)
+{
+    auto fleet = FakeFleet(8);
+    const auto loss = endWithSteward(fleet, {0, 1, 4, 5}, true);
+    EXPECT_GT(loss.runs, 0U);
+    EXPECT_EQ(loss.recordedCrashes, 0U);
+}
+
+TEST(CrashingTasks, AreNotSuspectedIfTheirDataCentreIsLostTogetherWithTheSteward)
+{
+    auto fleet = FakeFleet(8);
+    for (auto n = 0; n < 4; ++n)
+        fleet.setDataCentre(n, "south");
+    const auto loss = endWithSteward(fleet, {0, 1, 2, 3}, false);
+    EXPECT_GT(loss.runs, 0U);
+    EXPECT_EQ(loss.recordedCrashes, 0U);
+}
+
+// The address of the workers refuses a connection once, and the steward dies.
+TEST(CrashingTasks, AreNotSuspectedIfTheirWorkerRefusedAConnection)
+{
+    auto fleet = FakeFleet(2);
+    fleet.runTime = 10s;
+    const auto steward = fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("job", test::shortStep(2)));
+    fleet.run(100ms);
+    for (auto n = 0; n < 2; ++n) {
+        fleet.send(
+            steward,
+            steward_event::PollFailed{test::workerName(n), fleet.now(), OrderOutcome::NotSent});
+    }
+    fleet.run(FakeFleet::Step);
+    fleet.killSteward(steward);
+    fleet.addSteward();
+    fleet.run(20s);
+    EXPECT_EQ(fleet.recordedCrashes("job"), 0U);
+    EXPECT_EQ(fleet.outcome("job"), JobOutcome::Completed);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 // The run works for a while before it ends its worker, so that others have started beside it.
 TEST(CrashingTasks, AreGivenUpIfTheyCrashTheirWorkersLate)
 {
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -626,6 +626,39 @@
     EXPECT_EQ(read->tasks.front().failedRuns, (std::vector<std::uint64_t>{3, 4}));
 }
 
+/// The entries that builds before PossibleCrash read and write.
+struct EarlierTaskProgress
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    bool isDone = false;
+    std::vector<std::uint64_t> failedRuns;
+    std::string checkpoint;
+    std::vector<CrashedRun> crashedRuns;
+
+    MSGPACK_DEFINE(occurrence, step, index, isDone, failedRuns, checkpoint, crashedRuns)
+};
+
+TEST(JobRecords, AreReadableAcrossVersions)
+{
+    const auto earlier = EarlierTaskProgress{0, 1, 2, false, {3}, "c", {{5, 1, true}}};
+    const auto read = unpackRecord<TaskProgress>(packRecord(earlier));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->crashedRuns.at(0).run, 5U);
+    EXPECT_TRUE(read->possibleCrashes.empty());
+    const auto possible = PossibleCrash{6, 1, true, "worker", 7, "north"};
+    const auto current = TaskProgress{0, 1, 2, false, {3}, "c", {{5, 1, true}}, {possible}};
+    const auto again = unpackRecord<TaskProgress>(packRecord(current));
+    ASSERT_TRUE(again.has_value());
+    EXPECT_EQ(again->possibleCrashes.at(0).worker, "worker");
+    EXPECT_EQ(again->possibleCrashes.at(0).dataCentre, "north");
+    const auto back = unpackRecord<EarlierTaskProgress>(packRecord(current));
+    ASSERT_TRUE(back.has_value());
+    EXPECT_EQ(back->crashedRuns.at(0).run, 5U);
+    EXPECT_EQ(back->index, 2U);
+}
+
 TEST(RecordCodec, RejectsAListLongerThanItsBytes)
 {
     const auto bytes = std::string("\xdd\x7f\xff\xff\xff", 5); // a list of 2^31 - 1
