Log why tasks wait

What on-call engineers couldn't see: the log had no line that says why a task has no running run. A stop order to a worker that doesn't answer, a start without an answer, the recovery, the suspicion of crashing workers, the team's limit and the lack of room or workers all looked alike. `run-ended` was written when a stop was ordered, and each time it was sent again, and read like an end.

Added: once a second the steward looks for long-running tasks of ready steps without a running run, for suspects that wait, and for tasks whose run is being started or stopped; it reports each that has waited for 3 s, and again every 3 s, at most 20 in a report, those first that weren't reported for longest. `event=task-waits` has the reason, `event=more-tasks-wait` the number of the rest, and shallotproxy_waiting_tasks_total{reason} counts both.

A run that is stopped because its worker restarted kept the time of its phase before, so that its wait would have been reported as longer than it was; the time now begins with the stop.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -316,6 +316,14 @@
     [[nodiscard]] auto mayPlace(const Task &task) const -> bool;
     [[nodiscard]] auto teamShare(const TeamName &team) const -> double;
     [[nodiscard]] auto meanTeamShare() const -> double;
+
+    // Reports of waiting tasks: steward_waiting.cpp
+    auto reportWaitingTasks() -> void;
+    auto findLongWaiting(Job &job, std::vector<Task *> &found) const -> void;
+    [[nodiscard]] auto hasWaitedLong(const Task &task) const -> bool;
+    [[nodiscard]] auto waitReason(const Task &task) const -> WaitReason;
+    [[nodiscard]] auto suspectWaitReason(const Task &task) const -> WaitReason;
+
     auto markDirty(const PoolName &pool) -> void { m_dirtyPools.insert(pool); }
 
     std::uint64_t m_token;
@@ -344,6 +352,7 @@
     std::map<PoolName, BootTime> m_crashingTasksSeenAt;
     std::vector<Verdict> m_verdicts;
     std::uint64_t m_lastChange = 0;
+    BootTime m_nextWaitReportAt;
     BootTime m_startedAt;
     BootTime m_recoveryDeadline;
     bool m_isRecovering = true;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -130,6 +130,38 @@
 /// of the hosts has ever shown it.
 enum class EndEvidence { Replaced, NeverListed };
 
+/// Why a task has no running run.
+enum class WaitReason {
+    /// An order to stop its last run has not been confirmed by the worker.
+    StopUnconfirmed,
+    /// The worker has confirmed the stop of its last run, but hasn't reported the end.
+    EndUnreported,
+    /// The start order has no answer, or only answers that tell nothing.
+    StartUnanswered,
+    /// The steward is recovering: a run of an earlier steward may be unknown.
+    Recovering,
+    /// It is suspected of crashing workers, and its last crash isn't persisted.
+    CrashNotPersisted,
+    /// It is suspected of crashing workers, and fits on no worker that accepts runs.
+    NoRoomForSuspect,
+    /// It is suspected of crashing workers, and each worker where it fits has runs that have just
+    /// started or are under test.
+    NoQuietWorker,
+    /// The steward has no scheduling rules.
+    NoRules,
+    /// No worker of its pool accepts runs.
+    NoWorkers,
+    /// All workers of its pool that accept runs are kept free for suspects.
+    WorkersKeptForSuspects,
+    TeamLimit,
+    /// It fits on no worker, and runs are being preempted in its pool.
+    PreemptionUnderWay,
+    /// It fits on no worker that takes new work: by its resources, label or tasks per worker.
+    NoRoom,
+    /// Nothing prevents its placement.
+    PlacementDue,
+};
+
 /// A run that was lost with its worker.
 struct LostRun
 {
@@ -306,6 +338,24 @@
     JobTaskId task;
     std::size_t crashes = 0;
 };
+/// Reports a task that has had no running run for a while. Nothing has to be done.
+struct ReportWaitingTask
+{
+    JobTaskId task;
+    /// Highest run number in use; 0 if the task had no run.
+    std::uint64_t run = 0;
+    /// Where the run is being started or stopped; empty if the task has no worker.
+    WorkerName worker;
+    WaitReason reason = WaitReason::NoRoom;
+    /// Since this steward first knew the task to wait.
+    Duration time{};
+};
+/// Reports the number of waiting tasks that were due for a report and exceeded its limit. Nothing
+/// has to be done.
+struct ReportMoreWaitingTasks
+{
+    std::size_t count = 0;
+};
 /// A worker has accepted a steward with a higher fencing token; this steward must stop.
 struct StepDown
 {
@@ -318,6 +368,7 @@
     std::variant<steward_action::StartRun, steward_action::StopRun, steward_action::PollWorker,
                  steward_action::SetRunSpeed, steward_action::PersistProgress,
                  steward_action::ReportLostRuns, steward_action::ReportWorkerEnd,
-                 steward_action::ReportCrashingTask, steward_action::StepDown>;
+                 steward_action::ReportCrashingTask, steward_action::ReportWaitingTask,
+                 steward_action::ReportMoreWaitingTasks, steward_action::StepDown>;
 
 } // namespace shallotproxy
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -101,6 +101,7 @@
         }
         markDirty(pool);
     }
+    reportWaitingTasks();
 }
 
 auto Steward::handle(const steward_event::PlacementDue &) -> void
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -30,6 +30,11 @@
     /// The worker of the last failed run; the next run prefers another one.
     WorkerName failedOn;
     BootTime phaseSince;
+    /// Since when a long-running task has had no running run, within the time between two reports.
+    /// No phase lasts if runs start and fail again and again.
+    std::optional<BootTime> unavailableSince;
+    /// When the task was last reported as waiting.
+    BootTime waitReportedAt;
     /// When the task was attached to its worker.
     BootTime attachedAt;
     /// When the last start or stop order was sent.
@@ -57,6 +62,13 @@
 
     [[nodiscard]] auto id() const -> JobTaskId;
     [[nodiscard]] auto spec() const -> const StepSpec &;
+    /// Updates `unavailableSince`.
+    auto noteAvailability() -> void;
+    /// Returns since when the task has had no running run, if it has none.
+    [[nodiscard]] auto waitingSince() const -> BootTime
+    {
+        return unavailableSince.value_or(phaseSince);
+    }
 };
 
 struct Steward::Occurrence
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -246,6 +246,8 @@
             requeue(*task);
             continue;
         }
+        if (task->phase != TaskPhase::Stopping)
+            task->phaseSince = m_now;
         task->phase = TaskPhase::Stopping;
         task->isStopConfirmed = false;
         sendStop(*task);
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -69,6 +69,8 @@
     auto perform(const steward_action::ReportLostRuns &action) -> void;
     auto perform(const steward_action::ReportWorkerEnd &action) -> void;
     auto perform(const steward_action::ReportCrashingTask &action) -> void;
+    auto perform(const steward_action::ReportWaitingTask &action) -> void;
+    auto perform(const steward_action::ReportMoreWaitingTasks &action) -> void;
     auto perform(const steward_action::StepDown &action) -> void;
     auto writeProgress() -> void;
     auto progressStored(Expected<std::uint64_t, StoreFailure> reply) -> void;
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -42,6 +42,41 @@
     return "lease-expired";
 }
 
+auto nameOf(WaitReason reason) -> std::string_view
+{
+    switch (reason) {
+    case WaitReason::StopUnconfirmed:
+        return "stop-unconfirmed";
+    case WaitReason::EndUnreported:
+        return "end-unreported";
+    case WaitReason::StartUnanswered:
+        return "start-unanswered";
+    case WaitReason::Recovering:
+        return "recovering";
+    case WaitReason::CrashNotPersisted:
+        return "crash-not-persisted";
+    case WaitReason::NoRoomForSuspect:
+        return "no-room-for-suspect";
+    case WaitReason::NoQuietWorker:
+        return "no-quiet-worker";
+    case WaitReason::NoRules:
+        return "no-rules";
+    case WaitReason::NoWorkers:
+        return "no-workers";
+    case WaitReason::WorkersKeptForSuspects:
+        return "workers-kept-for-suspects";
+    case WaitReason::TeamLimit:
+        return "team-limit";
+    case WaitReason::PreemptionUnderWay:
+        return "preemption-under-way";
+    case WaitReason::NoRoom:
+        return "no-room";
+    case WaitReason::PlacementDue:
+        break;
+    }
+    return "placement-due";
+}
+
 auto identityOf(const RuntimeSettings &settings) -> std::string
 {
     // The address comes first: other members read the value up to the first space.
@@ -567,7 +602,7 @@
                                              OrderOutcome::NotSent});
         return;
     }
-    m_context.log.info("event=run-ended job={} occurrence={} step={} task={} run={} worker={}",
+    m_context.log.info("event=stop-ordered job={} occurrence={} step={} task={} run={} worker={}",
                        action.task.job, action.task.occurrence, action.task.step, action.task.index,
                        action.run, action.worker.value());
     m_context.workers.stop(*report, *m_stewardship.token(), action,
@@ -649,6 +684,25 @@
                        action.crashes);
 }
 
+auto StewardDuty::perform(const steward_action::ReportWaitingTask &action) -> void
+{
+    const auto reason = nameOf(action.reason);
+    m_context.metrics.count("shallotproxy_waiting_tasks_total",
+                            fmt::format("reason=\"{}\"", reason));
+    m_context.log.info(
+        "event=task-waits job={} occurrence={} step={} task={} run={} worker={} reason={} ms={}",
+        action.task.job, action.task.occurrence, action.task.step, action.task.index, action.run,
+        action.worker.value(), reason,
+        std::chrono::duration_cast<milliseconds>(action.time).count());
+}
+
+auto StewardDuty::perform(const steward_action::ReportMoreWaitingTasks &action) -> void
+{
+    m_context.metrics.count("shallotproxy_waiting_tasks_total", "reason=\"omitted\"",
+                            static_cast<double>(action.count));
+    m_context.log.info("event=more-tasks-wait tasks={}", action.count);
+}
+
 auto StewardDuty::perform(const steward_action::StepDown &action) -> void
 {
     superseded(action.worker.value());
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -158,6 +158,8 @@
     auto perform(std::size_t, const steward_action::ReportLostRuns &) -> void { }
     auto perform(std::size_t, const steward_action::ReportWorkerEnd &) -> void { }
     auto perform(std::size_t, const steward_action::ReportCrashingTask &) -> void { }
+    auto perform(std::size_t, const steward_action::ReportWaitingTask &) -> void { }
+    auto perform(std::size_t, const steward_action::ReportMoreWaitingTasks &) -> void { }
     auto perform(std::size_t steward, const steward_action::StepDown &) -> void;
     auto applyStart(FakeWorker &worker, std::uint64_t token, const steward_action::StartRun &order)
         -> OrderOutcome;
--- a/tests/unit/unit-steward-duty.cpp
+++ b/tests/unit/unit-steward-duty.cpp
@@ -140,6 +140,20 @@
     EXPECT_TRUE(member.startsTasks());
 }
 
+TEST(StewardDuty, CountsTasksThatWait)
+{
+    auto member = SingleMember();
+    auto step = test::longRunningStep(1);
+    step.resources = test::workerReport(0).capacity + Resources{1, 0, 0};
+    member.store.put("jobs/large", encodeJob(test::oneStepJob("large", step)));
+    const auto isCounted = [&member] {
+        return member.metrics.exposition().find(
+                   R"(shallotproxy_waiting_tasks_total{reason="no-room"} 1)")
+            != std::string::npos;
+    };
+    EXPECT_TRUE(test::runUntil(isCounted, 10'000));
+}
+
 } // namespace
 
 } // namespace shallotproxy
