--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -328,6 +328,14 @@
     [[nodiscard]] auto mayPlace(const Task &task) const -> bool;
     [[nodiscard]] auto teamShare(const TeamName &team) const -> double;
     [[nodiscard]] auto meanTeamShare() const -> double;
+
+    // Reports of waiting tasks: steward_waiting.cpp
+    auto reportWaitingTasks() -> void;
+    auto findLongWaiting(Job &job, std::vector<Task *> &found) const -> void;
+    [[nodiscard]] auto hasWaitedLong(const Task &task) const -> bool;
+    [[nodiscard]] auto waitReason(const Task &task) const -> WaitReason;
+    [[nodiscard]] auto suspectWaitReason(const Task &task) const -> WaitReason;
+
     auto markDirty(const PoolName &pool) -> void { m_dirtyPools.insert(pool); }
 
     std::uint64_t m_token;
@@ -358,6 +366,7 @@
     /// Tasks with a possible crash that an earlier steward has recorded.
     std::vector<JobTaskId> m_inheritedCrashes;
     std::uint64_t m_lastChange = 0;
+    BootTime m_nextWaitReportAt;
     BootTime m_startedAt;
     BootTime m_recoveryDeadline;
     bool m_isRecovering = true;
