--- a/tests/unit/fleet_model.hpp
+++ b/tests/unit/fleet_model.hpp
@@ -136,6 +136,8 @@
     auto perform(std::size_t steward, const steward_action::ReportLostRuns &action) -> void;
     auto perform(std::size_t steward, const steward_action::ReportWorkerEnd &action) -> void;
     auto perform(std::size_t steward, const steward_action::ReportCrashingTask &action) -> void;
+    auto perform(std::size_t, const steward_action::ReportWaitingTask &) -> void { }
+    auto perform(std::size_t, const steward_action::ReportMoreWaitingTasks &) -> void { }
     auto perform(std::size_t steward, const steward_action::StepDown &) -> void;
 
     // Jobs and checks
