--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -257,9 +257,6 @@
     auto detach(Task &task) -> void;
     auto requeue(Task &task) -> void;
     auto requeueAll(Worker &worker) -> void;
-    auto handleLostRuns(const Worker &worker, RunLoss loss) -> void;
-    auto handleRestart(Worker &worker, BootTime sentAt) -> void;
-    auto endWorker(Worker &worker, RunLoss loss, BootTime asOf) -> bool;
     auto stopTask(Task &task) -> void;
     auto sendStop(Task &task) -> void;
     auto sendStart(Task &task) -> void;
@@ -268,13 +265,18 @@
     [[nodiscard]] auto latestLeaseEndAfterRestart(const Worker &worker) const -> BootTime;
     auto tickWorker(Worker &worker) -> void;
     auto drain(Worker &worker) -> void;
-    auto endRecoveryIfDone() -> void;
     [[nodiscard]] auto isUsable(const Worker &worker) const -> bool;
     [[nodiscard]] auto isReachable(const Worker &worker) const -> bool;
     [[nodiscard]] auto mayStopLongRunning(const Task &task) const -> bool;
     [[nodiscard]] auto isAvailable(const Task &task) const -> bool;
     auto findWorker(const WorkerName &name) -> Worker *;
     auto registerWorker(const WorkerReport &report) -> Worker &;
+
+    // Ends of workers: steward_ends.cpp
+    auto handleLostRuns(const Worker &worker, RunLoss loss) -> void;
+    auto handleRestart(Worker &worker, BootTime sentAt) -> void;
+    auto endWorker(Worker &worker, RunLoss loss, BootTime asOf) -> bool;
+    auto endRecoveryIfDone() -> void;
     auto restoreListedWorkers(BootTime asOf) -> void;
     auto endUnlistedWorkers() -> void;
 
--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -12,6 +12,15 @@
 // Callers miss a long-running task after this time without a run.
 constexpr auto MaxWait = 9s;
 
+/// Adds a steward and fills all workers with finite runs that don't end.
+auto fill(FakeFleet &fleet, std::uint32_t workers) -> void
+{
+    fleet.runTime = 1h;
+    fleet.addSteward();
+    fleet.addJob(test::oneStepJob("finite", test::shortStep(workers * 8)));
+    fleet.run(2s);
+}
+
 /// Returns how long it takes until this many tasks of the job run, at most a minute.
 auto timeUntilActive(FakeFleet &fleet, const std::string &job, std::size_t tasks) -> Duration
 {
@@ -27,10 +36,7 @@
 {
     constexpr auto Workers = 12;
     auto fleet = FakeFleet(Workers);
-    fleet.runTime = 1h;
-    fleet.addSteward();
-    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
-    fleet.run(2s);
+    fill(fleet, Workers);
     fleet.addJob(test::oneStepJob("long", test::longRunningStep(Workers)));
     EXPECT_LT(timeUntilActive(fleet, "long", Workers), MaxWait);
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
@@ -41,10 +47,7 @@
 {
     constexpr auto Workers = 6;
     auto fleet = FakeFleet(Workers);
-    fleet.runTime = 1h;
-    fleet.addSteward();
-    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
-    fleet.run(2s);
+    fill(fleet, Workers);
     const auto startsBefore = fleet.starts;
     fleet.addJob(test::oneStepJob("long", test::longRunningStep(3)));
     fleet.run(20s);
@@ -58,11 +61,8 @@
 {
     constexpr auto Workers = 6;
     auto fleet = FakeFleet(Workers);
-    fleet.runTime = 1h;
     fleet.teamLimit = {Workers * 8'000 + 1'000, 0, 0};
-    fleet.addSteward();
-    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
-    fleet.run(2s);
+    fill(fleet, Workers);
     fleet.addJob(test::oneStepJob("long", test::longRunningStep(Workers)));
     fleet.run(1500ms);
     EXPECT_GE(fleet.activeRuns("finite"), Workers * 8U - 2U);
@@ -73,10 +73,7 @@
 {
     constexpr auto Workers = 12;
     auto fleet = FakeFleet(Workers);
-    fleet.runTime = 1h;
-    fleet.addSteward();
-    fleet.addJob(test::oneStepJob("finite", test::shortStep(Workers * 8)));
-    fleet.run(2s);
+    fill(fleet, Workers);
     auto hopeless = test::longRunningStep(8);
     hopeless.resources.milliCores = 100'000;
     fleet.addJob(test::oneStepJob("hopeless", hopeless));
