Search for runs to preempt ten times a second at most

One search for each waiting long-running task in each placement costs the steward of a large pool its processor time: a placement comes every 5 ms.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -356,6 +356,8 @@
     /// Registrations of incarnations that have ended; the platform removes them some seconds later.
     std::map<WorkerName, EndedWorker> m_endedWorkers;
     std::map<TeamName, Resources> m_teamUsage;
+    /// When runs of a pool may be preempted next.
+    std::map<PoolName, BootTime> m_nextPreemptions;
     std::map<PoolName, AcceptedWork> m_acceptedWork;
     std::set<PoolName> m_dirtyPools;
     std::set<WorkerName> m_expectedWorkers;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -9,6 +9,10 @@
 
 using std::chrono::milliseconds;
 
+// Shortest time between two searches for runs to preempt in a pool: they look at all runs there,
+// and a stop takes longer.
+constexpr milliseconds PreemptionInterval{100};
+
 /// Whether the worker has the label. The empty label stands for no requirement.
 auto hasLabel(const WorkerReport &report, const std::string &label) -> bool
 {
@@ -174,6 +178,8 @@
     const auto workers = workersToPlaceOn(pool);
     auto unplaceable = UnplaceableResources();
     auto claims = RoomClaims();
+    auto &nextPreemption = m_nextPreemptions[pool];
+    const auto mayPreempt = m_now >= nextPreemption;
     for (const auto &it : waitingSteps) {
         const auto &step = candidates[it.index].job->spec.steps[candidates[it.index].step];
         const auto resources = step.reservedResources();
@@ -183,8 +189,10 @@
             continue;
         if (!hasPlacementConstraints(step))
             unplaceable.add(resources);
-        if (it.isLongRunning)
+        if (it.isLongRunning && mayPreempt) {
             makeRoom(pool, candidates[it.index], claims);
+            nextPreemption = m_now + PreemptionInterval;
+        }
     }
 }
 
