--- a/tests/unit/unit-http-target.cpp
+++ b/tests/unit/unit-http-target.cpp
@@ -256,9 +256,9 @@
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         auto length = socklen_t{sizeof(address)};
         auto *generic = reinterpret_cast<sockaddr *>(&address);
-        bind(m_listener, generic, length);
-        listen(m_listener, 1);
-        getsockname(m_listener, generic, &length);
+        EXPECT_EQ(bind(m_listener, generic, length), 0);
+        EXPECT_EQ(listen(m_listener, 1), 0);
+        EXPECT_EQ(getsockname(m_listener, generic, &length), 0);
         m_port = ntohs(address.sin_port);
     }
     ~UnreadTarget() { close(m_listener); }
