--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -65,7 +65,7 @@
             steward_action::ReportLostRuns{worker.report.name, cause, std::move(lost)});
     }
     // A worker that was cut off may have restarted for any reason, and one whose leases expired may
-    // go on. The list of the hosts tells of an end for certain.
+    // go on. A list of the hosts, or another worker at the address, tells of an end for certain.
     const auto wasCutOff = worker.unansweredPolls >= MaxFailedPolls;
     const auto hasCrashed = cause == RunLoss::Ended || (cause == RunLoss::Restarted && !wasCutOff)
         || (cause == RunLoss::LeaseExpired && !wasCutOff && m_hasHostList
