Write records of crashes in the order in which they became due

Cause: records that go first were all due at the beginning of time, so that the queue ordered them by the ids of their jobs. While more of them changed than could be written, those with the highest ids were never written, nor was any other record. Evidence: of the 358 lines `task-waits reason=crash-not-persisted` after 30 s, none is of a job whose id begins with 0 to 5.

Such a record is now due some time before the others that change with it, so that it still passes the records of a takeover, and each record is reached in the end.

The tests failed before: 60 s, their limit, instead of 100 ms for the record of a crash, and of any other record.

--- a/packages/job/include/shallotproxy/job/progress_writer.hpp
+++ b/packages/job/include/shallotproxy/job/progress_writer.hpp
@@ -28,6 +28,9 @@
     static constexpr Milliseconds UrgentDelay{8};
     /// Changes that only save work wait longer: their workers report them until they are persisted.
     static constexpr Milliseconds RelaxedDelay{250};
+    /// A change that goes first is written before records that became due up to this long before.
+    /// Bounded, so that lasting changes of this kind keep no other record from being written.
+    static constexpr Milliseconds FirstLead{2'000};
     /// Delay after a write that failed.
     static constexpr Milliseconds RetryDelay{200};
 
--- a/packages/job/src/progress_writer.cpp
+++ b/packages/job/src/progress_writer.cpp
@@ -17,7 +17,7 @@
         schedule(job, now + UrgentDelay);
         return;
     case WriteUrgency::First:
-        schedule(job, BootTime());
+        schedule(job, now - FirstLead);
     }
 }
 
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -469,6 +469,42 @@
     EXPECT_EQ(first->size(), ProgressWriter::MaxJobsPerWrite);
 }
 
+/// Returns how long it takes until the record of the job is written, at most a minute, while more
+/// crashes of other jobs are recorded than can be written.
+auto timeUntilWritten(ProgressWriter &writer, const std::string &job, BootTime now) -> Duration
+{
+    const auto begin = now;
+    for (auto isWritten = false; !isWritten && now < begin + 60s; now += 10ms) {
+        for (auto n = 0; n < 30; ++n)
+            writer.changed("crashing-" + std::to_string(n), WriteUrgency::First, now);
+        if (const auto batch = writer.next(now, emptyRecord)) {
+            isWritten = std::ranges::find(*batch, job, &ProgressWriter::Entry::job) != batch->end();
+            writer.stored(1);
+        }
+    }
+    return now - begin;
+}
+
+// The records of crashes were written in the order of the ids of their jobs: while others went on
+// changing, the last ones waited for ever, and so did their tasks.
+TEST(ProgressWriter, WritesEachCrashWhileOthersGoOn)
+{
+    auto writer = ProgressWriter();
+    const auto now = BootTime(1h);
+    writer.changed("last", WriteUrgency::First, now);
+    EXPECT_LE(timeUntilWritten(writer, "last", now), 100ms);
+}
+
+// The same for records of any other kind.
+TEST(ProgressWriter, WritesEachRecordWhileCrashesGoOn)
+{
+    auto writer = ProgressWriter();
+    const auto now = BootTime(1h);
+    writer.changed("last", WriteUrgency::Relaxed, now);
+    EXPECT_LE(timeUntilWritten(writer, "last", now),
+              ProgressWriter::RelaxedDelay + ProgressWriter::FirstLead + 100ms);
+}
+
 TEST(ProgressWriter, RetriesWithTheRevisionsOfAConflict)
 {
     auto writer = ProgressWriter();
