Start long-running suspects before finite ones

Callers missed long-running tasks whose workers had failed twice: they and the finite tasks that were lost beside them are suspects then, and in the test the last of sixteen began after 15 s; the bound is 9 s.

Cause: suspects were started in the order in which their jobs were accepted. A finite one keeps its worker to itself for 3 s and more, so that sixteen of them at a time took all workers that returned. For long-running ones 0.2 s suffice, and they came last.

LongRunningTasks.RunBeforeTheFiniteTasksThatWereLostBesideThem failed before (15.05 s) and passes.

--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -169,7 +169,10 @@
             }
         }
     }
-    // Before the others: a worker that becomes free for a suspect is soon taken again.
+    // Before the others: a worker that becomes free for a suspect is soon taken again. Finite
+    // suspects keep their workers to themselves for longer than long-running ones.
+    std::ranges::stable_partition(suspects,
+                                  [](const Candidate &it) { return it.spec().isLongRunning; });
     for (const auto &it : suspects)
         placeSuspects(pool, it);
     if (waitingSteps.empty())
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -114,6 +114,8 @@
     Job *job = nullptr;
     Occurrence *occurrence = nullptr;
     std::uint32_t step = 0;
+
+    [[nodiscard]] auto spec() const -> const StepSpec & { return job->spec.steps[step]; }
 };
 
 /// What the long-running tasks that wait for room in a pool claim in one placement.
--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -106,6 +106,24 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// Finite tasks that had been lost beside them kept the workers that returned to themselves first,
+// for seconds each.
+TEST(LongRunningTasks, RunBeforeTheFiniteTasksThatWereLostBesideThem)
+{
+    constexpr auto Workers = 24;
+    constexpr auto Tasks = 16;
+    auto fleet = FakeFleet(Workers);
+    fill(fleet, Workers);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    for (auto round = 0; round < 2; ++round) {
+        fleet.run(2s);
+        fleet.endWorkersOf("long");
+        EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    }
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 } // namespace
 
 } // namespace shallotproxy
