Preempt runs for long-running suspects

Cause: makeRoom() left suspects out. They got a worker only by a reservation of 1 s, one at a time in a pool, which lapses before longer runs end.

Suspects that have waited as long as others now preempt finite runs on a worker of their own.

LongRunningTasks.FindRoomAsSuspectsInAFullPool and PreemptNoMoreRunsThanTheyNeedAsSuspects failed before (60 s, their limit) and pass.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -301,6 +301,7 @@
         -> std::vector<std::optional<CrashEvidence>>;
     [[nodiscard]] auto hasEnded(const PossibleCrash &crash) const -> bool;
     [[nodiscard]] auto mayPlaceSuspect(const Task &task) const -> bool;
+    [[nodiscard]] auto mayReserveForSuspect(const PoolName &pool) const -> bool;
     [[nodiscard]] auto isNew(const Worker &worker) const -> bool;
     [[nodiscard]] auto isEstablished(const Task &task) const -> bool;
     [[nodiscard]] auto isUnderTest(const Task &task) const -> bool;
@@ -319,7 +320,10 @@
     auto makeRoom(const PoolName &pool, const Candidate &candidate, RoomClaims &claims) -> void;
     auto findReservedWorker(const PoolName &pool, const Task &task, const RoomClaims &claims)
         -> Worker *;
-    auto preemptFor(const PoolName &pool, const Task &task) -> Worker *;
+    auto preemptFor(const PoolName &pool, const Task &task, const RoomClaims &claims) -> Worker *;
+    [[nodiscard]] auto mayPreemptOn(const Worker &worker, const Task &task,
+                                    const RoomClaims &claims) const -> bool;
+    [[nodiscard]] auto isReservedFor(const Worker &worker, const Task &task) const -> bool;
     auto startTask(Task &task, Worker &worker) -> void;
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
     [[nodiscard]] auto acceptsRuns(const Worker &worker) const -> bool;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -396,15 +396,10 @@
     };
     Worker *best = nullptr;
     Worker *next = nullptr;
-    auto keptFree = std::size_t{0};
     auto isAnyReserved = false;
-    const auto &workers = m_poolWorkers[pool];
-    for (auto *worker : workers) {
-        const auto isReserved = m_now < worker->suspectReservedUntil;
-        const auto isTesting = hasRunUnderTest(*worker);
-        isAnyReserved = isAnyReserved || isReserved;
-        keptFree += isReserved || isTesting ? 1 : 0;
-        if (isTesting || !acceptsRuns(*worker) || !isAllowedOn(*worker, task))
+    for (auto *worker : m_poolWorkers[pool]) {
+        isAnyReserved = isAnyReserved || m_now < worker->suspectReservedUntil;
+        if (hasRunUnderTest(*worker) || !acceptsRuns(*worker) || !isAllowedOn(*worker, task))
             continue;
         if (isQuiet(*worker) && fits(*worker, task)) {
             best = isBetter(worker, best) ? worker : best;
@@ -412,10 +407,20 @@
             next = isBetter(worker, next) ? worker : next;
         }
     }
-    const auto maxKeptFree = std::max<std::size_t>(1, workers.size() / WorkersPerSuspect);
-    if (best == nullptr && next != nullptr && !isAnyReserved && keptFree < maxKeptFree)
+    if (best == nullptr && next != nullptr && !isAnyReserved && mayReserveForSuspect(pool))
         next->suspectReservedUntil = m_now + SuspectReservation;
     return best;
 }
 
+/// Whether another worker of the pool may be kept from other tasks for a suspect.
+auto Steward::mayReserveForSuspect(const PoolName &pool) const -> bool
+{
+    const auto &workers = m_poolWorkers.at(pool);
+    const auto isKeptFree = [this](const Worker *it) {
+        return m_now < it->suspectReservedUntil || hasRunUnderTest(*it);
+    };
+    const auto keptFree = static_cast<std::size_t>(std::ranges::count_if(workers, isKeptFree));
+    return keptFree < std::max<std::size_t>(1, workers.size() / WorkersPerSuspect);
+}
+
 } // namespace shallotproxy
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -158,7 +158,7 @@
                 if (!(isPlaceable || hasSuspect) || !isReady(*job, occurrence, step))
                     continue;
                 if (hasSuspect)
-                    suspects.push_back({job, &occurrence, step});
+                    suspects.push_back({job, &occurrence, step, true});
                 if (!isPlaceable)
                     continue;
                 waitingSteps.push_back(
@@ -175,16 +175,23 @@
                                   [](const Candidate &it) { return it.spec().isLongRunning; });
     for (const auto &it : suspects)
         placeSuspects(pool, it);
+    auto claims = RoomClaims();
+    auto &nextPreemption = m_nextPreemptions[pool];
+    const auto mayPreempt = m_now >= nextPreemption;
+    const auto preempt = [&](const Candidate &candidate) {
+        if (!mayPreempt || !candidate.spec().isLongRunning)
+            return;
+        makeRoom(pool, candidate, claims);
+        nextPreemption = m_now + PreemptionInterval;
+    };
+    std::ranges::for_each(suspects, preempt);
     if (waitingSteps.empty())
         return;
     sortWaiting(waitingSteps, m_now);
     const auto workers = workersToPlaceOn(pool);
     auto unplaceable = UnplaceableResources();
-    auto claims = RoomClaims();
-    auto &nextPreemption = m_nextPreemptions[pool];
-    const auto mayPreempt = m_now >= nextPreemption;
     for (const auto &it : waitingSteps) {
-        const auto &step = candidates[it.index].job->spec.steps[candidates[it.index].step];
+        const auto &step = candidates[it.index].spec();
         const auto resources = step.reservedResources();
         if (!it.isLongRunning && unplaceable.covers(resources))
             continue;
@@ -192,10 +199,7 @@
             continue;
         if (!hasPlacementConstraints(step))
             unplaceable.add(resources);
-        if (it.isLongRunning && mayPreempt) {
-            makeRoom(pool, candidates[it.index], claims);
-            nextPreemption = m_now + PreemptionInterval;
-        }
+        preempt(candidates[it.index]);
     }
 }
 
@@ -349,13 +353,14 @@
 {
     auto &claimed = claims.resources[candidate.job->spec.team];
     for (const auto &task : candidate.occurrence->steps[candidate.step]) {
-        if (!mayPlace(task) || m_now < task.phaseSince + m_settings.preemptionDelay)
+        const auto isWaiting = candidate.isOfSuspects ? mayPlaceSuspect(task) : mayPlace(task);
+        if (!isWaiting || m_now < task.phaseSince + m_settings.preemptionDelay)
             continue;
         const auto total = claimed + task.spec().resources;
         if (!isWithinTeamLimit(*candidate.job, total))
             return;
         auto *worker = findReservedWorker(pool, task, claims);
-        worker = worker == nullptr ? preemptFor(pool, task) : worker;
+        worker = worker == nullptr ? preemptFor(pool, task, claims) : worker;
         if (worker == nullptr)
             return; // the tasks of a step are alike
         claims.workers.insert(worker);
@@ -363,14 +368,20 @@
     }
 }
 
+/// Whether the worker is kept from other tasks for one like this.
+auto Steward::isReservedFor(const Worker &worker, const Task &task) const -> bool
+{
+    return m_now < (task.crashes.isSuspect() ? worker.suspectReservedUntil : worker.reservedUntil);
+}
+
 /// Returns a worker that is reserved and where the task fits once the runs that are being stopped
 /// have ended; null if all such workers are claimed by other tasks.
 auto Steward::findReservedWorker(const PoolName &pool, const Task &task, const RoomClaims &claims)
     -> Worker *
 {
     for (auto *worker : m_poolWorkers[pool]) {
-        const auto isReserved = m_now < worker->reservedUntil;
-        if (!isReserved || claims.workers.contains(worker) || !isAllowedOn(*worker, task))
+        if (!isReservedFor(*worker, task) || claims.workers.contains(worker)
+            || !isAllowedOn(*worker, task))
             continue;
         auto resources = worker->freeResources();
         for (const auto *run : worker->runs) {
@@ -383,16 +394,30 @@
     return nullptr;
 }
 
+/// Whether runs on the worker may be preempted for the task. A suspect also takes a worker that is
+/// reserved for suspects and that none of them fits on yet.
+auto Steward::mayPreemptOn(const Worker &worker, const Task &task, const RoomClaims &claims) const
+    -> bool
+{
+    if (m_now < worker.reservedUntil || !isAllowedOn(worker, task))
+        return false;
+    if (!task.crashes.isSuspect())
+        return takesNewWork(worker);
+    if (claims.workers.contains(&worker) || hasRunUnderTest(worker) || !acceptsRuns(worker))
+        return false;
+    return isReservedFor(worker, task) || mayReserveForSuspect(worker.report.pool);
+}
+
 /// Stops runs that aren't long-running on one worker so that a long-running task fits there.
 /// Chooses the worker where the fewest runs have to be stopped, reserves it and returns it; null if
 /// there is none.
-auto Steward::preemptFor(const PoolName &pool, const Task &task) -> Worker *
+auto Steward::preemptFor(const PoolName &pool, const Task &task, const RoomClaims &claims)
+    -> Worker *
 {
     Worker *best = nullptr;
     auto bestRuns = std::vector<Task *>();
     for (auto *worker : m_poolWorkers[pool]) {
-        const auto isReserved = m_now < worker->reservedUntil;
-        if (isReserved || !takesNewWork(*worker) || !isAllowedOn(*worker, task))
+        if (!mayPreemptOn(*worker, task, claims))
             continue;
         auto runs = std::vector<Task *>();
         std::ranges::copy_if(worker->runs, std::back_inserter(runs), [](const Task *it) {
@@ -413,8 +438,13 @@
     }
     if (best == nullptr)
         return nullptr;
-    best->reservedUntil = m_now + milliseconds(m_settings.pollWait * 2);
-    best->reservedResources = task.spec().reservedResources();
+    const auto reservedUntil = m_now + milliseconds(m_settings.pollWait * 2);
+    if (task.crashes.isSuspect()) {
+        best->suspectReservedUntil = reservedUntil;
+    } else {
+        best->reservedUntil = reservedUntil;
+        best->reservedResources = task.spec().reservedResources();
+    }
     for (auto *run : bestRuns)
         stopTask(*run);
     return best;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -108,12 +108,13 @@
     std::size_t waitingTasks = 0;
 };
 
-/// A step with waiting tasks.
+/// A step with waiting tasks: its suspects, or its other tasks.
 struct Steward::Candidate
 {
     Job *job = nullptr;
     Occurrence *occurrence = nullptr;
     std::uint32_t step = 0;
+    bool isOfSuspects = false;
 
     [[nodiscard]] auto spec() const -> const StepSpec & { return job->spec.steps[step]; }
 };
--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -124,6 +124,54 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+/// Lets the workers of the job fail twice, and the pool fill with other runs before the crashes are
+/// persisted, so that the job's tasks have to wait.
+auto failTwiceAndFill(FakeFleet &fleet, const std::string &job, std::size_t tasks) -> void
+{
+    fleet.endWorkersOf(job);
+    EXPECT_LT(timeUntilActive(fleet, job, tasks), MaxWait);
+    fleet.run(2s);
+    fleet.isStoreUp = false;
+    fleet.endWorkersOf(job);
+    fleet.run(FakeFleet::Downtime + 3s);
+    EXPECT_EQ(fleet.activeRuns(job), 0U);
+    fleet.isStoreUp = true;
+}
+
+// Suspects of crashing workers were left out of preemption: in a pool of runs that go on for long
+// they never ran.
+TEST(LongRunningTasks, FindRoomAsSuspectsInAFullPool)
+{
+    constexpr auto Workers = 24;
+    constexpr auto Tasks = 16;
+    auto fleet = FakeFleet(Workers);
+    fill(fleet, Workers);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    fleet.addJob(test::oneStepJob("more", test::shortStep(Workers * 16)));
+    failTwiceAndFill(fleet, "long", Tasks);
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// Room for a suspect is made once.
+TEST(LongRunningTasks, PreemptNoMoreRunsThanTheyNeedAsSuspects)
+{
+    constexpr auto Workers = 12;
+    constexpr auto Tasks = 4;
+    auto fleet = FakeFleet(Workers);
+    fill(fleet, Workers);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    fleet.addJob(test::oneStepJob("more", test::shortStep(Workers * 16)));
+    failTwiceAndFill(fleet, "long", Tasks);
+    const auto startsBefore = fleet.starts;
+    const auto finiteBefore = fleet.activeRuns("finite") + fleet.activeRuns("more");
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    EXPECT_EQ(fleet.starts, startsBefore + Tasks);
+    EXPECT_EQ(fleet.activeRuns("finite") + fleet.activeRuns("more"), finiteBefore - Tasks);
+}
+
 } // namespace
 
 } // namespace shallotproxy
