Give up a start that a worker leaves unanswered

A worker that answers polls and loses its orders kept a task in Starting for as long as that lasted, while another worker was free: a long-running task that was accepted never ran.

Cause: tickWorker() sent the start again for as long as polls succeeded, and a run whose stop isn't confirmed was never given up on such a worker.

A start without an answer is now stopped after startTimeout. Its run is freed once the stop is confirmed, or once a poll that was sent more than lateCallTime after the last start order lists it neither as active nor as ended: a call isn't carried out later than that. The next run prefers another worker. The end of the order's own lease isn't used: the protocol doesn't say whether a worker whose lease polls have prolonged refuses a start whose deadline has passed. The tests cover both readings.

The bound while orders stay lost is startTimeout and lateCallTime, 14 s, and two seconds more for polls and the placement. It is beyond the 9 s that callers wait, but the service isn't calm during the loss.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -94,6 +94,9 @@
     /// A worker with an order that has had no answer for this long gets no new work. Workers answer
     /// within milliseconds.
     Milliseconds orderResponseTime{250};
+    /// A run whose start has had no answer for this long is stopped, so that the task starts on
+    /// another worker.
+    Milliseconds startTimeout{2'000};
     /// Length of a worker's first quarantine.
     Milliseconds quarantine{6'000};
     /// A worker that refused an order, or left one unanswered, gets no new work for this long.
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -192,8 +192,8 @@
     failTask(task, end.run);
 }
 
-/// Requeues the runs that were confirmed before this poll was sent and that the worker lists
-/// neither as active nor as ended.
+/// Requeues the runs that the worker lists neither as active nor as ended if they were confirmed
+/// before this poll was sent, or if their start orders can't be carried out any more.
 auto Steward::requeueMissingRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void
 {
     const auto runs = worker.runs;
@@ -205,7 +205,10 @@
         const auto settledAt = task->phase == TaskPhase::Stopping
             ? task->confirmedAt + m_settings.stopTimeout
             : task->confirmedAt;
-        if (!isConfirmed || settledAt >= event.sentAt)
+        const auto isSettled = isConfirmed && settledAt < event.sentAt;
+        const auto isStartTooOld = task->phase == TaskPhase::Stopping
+            && task->startSentAt + m_settings.lateCallTime < event.sentAt;
+        if (!isSettled && !isStartTooOld)
             continue;
         const auto id = task->id();
         const auto isActive = std::ranges::any_of(event.active, [task, &id](const ActiveRun &it) {
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -29,7 +29,8 @@
     /// The change of the job that contains the last crash.
     std::uint64_t crashChange = 0;
     std::string checkpoint;
-    /// The worker of the last failed run; the next run prefers another one.
+    /// The worker of the last run that failed or whose start timed out; the next run prefers
+    /// another one.
     WorkerName failedOn;
     BootTime phaseSince;
     /// Since when a long-running task has had no running run, within the time between two reports.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -369,12 +369,16 @@
         // Sending the same order again is idempotent: the worker starts a run number only once. It
         // may be the first one to arrive, after the worker's capacity has shrunk.
         const auto fitsStill = worker.report.capacity.covers(worker.used);
-        if (isReachable(worker) && !worker.isDraining && fitsStill
+        const auto isTimedOut = m_now >= task->phaseSince + m_settings.startTimeout;
+        if (isReachable(worker) && !worker.isDraining && fitsStill && !isTimedOut
             && task->job->outcome == JobOutcome::Open) {
             task->wasStartResent = true;
             sendStart(*task);
-        } else
+        } else {
+            if (isTimedOut)
+                task->failedOn = worker.report.name;
             stopTask(*task);
+        }
     }
     if (worker.isDraining)
         drain(worker);
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -200,6 +200,18 @@
     return worker.isUp && m_now >= worker.unresponsiveUntil;
 }
 
+auto FakeFleet::losesOrders(const FakeWorker &worker) const -> bool
+{
+    return m_now < worker.losesOrdersUntil;
+}
+
+auto FakeFleet::loseOrders(int worker, Duration time, Duration startDelay) -> void
+{
+    auto &it = m_workers[static_cast<std::size_t>(worker)];
+    it.losesOrdersUntil = m_now + time;
+    it.lateStartDelay = startDelay;
+}
+
 auto FakeFleet::makeUnresponsive(int worker, Duration time) -> void
 {
     m_workers[static_cast<std::size_t>(worker)].unresponsiveUntil = m_now + time;
@@ -368,6 +380,10 @@
     };
     if (delivery == Delivery::NotSent || find(name).isRefusing) {
         answer(OrderOutcome::NotSent, ReplyDelay);
+    } else if (losesOrders(find(name))) {
+        if (find(name).lateStartDelay > 0ms)
+            schedule(find(name).lateStartDelay, [apply] { apply(); });
+        answer(OrderOutcome::Unanswered, LostReplyTimeout);
     } else if (delivery == Delivery::Delayed || !isResponsive(find(name))) {
         const auto delay = delivery == Delivery::Delayed ? Duration(OrderDelay) : Duration(1s);
         schedule(delay, [apply] { apply(); });
@@ -387,8 +403,8 @@
     const auto delivery = nextDelivery(deliveries);
     const auto token = m_stewards[steward].steward->token();
     auto outcome = OrderOutcome::Unanswered;
-    if (isResponsive(find(order.worker)) && delivery != Delivery::Delayed
-        && delivery != Delivery::NotSent)
+    if (isResponsive(find(order.worker)) && !losesOrders(find(order.worker))
+        && delivery != Delivery::Delayed && delivery != Delivery::NotSent)
         outcome = applyStop(find(order.worker), token, order);
     if (delivery == Delivery::ReplyLost)
         outcome = OrderOutcome::Unanswered;
@@ -546,7 +562,8 @@
         return OrderOutcome::Superseded;
     worker.token = token;
     const auto left = std::chrono::milliseconds(order.leaseEndMilliseconds - clockOf(worker));
-    if (left <= 0ms)
+    const auto isCovered = doLeasesCoverLateStarts && m_now < worker.leaseEndsAt;
+    if (left <= 0ms && !isCovered)
         return OrderOutcome::LeaseExpired;
     const auto isActive = std::ranges::any_of(worker.active, [&order](const Run &it) {
         return it.task == order.task && it.number == order.run;
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -68,6 +68,8 @@
     /// Whether an order that was sent to one incarnation of a worker may be carried out by the
     /// next.
     bool doOrdersOutliveIncarnations = true;
+    /// Whether a worker that holds a lease carries out a start whose own lease has expired.
+    bool doLeasesCoverLateStarts = false;
     /// Whether a task may start again after an end that was acknowledged only after the worker's
     /// lease had expired.
     bool areEndsBeforeExpiryExcused = false;
@@ -77,6 +79,9 @@
     Duration runTime = 400ms;
     std::function<bool(const JobTaskId &)> fails = [](const auto &) { return false; };
     auto makeUnresponsive(int worker, Duration time) -> void;
+    /// Leaves all orders to the worker unanswered. It answers polls. Starts are carried out after
+    /// the delay, if any; stops are lost.
+    auto loseOrders(int worker, Duration time, Duration startDelay = {}) -> void;
     auto crash(int worker) -> void;
     /// Restarts the worker under the same name and without any state, also if it is down. Stewards
     /// read its new registration after the delay.
@@ -130,6 +135,8 @@
         /// The worker has ended and its address refuses connections.
         bool isRefusing = false;
         BootTime unresponsiveUntil;
+        BootTime losesOrdersUntil;
+        Duration lateStartDelay{};
         std::int64_t incarnation = 1;
         /// The worker's clock starts anew with each incarnation.
         BootTime bornAt;
@@ -178,6 +185,7 @@
     auto extendLease(FakeWorker &worker, std::int64_t endMilliseconds) const -> void;
     [[nodiscard]] auto clockOf(const FakeWorker &worker) const -> std::int64_t;
     [[nodiscard]] auto isResponsive(const FakeWorker &worker) const -> bool;
+    [[nodiscard]] auto losesOrders(const FakeWorker &worker) const -> bool;
     /// Returns a worker that is down if none has this name any more.
     auto find(const WorkerName &name) -> FakeWorker &;
     auto reportEnds(const std::vector<WorkerName> &ended) -> void;
