Pin that a list can't bring a replaced worker back to work

That takes no task and holds none: isReachable() needs a poll that was answered, and the next tick sends one, whose answer ends the worker again. In the recovery of a new steward each such list asks for one more poll, and its answer lets the recovery end if all others have been polled.

Both tests pass on the code as it is: no fault was found.

--- a/tests/unit/unit-worker-incarnations.cpp
+++ b/tests/unit/unit-worker-incarnations.cpp
@@ -403,6 +403,66 @@
     EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
 }
 
+// A list shows the worker as up after another one has answered at its address: it is known again
+// until the next poll, and takes no task meanwhile.
+TEST(WorkerIncarnations, GetNoWorkByAListThatShowsThemAfterTheyWereReplaced)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    single.steward.expectWorkers({});
+    single.poll({}, {});
+    single.step(steward_event::JobCancelled{"job"});
+    single.step(
+        steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::StaleIncarnation});
+    ASSERT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
+    const auto next = test::oneStepJob("next", test::longRunningStep(1));
+    single.step(steward_event::JobAccepted{next, {}, false});
+    for (auto list = 0; list < 20; ++list) {
+        single.now += 1s;
+        single.steward.expectWorkers({test::workerName(0)}, {}, single.now);
+        ASSERT_TRUE(single.steward.workerLoad(test::workerName(0)).has_value());
+        const auto actions = single.tick(100ms);
+        EXPECT_EQ(firstOf<steward_action::StartRun>(actions), nullptr);
+        ASSERT_NE(firstOf<steward_action::PollWorker>(actions), nullptr);
+        const auto sentAt = single.now;
+        single.now += 2ms;
+        single.step(
+            steward_event::PollFailed{test::workerName(0), sentAt, OrderOutcome::StaleIncarnation});
+        EXPECT_FALSE(single.steward.workerLoad(test::workerName(0)).has_value());
+    }
+}
+
+// The same while a new steward waits until all listed workers have been polled: each list prolongs
+// that by one poll.
+TEST(WorkerIncarnations, ProlongNoRecoveryByListsThatShowThemAfterTheyWereReplaced)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    single.step(steward_event::WorkerReported{test::workerReport(1)});
+    const auto both = std::set{test::workerName(0), test::workerName(1)};
+    single.steward.expectWorkers(both, {}, single.now);
+    for (auto list = 0; list < 5; ++list) {
+        single.now += 2ms;
+        single.step(steward_event::PollFailed{test::workerName(0), single.now,
+                                              OrderOutcome::StaleIncarnation});
+        single.now += 1s;
+        single.steward.expectWorkers(both, {}, single.now);
+        EXPECT_NE(firstOf<steward_action::PollWorker>(single.tick(100ms)), nullptr);
+        EXPECT_TRUE(single.steward.isRecovering());
+    }
+    auto other = steward_event::WorkerPolled();
+    other.worker = test::workerName(1);
+    other.sentAt = single.now;
+    other.clockMilliseconds = 1;
+    single.step(other);
+    EXPECT_TRUE(single.steward.isRecovering());
+    single.now += 2ms;
+    const auto actions = single.step(
+        steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::StaleIncarnation});
+    EXPECT_FALSE(single.steward.isRecovering());
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    ASSERT_NE(start, nullptr);
+    EXPECT_EQ(start->worker, test::workerName(1));
+}
+
 // The refusal of a stop order tells of the end, too, and polls ask for it at once.
 TEST(WorkerIncarnations, ArePolledOnceAnotherWorkerRefusesAStop)
 {
