--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -490,14 +490,13 @@
     const auto delay = m_isNoisy ? drawTime(5, 400) : drawTime(3, 30);
     m_lastPublishedAt = std::max(m_lastPublishedAt, m_now + delay);
     schedule(m_lastPublishedAt - m_now, [this, name, report, revision] {
-        for (std::size_t n = 0; n < m_stewards.size(); ++n) {
-            if (!m_stewards[n]->isAlive || m_stewards[n]->loadedRevision >= revision)
-                continue;
-            if (!report) {
-                send(n, steward_event::WorkerRemoved{name});
-            } else if (!m_stewards[n]->steward->isRegistered(*report)) {
-                send(n, steward_event::WorkerReported{*report});
-            }
+        if (m_stewards.empty() || m_stewards.back()->loadedRevision >= revision)
+            return;
+        const auto steward = m_stewards.size() - 1;
+        if (!report) {
+            send(steward, steward_event::WorkerRemoved{name});
+        } else if (!m_stewards[steward]->steward->isRegistered(*report)) {
+            send(steward, steward_event::WorkerReported{*report});
         }
     });
 }
@@ -714,7 +713,8 @@
     schedule(drawTime(1'600, 2'500), [this] { startSteward(); });
 }
 
-/// Starts the next steward while the present one goes on for a while.
+/// Starts the next steward while the present one goes on for a while: it has lost the store, so
+/// that it learns of nothing new there, but not the workers.
 auto FleetModel::replaceSteward(Duration overlap) -> void
 {
     if (m_stewards.empty() || !m_stewards.back()->isAlive)
@@ -1082,8 +1082,8 @@
 auto FleetModel::addJob(const JobSpec &job) -> void
 {
     m_jobs[job.id] = job;
-    for (std::size_t n = 0; n < m_stewards.size(); ++n)
-        send(n, steward_event::JobAccepted{job, {}, false});
+    if (!m_stewards.empty())
+        send(m_stewards.size() - 1, steward_event::JobAccepted{job, {}, false});
 }
 
 /// Submits finite jobs until the fleet is to be calm. In a full fleet there are always more tasks
