Play full pools with long runs and suspects in the model of workers

In the model's full fleets each run lasted 2.5 s, so that room for suspects came soon. In fullFleetPlan() the runs last 10 s to 25 s, and the workers of several long-running tasks crash two or three times.

--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -202,20 +202,55 @@
     return plan;
 }
 
+auto fullFleetPlan(std::uint64_t seed) -> FleetPlan
+{
+    auto random = std::mt19937_64(seed);
+    const auto draw = [&random](std::uint64_t count) { return random() % count; };
+    auto plan = FleetPlan();
+    plan.seed = seed;
+    plan.hosts = 6 + draw(10);
+    plan.longRunningTasks = static_cast<std::uint32_t>(2 + draw(plan.hosts - 4));
+    plan.isFull = true;
+    plan.fullRunTime = std::chrono::milliseconds(10'000 + draw(15'000));
+    auto at = std::chrono::milliseconds(3'000 + draw(5'000));
+    const auto crashes = 2 + draw(2);
+    for (auto n = std::uint64_t{0}; n < crashes; ++n) {
+        auto it = FleetDisturbance();
+        it.event = FleetEvent::ServiceCrash;
+        it.at = at;
+        it.length = std::chrono::milliseconds(500 + draw(3'000));
+        it.isSameName = draw(4) == 0;
+        it.takesAddress = draw(4) == 0;
+        it.tasks = static_cast<std::uint32_t>(1 + draw(plan.longRunningTasks));
+        plan.disturbances.push_back(it);
+        at += std::chrono::milliseconds(1'000 + draw(5'000));
+    }
+    if (draw(3) == 0) {
+        auto it = FleetDisturbance();
+        it.event = FleetEvent::StewardDeath;
+        it.at = std::chrono::milliseconds(3'000 + draw(15'000));
+        plan.disturbances.push_back(it);
+    }
+    std::ranges::stable_sort(plan.disturbances, {}, &FleetDisturbance::at);
+    return plan;
+}
+
 auto describe(const FleetPlan &plan) -> std::string
 {
     constexpr auto Names =
-        std::array{"crash",  "cut",          "steward-death", "noise",          "flap",
-                   "change", "crashing-job", "shrink",        "steward-overlap"};
-    auto text = fmt::format("seed {} hosts {} long-running {} full {} guarded {}", plan.seed,
-                            plan.hosts, plan.longRunningTasks, plan.isFull, plan.isCapacityGuarded);
+        std::array{"crash",  "cut",          "steward-death", "noise",           "flap",
+                   "change", "crashing-job", "shrink",        "steward-overlap", "service-crash"};
+    auto text = fmt::format("seed {} hosts {} long-running {} full {} of {} ms guarded {}",
+                            plan.seed, plan.hosts, plan.longRunningTasks, plan.isFull,
+                            toMilliseconds(plan.fullRunTime), plan.isCapacityGuarded);
     for (const auto &it : plan.disturbances) {
         text += fmt::format(
-            "\n  {:6} {} host {} length {}{}{}{}{}", toMilliseconds(it.at),
+            "\n  {:6} {} host {} length {}{}{}{}{}{}", toMilliseconds(it.at),
             Names[static_cast<std::size_t>(it.event)], it.host, toMilliseconds(it.length),
             it.isSameName ? " same-name" : "", it.takesAddress ? " takes-address" : "",
             it.nextCrash ? fmt::format(" next-crash {}", toMilliseconds(*it.nextCrash)) : "",
-            it.milliCores > 0 ? fmt::format(" cores {}", it.milliCores) : "");
+            it.milliCores > 0 ? fmt::format(" cores {}", it.milliCores) : "",
+            it.tasks > 0 ? fmt::format(" tasks {}", it.tasks) : "");
     }
     return text;
 }
@@ -270,7 +305,9 @@
     addLoad();
     run(m_calmFrom);
     // Hosts that are down return, cuts and noise end.
-    const auto calmTime = m_plan.isFull ? FullFiniteJobTime : FiniteJobTime;
+    // Longer runs may have to start anew twice.
+    const auto longerTime = 2 * (m_plan.fullRunTime - FleetPlan().fullRunTime);
+    const auto calmTime = m_plan.isFull ? FullFiniteJobTime + longerTime : Duration(FiniteJobTime);
     const auto isDisturbed = [this, calmTime] {
         return m_now < std::max(m_disturbedAt, m_calmFrom) + calmTime;
     };
@@ -335,6 +372,9 @@
         case FleetEvent::StewardOverlap:
             replaceSteward(it.length);
             break;
+        case FleetEvent::ServiceCrash:
+            crashService(it);
+            break;
         }
     });
 }
@@ -385,6 +425,21 @@
     });
 }
 
+auto FleetModel::crashService(const FleetDisturbance &it) -> void
+{
+    const auto isOfTask = [&it](const Run &run) {
+        return run.task.job == ServiceJob && run.task.index < it.tasks;
+    };
+    auto workers = std::vector<Life *>();
+    for (const auto &host : m_hosts) {
+        auto &life = m_lives[host.life];
+        if (std::ranges::any_of(life.active, isOfTask))
+            workers.push_back(&life);
+    }
+    for (auto *life : workers)
+        crash(*life, it.length, it.isSameName, it.takesAddress, {});
+}
+
 auto FleetModel::returnHost(std::size_t host, bool isSameName, bool takesAddress,
                             std::optional<Duration> nextCrash) -> void
 {
@@ -1097,11 +1152,12 @@
     if (m_plan.isFull) {
         constexpr auto TasksPerHost = 4;
         step.resources.milliCores = 2'000;
-        step.estimatedMilliseconds = 2'500;
+        step.estimatedMilliseconds = toMilliseconds(m_plan.fullRunTime);
         step.taskCount = static_cast<std::uint32_t>(m_plan.hosts * TasksPerHost);
     }
     addJob(oneStepJob(fmt::format("finite-{}", ++m_jobCount), step));
-    schedule(m_plan.isFull ? Duration(2'300ms) : drawTime(500, 6'000), [this] { addLoad(); });
+    schedule(m_plan.isFull ? m_plan.fullRunTime - 200ms : drawTime(500, 6'000),
+             [this] { addLoad(); });
 }
 
 auto FleetModel::outcome(const std::string &job) const -> JobOutcome
--- a/tests/unit/fleet_model.hpp
+++ b/tests/unit/fleet_model.hpp
@@ -17,7 +17,8 @@
 /// `Noise`: answers of orders and polls are lost, or the calls are carried out late, and lists of
 /// the hosts fail or arrive late. `Flap`: a registration is removed and comes back unchanged.
 /// `Shrink`: a worker has less capacity for a while. `StewardOverlap`: a steward goes on for a
-/// while after its successor has started.
+/// while after its successor has started, cut off from the store.
+/// `ServiceCrash`: the workers of some long-running tasks crash.
 enum class FleetEvent : std::uint8_t {
     Crash,
     Cut,
@@ -28,6 +29,7 @@
     CrashingJob,
     Shrink,
     StewardOverlap,
+    ServiceCrash,
 };
 
 struct FleetDisturbance
@@ -44,6 +46,8 @@
     std::optional<Duration> nextCrash;
     /// The capacity that is left of a worker that shrinks.
     std::int64_t milliCores = 0;
+    /// The long-running tasks whose workers crash.
+    std::uint32_t tasks = 0;
 };
 
 /// One play of the model. The seed decides all delays and which calls are lost.
@@ -54,6 +58,8 @@
     std::uint32_t longRunningTasks = 3;
     /// Finite runs fill the fleet all the time.
     bool isFull = false;
+    /// Duration of the runs that fill the fleet.
+    Duration fullRunTime = 2'500ms;
     /// Workers refuse runs that exceed their capacity. Otherwise such a start is a violation.
     bool isCapacityGuarded = true;
     std::vector<FleetDisturbance> disturbances;
@@ -62,6 +68,9 @@
 auto fleetPlan(std::uint64_t seed) -> FleetPlan;
 /// The plan of the seed, with workers that shrink and more changes of stewards.
 auto widerFleetPlan(std::uint64_t seed) -> FleetPlan;
+/// A fleet that is full of runs that last for 10 s or more, and whose long-running tasks are
+/// suspects after two crashes.
+auto fullFleetPlan(std::uint64_t seed) -> FleetPlan;
 auto describe(const FleetPlan &plan) -> std::string;
 
 /// Simulates workers as the lives of hosts with fixed addresses, their registrations in the store,
@@ -105,6 +114,7 @@
     auto startLife(std::size_t host, bool isSameName) -> Life &;
     auto crash(Life &life, Duration downtime, bool isSameName, bool takesAddress,
                std::optional<Duration> nextCrash) -> void;
+    auto crashService(const FleetDisturbance &it) -> void;
     auto returnHost(std::size_t host, bool isSameName, bool takesAddress,
                     std::optional<Duration> nextCrash) -> void;
     auto cut(Life &life, Duration length) -> void;
--- a/tests/unit/unit-worker-lives.cpp
+++ b/tests/unit/unit-worker-lives.cpp
@@ -69,6 +69,26 @@
         EXPECT_EQ(findViolation(test::fleetPlan(seed), jobsGivenUp), std::string());
 }
 
+// In each of these plays a suspect waited for a run of 10 s or more to end, or for other suspects.
+TEST(WorkerLives, LetNoLongRunningSuspectWaitInAFullPool)
+{
+    constexpr auto Seeds = std::array<std::uint64_t, 18>{12, 13, 24, 37,  50,  60,  67,  79,  83,
+                                                         89, 91, 93, 103, 105, 116, 133, 155, 182};
+    auto jobsGivenUp = std::size_t{0};
+    for (const auto seed : Seeds)
+        EXPECT_EQ(findViolation(test::fullFleetPlan(seed), jobsGivenUp), std::string());
+}
+
+// A hunt by hand: FLEET_MODEL_FULL_CASES, from the seed FLEET_MODEL_SEED on.
+TEST(WorkerLives, LetNoLongRunningSuspectWaitInALongHunt)
+{
+    const auto first = numberFrom("FLEET_MODEL_SEED", 1);
+    const auto cases = numberFrom("FLEET_MODEL_FULL_CASES", 0);
+    auto jobsGivenUp = std::size_t{0};
+    for (auto seed = first; seed < first + cases; ++seed)
+        EXPECT_EQ(findViolation(test::fullFleetPlan(seed), jobsGivenUp), std::string());
+}
+
 // A long hunt by hand: FLEET_MODEL_CASES, from the seed FLEET_MODEL_SEED on.
 TEST(WorkerLives, KeepTheGuaranteesOfTasksInALongHunt)
 {
