--- a/tests/unit/fleet_model.hpp
+++ b/tests/unit/fleet_model.hpp
@@ -16,6 +16,9 @@
 
 /// `Noise`: answers of orders and polls are lost, or the calls are carried out late, and lists of
 /// the hosts fail or arrive late. `Flap`: a registration is removed and comes back unchanged.
+/// `Shrink`: a worker has less capacity for a while. `StewardOverlap`: a steward goes on for a
+/// while after its successor has started, cut off from the store.
+/// `ServiceCrash`: the workers of some long-running tasks crash.
 enum class FleetEvent : std::uint8_t {
     Crash,
     Cut,
@@ -24,6 +27,9 @@
     Flap,
     Change,
     CrashingJob,
+    Shrink,
+    StewardOverlap,
+    ServiceCrash,
 };
 
 struct FleetDisturbance
@@ -38,6 +44,10 @@
     bool takesAddress = false;
     /// The next worker of the host crashes this long after its registration.
     std::optional<Duration> nextCrash;
+    /// The capacity that is left of a worker that shrinks.
+    std::int64_t milliCores = 0;
+    /// The long-running tasks whose workers crash.
+    std::uint32_t tasks = 0;
 };
 
 /// One play of the model. The seed decides all delays and which calls are lost.
@@ -48,10 +58,19 @@
     std::uint32_t longRunningTasks = 3;
     /// Finite runs fill the fleet all the time.
     bool isFull = false;
+    /// Duration of the runs that fill the fleet.
+    Duration fullRunTime = 2'500ms;
+    /// Workers refuse runs that exceed their capacity. Otherwise such a start is a violation.
+    bool isCapacityGuarded = true;
     std::vector<FleetDisturbance> disturbances;
 };
 
 auto fleetPlan(std::uint64_t seed) -> FleetPlan;
+/// The plan of the seed, with workers that shrink and more changes of stewards.
+auto widerFleetPlan(std::uint64_t seed) -> FleetPlan;
+/// A fleet that is full of runs that last for 10 s or more, and whose long-running tasks are
+/// suspects after two crashes.
+auto fullFleetPlan(std::uint64_t seed) -> FleetPlan;
 auto describe(const FleetPlan &plan) -> std::string;
 
 /// Simulates workers as the lives of hosts with fixed addresses, their registrations in the store,
@@ -95,10 +114,12 @@
     auto startLife(std::size_t host, bool isSameName) -> Life &;
     auto crash(Life &life, Duration downtime, bool isSameName, bool takesAddress,
                std::optional<Duration> nextCrash) -> void;
+    auto crashService(const FleetDisturbance &it) -> void;
     auto returnHost(std::size_t host, bool isSameName, bool takesAddress,
                     std::optional<Duration> nextCrash) -> void;
     auto cut(Life &life, Duration length) -> void;
-    auto writeRegistration(const Life &life) -> void;
+    auto shrink(Life &life, std::int64_t milliCores, Duration length) -> void;
+    auto writeRegistration(Life &life) -> void;
     auto removeRegistration(const Life &life) -> void;
     auto publish(const WorkerName &name) -> void;
     auto listener(const std::string &address) -> Life *;
@@ -107,8 +128,8 @@
 
     // Runs
     auto extendLease(Life &life, std::int64_t endMilliseconds) -> void;
-    auto applyStart(Life &life, std::uint64_t token, const steward_action::StartRun &order)
-        -> OrderOutcome;
+    auto applyStart(Life &life, std::uint64_t token, const steward_action::StartRun &order,
+                    BootTime sentAt) -> OrderOutcome;
     auto applyStop(Life &life, std::uint64_t token, const steward_action::StopRun &order)
         -> OrderOutcome;
     auto acknowledge(Life &life, std::uint64_t sequence) -> void;
@@ -118,6 +139,7 @@
     // Stewards
     auto startSteward() -> void;
     auto killSteward() -> void;
+    auto replaceSteward(Duration overlap) -> void;
     auto send(std::size_t steward, const StewardEvent &event) -> void;
     auto tick(std::size_t steward) -> void;
     auto write(std::size_t steward) -> void;
