Keep long-running runs whose starts have no answer

Callers may miss several tasks of a step at once, more than it may miss (AVAIL): a start order that had no answer, or that was refused when it was sent again, was taken back by a stop order as soon as its worker counted as unreachable. The first order may have been carried out, so that a serving task was ended, and unlike drains these stops didn't ask how many others of the step were away. A busy steward reads answers and polls late for many workers together.

A long-running run in doubt is now stopped only if its step can do without it or a poll that was sent after the last order shows that it isn't active. Until then no order is sent again; it ends with the lease of an unresponsive worker, as before.

A drain can't end two at a time.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -267,6 +267,7 @@
     auto drain(Worker &worker) -> void;
     [[nodiscard]] auto isUsable(const Worker &worker) const -> bool;
     [[nodiscard]] auto isReachable(const Worker &worker) const -> bool;
+    auto stopRunInDoubt(Task &task) -> void;
     [[nodiscard]] auto mayStopLongRunning(const Task &task) const -> bool;
     [[nodiscard]] auto isAvailable(const Task &task) const -> bool;
     auto findWorker(const WorkerName &name) -> Worker *;
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -32,6 +32,7 @@
     worker->failedPolls = 0;
     worker->unansweredPolls = 0;
     worker->lastAnswerAt = m_now;
+    worker->answeredPollSentAt = event.sentAt;
     worker->isEndSuspected = false;
     if (event.startedMilliseconds != 0)
         worker->startedMilliseconds = event.startedMilliseconds;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -47,6 +47,9 @@
     BootTime confirmedAt;
     /// The start order was sent again because the first one had no answer.
     bool wasStartResent = false;
+    /// A start order without an answer may have been carried out, and isn't sent again. The next
+    /// poll shows whether the run is active.
+    bool isStartInDoubt = false;
     /// The worker's clock when it first confirmed the run.
     std::optional<std::int64_t> activeAtMilliseconds;
     /// The incarnation of the worker that had the run has ended; the run is being stopped on the
@@ -178,6 +181,8 @@
     bool isPolling = false;
     BootTime nextPoll;
     BootTime lastAnswerAt;
+    /// When the last poll with an answer was sent.
+    BootTime answeredPollSentAt;
     /// When the worker got its first run after being idle.
     BootTime busySince;
     /// The worker gets no new work until then because it refused an order.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -240,7 +240,7 @@
     if (wasStarting && !task->wasStartResent) {
         requeue(*task);
     } else if (wasStarting) {
-        stopTask(*task);
+        stopRunInDoubt(*task);
     }
     pollIfDue(*worker);
 }
@@ -307,6 +307,7 @@
     task.speedPercent = FullSpeedPercent;
     task.mayHaveUnknownRun = false;
     task.wasStartResent = false;
+    task.isStartInDoubt = false;
     const auto usesReservation = task.spec().isLongRunning
         && task.spec().reservedResources().covers(worker.reservedResources);
     if (usesReservation)
@@ -369,12 +370,13 @@
         // Sending the same order again is idempotent: the worker starts a run number only once. It
         // may be the first one to arrive, after the worker's capacity has shrunk.
         const auto fitsStill = worker.report.capacity.covers(worker.used);
-        if (isReachable(worker) && !worker.isDraining && fitsStill
+        if (isReachable(worker) && !worker.isDraining && fitsStill && !task->isStartInDoubt
             && task->job->outcome == JobOutcome::Open) {
             task->wasStartResent = true;
             sendStart(*task);
-        } else
-            stopTask(*task);
+        } else {
+            stopRunInDoubt(*task);
+        }
     }
     if (worker.isDraining)
         drain(worker);
@@ -402,6 +404,20 @@
     return unavailable < std::max<std::int64_t>(task.spec().maxUnavailable, 1);
 }
 
+/// Stops a run whose start order may have been carried out without an answer. A long-running task
+/// may serve then: unless its step can do without it, it stays until a poll shows that the run
+/// isn't active, or the worker's lease expires.
+auto Steward::stopRunInDoubt(Task &task) -> void
+{
+    // A poll that lists the run ends the start phase.
+    const auto isMissing = task.orderedAt < task.worker->answeredPollSentAt;
+    if (!task.spec().isLongRunning || isMissing || mayStopLongRunning(task)) {
+        stopTask(task);
+    } else {
+        task.isStartInDoubt = true;
+    }
+}
+
 /// Stops those runs of a draining or leaving worker whose jobs allow it now.
 auto Steward::drain(Worker &worker) -> void
 {
--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "fake_fleet.hpp"
@@ -7,6 +9,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::Delivery;
 using test::FakeFleet;
 
 // Callers miss a long-running task after this time without a run.
@@ -30,6 +33,15 @@
     return fleet.now() - begin;
 }
 
+/// Returns the least number of tasks of the job that run at any time of this length.
+auto leastActiveRuns(FakeFleet &fleet, const std::string &job, Duration time) -> std::size_t
+{
+    auto least = fleet.activeRuns(job);
+    for (const auto end = fleet.now() + time; fleet.now() < end; fleet.run(FakeFleet::Step))
+        least = std::min(least, fleet.activeRuns(job));
+    return least;
+}
+
 // Runs of a full pool were preempted on one worker at a time, 1.8 s each: the last of twelve
 // long-running tasks began after 20 s.
 TEST(LongRunningTasks, FindRoomInAFullPoolAllAtOnce)
@@ -106,6 +118,62 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// Start orders without an answer were taken back from workers that answered no poll for a while,
+// for all tasks of a step at once, although they had been carried out.
+TEST(LongRunningTasks, AreNotStoppedTogetherWhenTheirStartsHaveNoAnswer)
+{
+    constexpr auto Tasks = 3;
+    auto fleet = FakeFleet(6);
+    fleet.addSteward();
+    fleet.run(2s);
+    fleet.deliveries.assign(Tasks, Delivery::ReplyLost);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
+    timeUntilActive(fleet, "long", Tasks);
+    for (auto worker = 0; worker < 6; ++worker)
+        fleet.makeUnresponsive(worker, 3s);
+    EXPECT_GE(leastActiveRuns(fleet, "long", 10s), Tasks - 1U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// A start order that was sent again and refused doesn't tell that the first one was lost.
+TEST(LongRunningTasks, AreNotStoppedTogetherWhenRepeatedStartsAreRefused)
+{
+    constexpr auto Tasks = 3;
+    auto fleet = FakeFleet(6);
+    fleet.addSteward();
+    fleet.run(2s);
+    fleet.deliveries.assign(Tasks, Delivery::ReplyLost);
+    fleet.deliveries.insert(fleet.deliveries.end(), Tasks, Delivery::NotSent);
+    fleet.pollDeliveries.assign(Tasks, Delivery::NotSent);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
+    timeUntilActive(fleet, "long", Tasks);
+    EXPECT_GE(leastActiveRuns(fleet, "long", 10s), Tasks - 1U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// Once a poll shows that the order didn't start the run, it waits for nothing on a draining worker.
+TEST(LongRunningTasks, StartElsewhereOnceAPollShowsThatAStartIsLost)
+{
+    constexpr auto Tasks = 3;
+    auto fleet = FakeFleet(2 * Tasks);
+    const auto steward = fleet.addSteward();
+    const auto drainFrom = [&fleet, steward](int first) {
+        for (auto n = 0; n < 2 * Tasks; ++n) {
+            const auto isDraining = n >= first && n < first + Tasks;
+            fleet.send(steward, steward_event::WorkerDrainChanged{test::workerName(n), isDraining});
+        }
+    };
+    fleet.run(2s);
+    drainFrom(Tasks);
+    fleet.deliveries.assign(Tasks, Delivery::Delayed);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
+    fleet.run(100ms);
+    EXPECT_EQ(fleet.starts, std::uint64_t{Tasks});
+    drainFrom(0);
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 } // namespace
 
 } // namespace shallotproxy
