Tell a start that poll answers disprove from one that arrives late

The test for the way out of a start in doubt on a draining worker passed although polls settled nothing: the fake fleet carries the held-up orders out after 4 s, on the draining workers. It now bounds the time below that. Without the part of the condition that reads polls it takes 3.9 s and fails; with it the eight LongRunningTasks tests pass.

--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -170,7 +170,8 @@
     fleet.run(100ms);
     EXPECT_EQ(fleet.starts, std::uint64_t{Tasks});
     drainFrom(0);
-    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
+    // Before the orders that are held up arrive.
+    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), FakeFleet::OrderDelay - 500ms);
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
