Date the availability of long-running tasks by the polls sent

A step may miss more of its tasks than it may (AVAIL): before a long-running run is stopped, the others of its step count as serving if their workers have answered a poll within 1.8 s. That time began when the answer was read. A busy steward, as after a takeover, reads answers seconds after they were given, and such an answer vouched for a run that had ended meanwhile, for instance by an order of the steward before.

The time now begins when the poll was sent. It is one wait longer, as a worker may hold the answer back for that long.

--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -383,12 +383,14 @@
     pollIfDue(worker);
 }
 
-/// Whether a long-running task is known to serve.
+/// Whether a long-running task is known to serve. Goes by when the poll was sent, as a busy steward
+/// may read an answer late. A worker holds an answer back for one wait, and the next one follows
+/// after another.
 auto Steward::isAvailable(const Task &task) const -> bool
 {
     return task.phase == TaskPhase::Running && task.progressPercent >= FullSpeedPercent
         && task.worker->failedPolls == 0
-        && m_now < task.worker->lastAnswerAt + m_settings.pollWait * 2;
+        && m_now < task.worker->answeredPollSentAt + m_settings.pollWait * 3;
 }
 
 /// Whether stopping this long-running task keeps its step within `maxUnavailable`. The task itself
--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -175,6 +175,43 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// A busy steward may read an answer seconds after the worker gave it. The run that it lists may
+// have ended meanwhile.
+TEST(LongRunningTasks, AreNotStoppedBecauseOfAnAnswerThatIsReadLate)
+{
+    auto fleet = FakeFleet(3);
+    const auto steward = fleet.addSteward();
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(2)));
+    fleet.run(4s);
+    const auto isHeldBy = [&fleet, steward](int worker) {
+        const auto load = fleet.steward(steward).workerLoad(test::workerName(worker));
+        return load && load->longRunningRuns > 0;
+    };
+    auto holders = std::vector<int>();
+    for (auto worker = 0; worker < 3; ++worker) {
+        if (isHeldBy(worker))
+            holders.push_back(worker);
+    }
+    ASSERT_EQ(holders.size(), 2U);
+    const auto sentAt = fleet.now();
+    fleet.crash(holders[0]);
+    fleet.run(3s);
+    ASSERT_EQ(fleet.activeRuns("long"), 1U);
+    const auto run = fleet.steward(steward).token() * 1'000 + 1;
+    auto active = std::vector<ActiveRun>();
+    for (auto index = 0U; index < 2; ++index) {
+        active.push_back({});
+        active.back().task = {"long", 0, 0, index};
+        active.back().run = run;
+        active.back().progressPercent = 100;
+    }
+    fleet.send(
+        steward,
+        steward_event::WorkerPolled{test::workerName(holders[0]), sentAt, 4'000, 0, active, {}});
+    fleet.send(steward, steward_event::WorkerDrainChanged{test::workerName(holders[1]), true});
+    EXPECT_EQ(leastActiveRuns(fleet, "long", 1500ms), 1U);
+}
+
 } // namespace
 
 } // namespace shallotproxy
