--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -240,7 +240,7 @@
     if (wasStarting && !task->wasStartResent) {
         requeue(*task);
     } else if (wasStarting) {
-        stopTask(*task);
+        stopRunInDoubt(*task);
     }
     pollIfDue(*worker);
 }
@@ -307,6 +307,7 @@
     task.speedPercent = FullSpeedPercent;
     task.mayHaveUnknownRun = false;
     task.wasStartResent = false;
+    task.isStartInDoubt = false;
     const auto usesReservation = task.spec().isLongRunning
         && task.spec().reservedResources().covers(worker.reservedResources);
     if (usesReservation)
@@ -371,13 +372,13 @@
         const auto fitsStill = worker.report.capacity.covers(worker.used);
         const auto isTimedOut = m_now >= task->phaseSince + m_settings.startTimeout;
         if (isReachable(worker) && !worker.isDraining && fitsStill && !isTimedOut
-            && task->job->outcome == JobOutcome::Open) {
+            && !task->isStartInDoubt && task->job->outcome == JobOutcome::Open) {
             task->wasStartResent = true;
             sendStart(*task);
         } else {
             if (isTimedOut)
                 task->failedOn = worker.report.name;
-            stopTask(*task);
+            stopRunInDoubt(*task);
         }
     }
     if (worker.isDraining)
@@ -385,12 +386,14 @@
     pollIfDue(worker);
 }
 
-/// Whether a long-running task is known to serve.
+/// Whether a long-running task is known to serve. Goes by when the poll was sent, as a busy steward
+/// may read an answer late. A worker holds an answer back for one wait, and the next one follows
+/// after another.
 auto Steward::isAvailable(const Task &task) const -> bool
 {
     return task.phase == TaskPhase::Running && task.progressPercent >= FullSpeedPercent
         && task.worker->failedPolls == 0
-        && m_now < task.worker->lastAnswerAt + m_settings.pollWait * 2;
+        && m_now < task.worker->answeredPollSentAt + m_settings.pollWait * 3;
 }
 
 /// Whether stopping this long-running task keeps its step within `maxUnavailable`. The task itself
@@ -406,6 +409,21 @@
     return unavailable < std::max<std::int64_t>(task.spec().maxUnavailable, 1);
 }
 
+/// Stops a run whose start order may have been carried out without an answer. A long-running task
+/// may serve then: unless its step can do without it, it stays until a poll shows that the run
+/// isn't active, or the worker's lease expires.
+auto Steward::stopRunInDoubt(Task &task) -> void
+{
+    // A poll that lists the run ends the start phase.
+    const auto isMissing = task.orderedAt < task.worker->answeredPollSentAt;
+    const auto isNeeded = task.spec().isLongRunning && task.job->outcome == JobOutcome::Open;
+    if (!isNeeded || isMissing || mayStopLongRunning(task)) {
+        stopTask(task);
+    } else {
+        task.isStartInDoubt = true;
+    }
+}
+
 /// Stops those runs of a draining or leaving worker whose jobs allow it now.
 auto Steward::drain(Worker &worker) -> void
 {
