Reckon with the longest lease as soon as a restart shows

A long-running task could run twice: a worker restarted under its name while its start was in flight, its next incarnation carried the start out by the clock of the one before, which grants the longest lease there, and polls went on without answers. The task was started elsewhere after the end of the usual lease.

Cause: the longest lease was assumed only once an answered poll had shown the restart. It shows earlier: by the clock in the answer to a start, which is behind the clock of the incarnation before, and by a new registration while orders to the worker are unconfirmed. Both now prolong the time for which its runs are held.

A worker that restarted with an unconfirmed order and stays silent now holds its runs for up to lateCallTime and the longest lease, unless a list or another worker at its address shows its end.

--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -65,6 +65,12 @@
     if (!isNew && worker.report.pool != report.pool)
         std::erase(m_poolWorkers[worker.report.pool], &worker);
     const auto isMoved = isNew || worker.report.pool != report.pool;
+    // The next incarnation may carry out an order by the clock of the one before.
+    const auto isRestarted =
+        !isNew && worker.report.startedMilliseconds != report.startedMilliseconds;
+    const auto isUnconfirmed = [](const Task *it) { return it->phase != TaskPhase::Running; };
+    if (isRestarted && std::ranges::any_of(worker.runs, isUnconfirmed))
+        worker.leaseEndsAt = std::max(worker.leaseEndsAt, latestLeaseEndAfterRestart(worker));
     if (report.isLeaving && !worker.report.isLeaving && !worker.isDraining)
         worker.drainingSince = m_now;
     worker.report = report;
@@ -185,6 +191,12 @@
     const auto isOfIncarnation =
         event.outcome != OrderOutcome::StaleIncarnation && task->attachedAt >= worker->firstSeenAt;
     if (event.clockMilliseconds != 0 && isOfIncarnation) {
+        // The next incarnation, whose clock starts anew, has answered before its restart is known.
+        const auto hasRestarted = worker->hasClock
+            && clockOf(*worker) - event.clockMilliseconds > m_settings.orderResponseTime.count();
+        if (hasRestarted)
+            worker->leaseEndsAt =
+                std::max(worker->leaseEndsAt, latestLeaseEndAfterRestart(*worker));
         worker->clockMilliseconds = event.clockMilliseconds;
         worker->clockReadAt = m_now;
         worker->hasClock = true;
@@ -342,7 +354,13 @@
     const auto elapsed = m_now - worker.clockReadAt;
     const auto lease = std::min(m_settings.runLease, m_settings.maxRunLease);
     worker.leaseEndsAt = std::max(worker.leaseEndsAt, latestLeaseEnd(lease, elapsed));
-    return worker.clockMilliseconds + toMilliseconds(elapsed) + lease.count();
+    return clockOf(worker) + lease.count();
+}
+
+/// Estimates the time on the worker's clock.
+auto Steward::clockOf(const Worker &worker) const -> std::int64_t
+{
+    return worker.clockMilliseconds + toMilliseconds(m_now - worker.clockReadAt);
 }
 
 auto Steward::tickWorker(Worker &worker) -> void
