--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -96,7 +96,7 @@
     Milliseconds orderResponseTime{250};
     /// A run whose start has had no answer for this long is stopped, so that the task starts on
     /// another worker.
-    Milliseconds startTimeout{2'000};
+    Milliseconds startTimeout{5'000};
     /// Length of a worker's first quarantine.
     Milliseconds quarantine{6'000};
     /// A worker that refused an order, or left one unanswered, gets no new work for this long.
