--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -96,7 +96,7 @@
     Milliseconds orderResponseTime{250};
     /// A run whose start has had no answer for this long is stopped, so that the task starts on
     /// another worker.
-    Milliseconds startTimeout{2'000};
+    Milliseconds startTimeout{5'000};
     /// Length of a worker's first quarantine.
     Milliseconds quarantine{6'000};
     /// A worker that refused an order, or left one unanswered, gets no new work for this long.
@@ -264,6 +264,7 @@
     auto sendStop(Task &task) -> void;
     auto sendStart(Task &task) -> void;
     auto renewLease(Worker &worker) -> std::int64_t;
+    [[nodiscard]] auto clockOf(const Worker &worker) const -> std::int64_t;
     [[nodiscard]] auto latestLeaseEnd(Duration lease, Duration clockAge) const -> BootTime;
     [[nodiscard]] auto latestLeaseEndAfterRestart(const Worker &worker) const -> BootTime;
     auto tickWorker(Worker &worker) -> void;
