Tell a restart by the clock as of the order

A busy steward reads answers seconds late, and the clock in such an answer is behind the estimate for now: each of them counted as a restart and prolonged the time for which the worker's runs are held, to 22 s if it failed soon after.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -264,7 +264,7 @@
     auto sendStop(Task &task) -> void;
     auto sendStart(Task &task) -> void;
     auto renewLease(Worker &worker) -> std::int64_t;
-    [[nodiscard]] auto clockOf(const Worker &worker) const -> std::int64_t;
+    [[nodiscard]] static auto clockAt(const Worker &worker, BootTime at) -> std::int64_t;
     [[nodiscard]] auto latestLeaseEnd(Duration lease, Duration clockAge) const -> BootTime;
     [[nodiscard]] auto latestLeaseEndAfterRestart(const Worker &worker) const -> BootTime;
     auto tickWorker(Worker &worker) -> void;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -192,8 +192,10 @@
         event.outcome != OrderOutcome::StaleIncarnation && task->attachedAt >= worker->firstSeenAt;
     if (event.clockMilliseconds != 0 && isOfIncarnation) {
         // The next incarnation, whose clock starts anew, has answered before its restart is known.
+        // Goes by when the order was sent: a busy steward reads answers late.
         const auto hasRestarted = worker->hasClock
-            && clockOf(*worker) - event.clockMilliseconds > m_settings.orderResponseTime.count();
+            && clockAt(*worker, task->startSentAt) - event.clockMilliseconds
+                > m_settings.orderResponseTime.count();
         if (hasRestarted)
             worker->leaseEndsAt =
                 std::max(worker->leaseEndsAt, latestLeaseEndAfterRestart(*worker));
@@ -355,13 +357,13 @@
     const auto elapsed = m_now - worker.clockReadAt;
     const auto lease = std::min(m_settings.runLease, m_settings.maxRunLease);
     worker.leaseEndsAt = std::max(worker.leaseEndsAt, latestLeaseEnd(lease, elapsed));
-    return clockOf(worker) + lease.count();
+    return clockAt(worker, m_now) + lease.count();
 }
 
-/// Estimates the time on the worker's clock.
-auto Steward::clockOf(const Worker &worker) const -> std::int64_t
+/// Estimates the time on the worker's clock at `at`.
+auto Steward::clockAt(const Worker &worker, BootTime at) -> std::int64_t
 {
-    return worker.clockMilliseconds + toMilliseconds(m_now - worker.clockReadAt);
+    return worker.clockMilliseconds + toMilliseconds(at - worker.clockReadAt);
 }
 
 auto Steward::tickWorker(Worker &worker) -> void
