--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -172,8 +172,8 @@
     }
     // Before the others: a worker that becomes free for a suspect is soon taken again. Finite
     // suspects keep their workers to themselves for longer than long-running ones.
-    std::ranges::stable_partition(suspects,
-                                  [](const Candidate &it) { return it.spec().isLongRunning; });
+    std::stable_partition(suspects.begin(), suspects.end(),
+                          [](const Candidate &it) { return it.spec().isLongRunning; });
     for (const auto &it : suspects)
         placeSuspects(pool, it);
     auto claims = RoomClaims();
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -196,9 +196,10 @@
         const auto hasRestarted = worker->hasClock
             && clockAt(*worker, task->startSentAt) - event.clockMilliseconds
                 > m_settings.orderResponseTime.count();
-        if (hasRestarted)
+        if (hasRestarted) {
             worker->leaseEndsAt =
                 std::max(worker->leaseEndsAt, latestLeaseEndAfterRestart(*worker));
+        }
         worker->clockMilliseconds = event.clockMilliseconds;
         worker->clockReadAt = m_now;
         worker->hasClock = true;
