Keep the room of runs that are being stopped however old, and allow for slow clocks

A run that was started more than lateCallTime before counted as gone as soon as a poll didn't list it, while it was still stopping: its task could run twice, and its room be filled. And an answer of a worker that had been idle for 14 s with a clock 2 % slow counted as a restart, after which its runs are held for 10 s and more.

Only a run that was never active counts as one whose start came to nothing, after the time for a late order and its stop. The comparison of clocks allows for their error.

StartsNothingInPlaceOfAnOldStoppedRunUntilItHasEnded and HoldsTheRunsOfAWorkerWithASlowClockForTheUsualLease failed before.

--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -207,8 +207,9 @@
             ? task->confirmedAt + m_settings.stopTimeout
             : task->confirmedAt;
         const auto isSettled = isConfirmed && settledAt < event.sentAt;
-        const auto isStartTooOld = task->phase == TaskPhase::Stopping
-            && task->startSentAt + m_settings.lateCallTime < event.sentAt;
+        // A run that has been active may still be stopping although it isn't listed.
+        const auto isStartTooOld = task->phase == TaskPhase::Stopping && !task->activeAtMilliseconds
+            && task->startSentAt + m_settings.lateCallTime + m_settings.stopTimeout < event.sentAt;
         if (!isSettled && !isStartTooOld)
             continue;
         const auto id = task->id();
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -193,9 +193,11 @@
     if (event.clockMilliseconds != 0 && isOfIncarnation) {
         // The next incarnation, whose clock starts anew, has answered before its restart is known.
         // Goes by when the order was sent: a busy steward reads answers late.
+        const auto clockAge = task->startSentAt - worker->clockReadAt;
+        const auto tolerance = m_settings.orderResponseTime
+            + std::chrono::duration_cast<milliseconds>(std::chrono::abs(clockAge) * MaxClockError);
         const auto hasRestarted = worker->hasClock
-            && clockAt(*worker, task->startSentAt) - event.clockMilliseconds
-                > m_settings.orderResponseTime.count();
+            && clockAt(*worker, task->startSentAt) - event.clockMilliseconds > tolerance.count();
         if (hasRestarted) {
             worker->leaseEndsAt =
                 std::max(worker->leaseEndsAt, latestLeaseEndAfterRestart(*worker));
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -372,6 +372,55 @@
     EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr);
 }
 
+// The same for a run whose start is so long ago that no order for it can arrive any more.
+TEST(Steward, StartsNothingInPlaceOfAnOldStoppedRunUntilItHasEnded)
+{
+    auto step = test::shortStep(1);
+    step.resources.milliCores = 8'000;
+    auto single = SingleWorker(step);
+    const auto run = single.startRun();
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Accepted, 5'000});
+    auto active = ActiveRun();
+    active.task = single.task;
+    active.run = run;
+    const auto end = single.now + StewardSettings().lateCallTime + 2s;
+    while (single.now < end) {
+        single.now += 500ms;
+        single.poll({active}, {});
+    }
+    single.step(steward_event::JobCancelled{"job"});
+    single.step(steward_event::JobAccepted{test::oneStepJob("next", step), {}, false});
+    single.now += 50ms;
+    EXPECT_EQ(firstOf<steward_action::StartRun>(single.poll({}, {})), nullptr);
+    const auto actions = single.poll({}, {{1, single.task, run, RunEnd::Stopped, {}}});
+    EXPECT_NE(firstOf<steward_action::StartRun>(actions), nullptr);
+}
+
+// The clock of a worker that was idle for long may have fallen behind: that is no restart, after
+// which its runs would be held for longer.
+TEST(Steward, HoldsTheRunsOfAWorkerWithASlowClockForTheUsualLease)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    single.step(steward_event::JobCancelled{"job"});
+    single.poll({}, {});
+    single.tick(20s);
+    const auto accepted =
+        steward_event::JobAccepted{test::oneStepJob("next", test::longRunningStep(1)), {}, false};
+    const auto actions = single.step(accepted);
+    const auto *start = firstOf<steward_action::StartRun>(actions);
+    ASSERT_NE(start, nullptr);
+    single.step(steward_event::StartAnswered{test::workerName(0), start->task, start->run,
+                                             OrderOutcome::Accepted, 5'000 + 20'000 * 98 / 100});
+    const auto end = single.now + 9s; // callers miss a long-running task after this time
+    while (single.now < end) {
+        single.tick(500ms);
+        single.step(
+            steward_event::PollFailed{test::workerName(0), single.now, OrderOutcome::Unanswered});
+    }
+    EXPECT_EQ(single.steward.workerLoad(test::workerName(0))->longRunningRuns, 0U);
+}
+
 // A worker that restarted under its name may have become smaller; its registration lags behind.
 TEST(Steward, StartsNothingOnARestartedWorkerUntilItIsRegisteredAgain)
 {
