Write records of crashes before a backlog of any age

Records that go first have a queue of their own in the order of time, and most of each write; the rest of the write is for other records, so that neither kind starves.

--- a/packages/job/include/shallotproxy/job/progress_writer.hpp
+++ b/packages/job/include/shallotproxy/job/progress_writer.hpp
@@ -24,13 +24,13 @@
     /// Maximum number of jobs in a write. With two entries for each job, and more for ended ones,
     /// the write stays below the store's limit of 32 entries.
     static constexpr std::size_t MaxJobsPerWrite = 7;
+    /// The part of them whose changes go first while others wait, so that lasting changes of this
+    /// kind keep no other record from being written.
+    static constexpr std::size_t MaxFirstJobsPerWrite = 5;
     /// Batches jobs that end at nearly the same time.
     static constexpr Milliseconds UrgentDelay{8};
     /// Changes that only save work wait longer: their workers report them until they are persisted.
     static constexpr Milliseconds RelaxedDelay{250};
-    /// A change that goes first is written before records that became due up to this long before.
-    /// Bounded, so that lasting changes of this kind keep no other record from being written.
-    static constexpr Milliseconds FirstLead{2'000};
     /// Delay after a write that failed.
     static constexpr Milliseconds RetryDelay{200};
 
@@ -74,12 +74,22 @@
 private:
     /// Schedules the entries of the write in flight again.
     auto reschedule(BootTime now) -> void;
-    auto schedule(const std::string &job, BootTime at) -> void;
+    auto schedule(const std::string &job, BootTime at, bool goesFirst = false) -> void;
+    auto takeNext() -> std::string;
+
+    /// When a record is to be written.
+    struct Due
+    {
+        BootTime at;
+        bool goesFirst = false;
+    };
+    using Queue = std::set<std::pair<BootTime, std::string>>;
 
     std::map<std::string, std::uint64_t> m_revisions;
-    std::map<std::string, BootTime> m_due;
-    /// The entries of `m_due` in the order in which they are due.
-    std::set<std::pair<BootTime, std::string>> m_queue;
+    std::map<std::string, Due> m_due;
+    /// The entries of `m_due` in the order in which they are due, those that go first apart.
+    Queue m_queue;
+    Queue m_firstQueue;
     Batch m_inFlight;
 };
 
--- a/packages/job/src/progress_writer.cpp
+++ b/packages/job/src/progress_writer.cpp
@@ -17,27 +17,40 @@
         schedule(job, now + UrgentDelay);
         return;
     case WriteUrgency::First:
-        schedule(job, now - FirstLead);
+        schedule(job, now, true);
     }
 }
 
-/// Makes the job due at `at`, or leaves it due earlier.
-auto ProgressWriter::schedule(const std::string &job, BootTime at) -> void
+/// Makes the job due at `at`, or leaves it due earlier. One that goes first keeps its place.
+auto ProgressWriter::schedule(const std::string &job, BootTime at, bool goesFirst) -> void
 {
-    const auto [it, isNew] = m_due.try_emplace(job, at);
-    if (!isNew && it->second <= at)
-        return;
-    if (!isNew)
-        m_queue.erase({it->second, job});
-    it->second = at;
-    m_queue.emplace(at, job);
+    const auto [it, isNew] = m_due.try_emplace(job, Due{at, goesFirst});
+    auto &due = it->second;
+    if (!isNew) {
+        if (due.goesFirst || (!goesFirst && due.at <= at))
+            return;
+        m_queue.erase({due.at, job});
+        due = {at, goesFirst};
+    }
+    (goesFirst ? m_firstQueue : m_queue).emplace(at, job);
 }
 
 auto ProgressWriter::dueAt() const -> std::optional<BootTime>
 {
-    if (m_queue.empty() || !m_inFlight.empty())
+    if (!m_inFlight.empty() || (m_queue.empty() && m_firstQueue.empty()))
         return std::nullopt;
-    return m_queue.begin()->first;
+    return m_firstQueue.empty() ? m_queue.begin()->first : m_firstQueue.begin()->first;
+}
+
+/// Removes the job that is written next from its queue and returns it.
+auto ProgressWriter::takeNext() -> std::string
+{
+    const auto goesFirst =
+        !m_firstQueue.empty() && (m_queue.empty() || m_inFlight.size() < MaxFirstJobsPerWrite);
+    auto &queue = goesFirst ? m_firstQueue : m_queue;
+    auto job = std::move(queue.extract(queue.begin()).value().second);
+    m_due.erase(job);
+    return job;
 }
 
 auto ProgressWriter::next(BootTime now, const RecordSource &source) -> std::optional<Batch>
@@ -46,9 +59,8 @@
     if (!due || now < *due)
         return std::nullopt;
     // The write takes the jobs that are due first, then others that wait: it costs the same.
-    while (!m_queue.empty() && m_inFlight.size() < MaxJobsPerWrite) {
-        const auto job = std::move(m_queue.extract(m_queue.begin()).value().second);
-        m_due.erase(job);
+    while (!m_due.empty() && m_inFlight.size() < MaxJobsPerWrite) {
+        const auto job = takeNext();
         auto entry = source(job);
         if (!entry)
             continue;
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -461,7 +461,7 @@
     for (auto n = 0; n < 200; ++n)
         writer.changed("urgent-" + std::to_string(n), WriteUrgency::Urgent, now);
     writer.changed("crash", WriteUrgency::Relaxed, now);
-    now += 1s;
+    now += 6s;
     writer.changed("crash", WriteUrgency::First, now);
     const auto first = writer.next(now, emptyRecord);
     ASSERT_TRUE(first.has_value());
@@ -501,8 +501,7 @@
     auto writer = ProgressWriter();
     const auto now = BootTime(1h);
     writer.changed("last", WriteUrgency::Relaxed, now);
-    EXPECT_LE(timeUntilWritten(writer, "last", now),
-              ProgressWriter::RelaxedDelay + ProgressWriter::FirstLead + 100ms);
+    EXPECT_LE(timeUntilWritten(writer, "last", now), ProgressWriter::RelaxedDelay + 100ms);
 }
 
 TEST(ProgressWriter, RetriesWithTheRevisionsOfAConflict)
