--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -326,8 +326,6 @@
     auto findReservedWorker(const PoolName &pool, const Task &task, const RoomClaims &claims)
         -> Worker *;
     auto preemptFor(const PoolName &pool, const Task &task, const RoomClaims &claims) -> Worker *;
-    [[nodiscard]] auto runsToPreempt(const Worker &worker, const Task &task) const
-        -> std::optional<std::vector<Task *>>;
     [[nodiscard]] auto mayPreemptOn(const Worker &worker, const Task &task,
                                     const RoomClaims &claims) const -> bool;
     [[nodiscard]] auto isReservedFor(const Worker &worker, const Task &task) const -> bool;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <utility>
 
 #include "shallotproxy/job/waiting_order.hpp"
 #include "steward_state.hpp"
@@ -396,7 +395,7 @@
 }
 
 /// Whether runs on the worker may be preempted for the task. A suspect also takes a worker that is
-/// kept for suspects already, unless another one claims it.
+/// reserved for suspects and that none of them fits on yet.
 auto Steward::mayPreemptOn(const Worker &worker, const Task &task, const RoomClaims &claims) const
     -> bool
 {
@@ -404,38 +403,9 @@
         return false;
     if (!task.crashes.isSuspect())
         return takesNewWork(worker);
-    if (claims.workers.contains(&worker) || !acceptsRuns(worker))
+    if (claims.workers.contains(&worker) || hasRunUnderTest(worker) || !acceptsRuns(worker))
         return false;
-    return isReservedFor(worker, task) || hasRunUnderTest(worker)
-        || mayReserveForSuspect(worker.report.pool);
-}
-
-/// Returns the fewest runs to stop on the worker so that the long-running task fits there, no value
-/// if that takes none or isn't possible. Runs under test have to end, too.
-auto Steward::runsToPreempt(const Worker &worker, const Task &task) const
-    -> std::optional<std::vector<Task *>>
-{
-    auto runs = std::vector<Task *>();
-    std::ranges::copy_if(worker.runs, std::back_inserter(runs), [](const Task *it) {
-        return !it->spec().isLongRunning && it->phase == TaskPhase::Running;
-    });
-    const auto isTested = [this](const Task *it) { return isUnderTest(*it); };
-    const auto tested = std::ranges::count_if(worker.runs, isTested);
-    if (std::ranges::count_if(runs, isTested) != tested)
-        return std::nullopt;
-    // The youngest runs lose the least work.
-    std::ranges::sort(runs, std::ranges::greater(), [&isTested](const Task *it) {
-        return std::pair(isTested(it), it->phaseSince);
-    });
-    auto resources = worker.freeResources();
-    auto count = std::size_t{0};
-    while (count < runs.size()
-           && (std::cmp_less(count, tested) || !resources.covers(task.spec().reservedResources())))
-        resources += runs[count++]->spec().reservedResources();
-    if (count == 0 || !resources.covers(task.spec().reservedResources()))
-        return std::nullopt;
-    runs.resize(count);
-    return runs;
+    return isReservedFor(worker, task) || mayReserveForSuspect(worker.report.pool);
 }
 
 /// Stops runs that aren't long-running on one worker so that a long-running task fits there.
@@ -449,11 +419,22 @@
     for (auto *worker : m_poolWorkers[pool]) {
         if (!mayPreemptOn(*worker, task, claims))
             continue;
-        auto runs = runsToPreempt(*worker, task);
-        if (!runs || (best != nullptr && runs->size() >= bestRuns.size()))
+        auto runs = std::vector<Task *>();
+        std::ranges::copy_if(worker->runs, std::back_inserter(runs), [](const Task *it) {
+            return !it->spec().isLongRunning && it->phase == TaskPhase::Running;
+        });
+        // The youngest runs lose the least work.
+        std::ranges::sort(runs, std::ranges::greater(), &Task::phaseSince);
+        auto resources = worker->freeResources();
+        auto count = std::size_t{0};
+        while (count < runs.size() && !resources.covers(task.spec().reservedResources()))
+            resources += runs[count++]->spec().reservedResources();
+        const auto isSufficient = resources.covers(task.spec().reservedResources());
+        if (!isSufficient || count == 0 || (best != nullptr && count >= bestRuns.size()))
             continue;
+        runs.resize(count);
         best = worker;
-        bestRuns = std::move(*runs);
+        bestRuns = std::move(runs);
     }
     if (best == nullptr)
         return nullptr;
