--- a/tests/unit/unit-long-running-tasks.cpp
+++ b/tests/unit/unit-long-running-tasks.cpp
@@ -136,17 +136,21 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
-/// Lets the workers of the job fail twice, and the pool fill with other runs before the crashes are
-/// persisted, so that the job's tasks have to wait.
-auto failTwiceAndFill(FakeFleet &fleet, const std::string &job, std::size_t tasks) -> void
+/// Lets the workers of the job `long` fail twice in a full pool, which fills with other runs before
+/// the crashes are persisted, so that the job's tasks have to wait.
+auto fillAfterTwoFailures(FakeFleet &fleet, std::uint32_t workers, std::uint32_t tasks) -> void
 {
-    fleet.endWorkersOf(job);
-    EXPECT_LT(timeUntilActive(fleet, job, tasks), MaxWait);
+    fill(fleet, workers);
+    fleet.addJob(test::oneStepJob("long", test::longRunningStep(tasks)));
+    EXPECT_LT(timeUntilActive(fleet, "long", tasks), MaxWait);
+    fleet.addJob(test::oneStepJob("more", test::shortStep(workers * 16)));
+    fleet.endWorkersOf("long");
+    EXPECT_LT(timeUntilActive(fleet, "long", tasks), MaxWait);
     fleet.run(2s);
     fleet.isStoreUp = false;
-    fleet.endWorkersOf(job);
+    fleet.endWorkersOf("long");
     fleet.run(FakeFleet::Downtime + 3s);
-    EXPECT_EQ(fleet.activeRuns(job), 0U);
+    EXPECT_EQ(fleet.activeRuns("long"), 0U);
     fleet.isStoreUp = true;
 }
 
@@ -157,11 +161,7 @@
     constexpr auto Workers = 24;
     constexpr auto Tasks = 16;
     auto fleet = FakeFleet(Workers);
-    fill(fleet, Workers);
-    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
-    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
-    fleet.addJob(test::oneStepJob("more", test::shortStep(Workers * 16)));
-    failTwiceAndFill(fleet, "long", Tasks);
+    fillAfterTwoFailures(fleet, Workers, Tasks);
     EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
@@ -172,11 +172,7 @@
     constexpr auto Workers = 12;
     constexpr auto Tasks = 4;
     auto fleet = FakeFleet(Workers);
-    fill(fleet, Workers);
-    fleet.addJob(test::oneStepJob("long", test::longRunningStep(Tasks)));
-    EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
-    fleet.addJob(test::oneStepJob("more", test::shortStep(Workers * 16)));
-    failTwiceAndFill(fleet, "long", Tasks);
+    fillAfterTwoFailures(fleet, Workers, Tasks);
     const auto startsBefore = fleet.starts;
     const auto finiteBefore = fleet.activeRuns("finite") + fleet.activeRuns("more");
     EXPECT_LT(timeUntilActive(fleet, "long", Tasks), MaxWait);
