--- a/packages/job/include/shallotproxy/job/job_progress.hpp
+++ b/packages/job/include/shallotproxy/job/job_progress.hpp
@@ -9,7 +9,8 @@
 
 /// When a changed record is written.
 ///
-/// `Relaxed`: soon, together with others. `Urgent`: at once. `First`: before all others that wait.
+/// `Relaxed`: soon, together with others. `Urgent`: at once. `First`: before
+/// others that wait, which keep a part of each write.
 enum class WriteUrgency : std::uint8_t { Relaxed, Urgent, First };
 
 /// The persisted state of one task. Tasks without any such state have no entry.
--- a/tests/unit/unit-worker-lives.cpp
+++ b/tests/unit/unit-worker-lives.cpp
@@ -69,7 +69,8 @@
         EXPECT_EQ(findViolation(test::fleetPlan(seed), jobsGivenUp), std::string());
 }
 
-// In each of these plays a suspect waited for a run of 10 s or more to end, or for other suspects.
+// Each of these plays had a long-running task without a run for too long, before suspects preempted
+// others.
 TEST(WorkerLives, LetNoLongRunningSuspectWaitInAFullPool)
 {
     constexpr auto Seeds = std::array<std::uint64_t, 18>{12, 13, 24, 37,  50,  60,  67,  79,  83,
