Let the cost of a placement go with what changes, not with all open jobs

Cause, one of several: each placement examined every task of every open job of a pool and sorted all waiting steps, up to 200 times a second.

Each pool now keeps the ready steps with waiting tasks in their order of placement (WaitingSteps). A visit examines the first steps of each team and label, and then others from where the last visit ended: steps that fit nowhere neither cost time nor keep those behind them from being placed. Reports of waiting tasks, loads of pools and due occurrences examine the steps and jobs that they concern.

--- a/bench/steward_cost.cpp
+++ b/bench/steward_cost.cpp
@@ -1,5 +1,6 @@
-// Measures the processor time of the steward's decisions against the number of workers, and that of
-// decoding the reply of one worker to a poll. Usage: bench_steward [WORKERS...]
+// Measures the processor time of the steward's decisions against the number of workers, and of a
+// full fleet against the number of open jobs, and that of decoding the reply of one worker to a
+// poll. Usage: bench_steward [WORKERS...]
 
 #include <chrono>
 #include <cstdio>
@@ -22,6 +23,7 @@
 // Uses three quarters of the resources, with tasks of 5 cores.
 constexpr auto JobsPerWorkerPerSecond = 0.25;
 constexpr std::uint32_t TasksPerJob = 10;
+constexpr auto WorkersOfFullFleet = 96;
 
 /// Number of events and starts, and the processor time of the steward.
 struct Cost
@@ -35,7 +37,7 @@
 class Fleet
 {
 public:
-    explicit Fleet(int workers)
+    explicit Fleet(int workers, std::uint64_t openJobs = 0)
         : m_steward(1, StewardSettings(), m_now)
         , m_active(static_cast<std::size_t>(workers))
     {
@@ -54,16 +56,18 @@
             step(steward_event::WorkerReported{report});
         }
         m_steward.expectWorkers({});
+        for (auto n = std::uint64_t{0}; n < openJobs; ++n)
+            submit();
+        m_cost = {};
     }
 
     auto run() -> Cost
     {
-        auto random = std::mt19937(7);
         auto dueJobs = 0.0;
         for (const auto end = m_now + SimulatedTime; m_now < end; m_now += 10ms) {
             dueJobs += JobsPerWorkerPerSecond * static_cast<double>(m_active.size()) / 100;
             for (; dueJobs >= 1; dueJobs -= 1)
-                submit(random);
+                submit();
             for (std::size_t n = 0; n < m_active.size(); ++n)
                 reportEndedRuns(n);
             step(steward_event::PlacementDue());
@@ -76,14 +80,14 @@
 private:
     static auto pool(int number) -> PoolName { return PoolName("pool-" + std::to_string(number)); }
 
-    auto submit(std::mt19937 &random) -> void
+    auto submit() -> void
     {
         auto job = JobSpec();
         job.id = fmt::format("{:016x}", ++m_jobs);
         job.queue = QueueName(pool(static_cast<int>(m_jobs % Pools)).value());
         job.steps.resize(1);
         job.steps[0].taskCount = TasksPerJob;
-        job.steps[0].resources = {4'000 + static_cast<std::int64_t>(random() % 3'000), 6'000, 0};
+        job.steps[0].resources = {4'000 + static_cast<std::int64_t>(m_random() % 3'000), 6'000, 0};
         job.steps[0].estimatedMilliseconds = 640;
         step(steward_event::JobAccepted{job, {}, false});
     }
@@ -137,6 +141,7 @@
     }
 
     BootTime m_now{1h};
+    std::mt19937 m_random{7};
     Steward m_steward;
     std::vector<std::vector<std::pair<ActiveRun, BootTime>>> m_active;
     std::vector<std::pair<std::string, std::uint64_t>> m_persisted;
@@ -174,15 +179,19 @@
         sizes.push_back(std::atoi(argv[n]));
     if (sizes.empty())
         sizes = {48, 96, 192, 384};
-    fmt::print("workers  starts/s  decisions: cores   us per start\n");
-    for (const auto workers : sizes) {
-        const auto cost = Fleet(workers).run();
+    const auto printCost = [](std::uint64_t size, const Cost &cost) {
         const auto seconds = std::chrono::duration<double>(cost.time).count();
         const auto time = std::chrono::duration<double>(SimulatedTime).count();
-        fmt::print("{:7}  {:8.0f}  {:16.4f}  {:13.1f}\n", workers,
+        fmt::print("{:9}  {:8.0f}  {:16.4f}  {:13.1f}\n", size,
                    static_cast<double>(cost.starts) / time, seconds / time,
                    seconds * 1e6 / static_cast<double>(cost.starts));
-    }
+    };
+    fmt::print("  workers  starts/s  decisions: cores   us per start\n");
+    for (const auto workers : sizes)
+        printCost(static_cast<std::uint64_t>(workers), Fleet(workers).run());
+    fmt::print("open jobs  starts/s  decisions: cores   us per start\n");
+    for (const auto openJobs : {1'000U, 10'000U, 100'000U})
+        printCost(openJobs, Fleet(WorkersOfFullFleet, openJobs).run());
     measurePollDecoding();
     return 0;
 }
--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -34,6 +34,7 @@
 
 auto operator+(Resources left, const Resources &right) -> Resources;
 auto operator-(Resources left, const Resources &right) -> Resources;
+auto operator*(const Resources &resources, std::int64_t count) -> Resources;
 
 /// One step of a job: a number of identical tasks.
 struct StepSpec
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -174,6 +174,7 @@
     struct Task;
     struct Worker;
     struct Candidate;
+    struct Backlog;
     struct RoomClaims;
 
     /// The recent crash of a worker and the runs that were lost there.
@@ -226,6 +227,19 @@
     auto handle(const steward_event::Ticked &event) -> void;
     auto handle(const steward_event::PlacementDue &event) -> void;
 
+    // Waiting steps: steward_backlog.cpp
+    auto backlogOf(const Job &job) -> Backlog &;
+    auto addWaiting(Task &task) -> void;
+    auto removeWaiting(Task &task) -> void;
+    auto updateBacklog(Job &job) -> void;
+    auto updateBacklog(Job &job, std::uint32_t occurrence, std::uint32_t step) -> void;
+    auto removeFromBacklog(Job &job) -> void;
+    auto rebuildBacklogs() -> void;
+    auto noteSuspect(const Task &task) -> void;
+    auto waitingSuspects(const PoolName &pool) -> std::vector<Candidate>;
+    [[nodiscard]] auto isWaitingStep(const Job &job, const Occurrence &occurrence,
+                                     std::uint32_t step) const -> bool;
+
     // Jobs: steward_jobs.cpp
     auto countAcceptedWork(const Job &job) -> void;
     auto openOccurrence(Job &job, std::uint32_t number) -> Occurrence &;
@@ -318,7 +332,8 @@
     // Placement: steward_placing.cpp
     auto placeDirtyPools() -> void;
     auto place(const PoolName &pool) -> void;
-    auto placeStep(std::span<Worker *const> workers, const Candidate &candidate) -> bool;
+    enum class PlaceResult : std::uint8_t { Placed, NoRoom, TeamLimit };
+    auto placeStep(std::span<Worker *const> workers, const Candidate &candidate) -> PlaceResult;
     [[nodiscard]] auto workersToPlaceOn(const PoolName &pool) const -> std::vector<Worker *>;
     [[nodiscard]] auto chooseWorker(std::span<Worker *const> workers, const Task &task) const
         -> Worker *;
@@ -342,7 +357,7 @@
 
     // Reports of waiting tasks: steward_waiting.cpp
     auto reportWaitingTasks() -> void;
-    auto findLongWaiting(Job &job, std::vector<Task *> &found) const -> void;
+    auto findLongWaiting() -> std::vector<Task *>;
     [[nodiscard]] auto hasWaitedLong(const Task &task) const -> bool;
     [[nodiscard]] auto waitReason(const Task &task) const -> WaitReason;
     [[nodiscard]] auto suspectWaitReason(const Task &task) const -> WaitReason;
@@ -357,7 +372,13 @@
     std::shared_ptr<const SchedulingRules> m_rules;
     std::set<DataCentreName> m_closedDataCentres;
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
-    std::map<PoolName, std::vector<Job *>> m_openJobs;
+    /// By number.
+    std::map<PoolName, std::map<std::uint64_t, Job *>> m_openJobs;
+    /// The open jobs with long-running steps, and those with occurrences that aren't due yet.
+    std::map<std::uint64_t, Job *> m_longRunningJobs;
+    std::map<std::uint64_t, Job *> m_scheduledJobs;
+    std::map<PoolName, std::unique_ptr<Backlog>> m_backlogs;
+    std::uint64_t m_lastJobNumber = 0;
     /// Jobs that ended, in the order in which this steward saw their ends.
     std::deque<const Job *> m_endedJobs;
     std::map<WorkerName, std::unique_ptr<Worker>> m_workers;
--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -1,15 +1,37 @@
 #pragma once
 
+#include <algorithm>
+#include <concepts>
 #include <cstdint>
-#include <span>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "shallotproxy/process/base/boot_clock.hpp"
+#include "shallotproxy/process/base/names.hpp"
 
 namespace shallotproxy {
 
+/// Identifies a step of an occurrence of a job. Steps of jobs that were accepted earlier come
+/// first.
+struct WaitingStepId
+{
+    /// Number of the job, in the order of acceptance.
+    std::uint64_t job = 0;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    auto operator<=>(const WaitingStepId &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 /// The properties of a waiting step of a job that decide when its tasks are placed.
 struct WaitingStep
 {
+    WaitingStepId id;
     /// Priority of the queue; lower values are placed first.
     std::uint32_t priority = 0;
     bool isLongRunning = false;
@@ -17,18 +39,192 @@
     Duration remainingWork{};
     BootTime deadline;
     BootTime submittedAt;
-    /// The team's running cores divided by its weight, relative to the mean of all teams.
-    double relativeTeamUsage = 1;
-    /// Identifies the step to the caller.
-    std::size_t index = 0;
+    TeamName team;
+    /// Label that the worker must have; empty if any worker will do.
+    std::string requiredLabel;
+
+    /// After this time the job can't meet its deadline any more.
+    [[nodiscard]] auto lateAfter() const -> BootTime { return deadline - remainingWork; }
 };
 
-/// Sorts waiting steps into the order in which they are placed.
+/// Bounds the influence of team shares, so that they don't dominate the remaining work.
+inline constexpr double MaxRelativeTeamUsage = 2;
+/// Number of finite steps of a team and label that may be found not to fit in one visit before the
+/// visit goes on where the last one ended, and again before it leaves the others to the next visit.
+inline constexpr std::size_t MaxMissesPerVisit = 32;
+
+/// The waiting steps of a pool, in the order in which their tasks are placed.
 ///
 /// Long-running work comes first: there is little of it, and it must run at any load. Jobs that can
 /// still meet their deadline come before late ones, with the least remaining work first; the work
 /// of a team above its share counts as up to twice as much, and that of a team below its share as
 /// down to half. Late jobs are sorted by age, the oldest first, so that each ends eventually.
-auto sortWaiting(std::span<WaitingStep> steps, BootTime now) -> void;
+///
+/// Load pattern: a queue that requests many times what its pool holds for half a minute, so that
+/// tens of thousands of steps wait, while some hundred runs end each second. The cost of a visit
+/// goes with the number of teams and of steps that fit, and not with that of waiting steps.
+template <typename Value>
+class WaitingSteps
+{
+public:
+    /// Adds a step, or gives a step that was added before other properties.
+    auto add(const WaitingStep &step, Value value) -> void
+    {
+        remove(step.id);
+        m_lateTimes.emplace(step.lateAfter(), step.id);
+        m_entries.emplace(step.id, Entry{step, value, false});
+        queueOf(step, false).steps.emplace(orderOf(step, false), step.id);
+    }
+
+    auto remove(const WaitingStepId &id) -> void
+    {
+        const auto it = m_entries.find(id);
+        if (it == m_entries.end())
+            return;
+        const auto &[step, value, isLate] = it->second;
+        queueOf(step, isLate).steps.erase({orderOf(step, isLate), id});
+        m_lateTimes.erase({step.lateAfter(), id});
+        m_entries.erase(it);
+    }
+
+    [[nodiscard]] auto isEmpty() const -> bool { return m_entries.empty(); }
+
+    /// Calls `function` for the value of each step, in the order of their ids.
+    template <std::invocable<const Value &> Function>
+    auto forEach(Function function) const -> void
+    {
+        for (const auto &[id, entry] : m_entries)
+            function(entry.value);
+    }
+
+    /// Visits steps in the order of their placement. `relativeUsage` returns the running cores of a
+    /// team divided by its weight, relative to the mean of all teams. `place` returns whether the
+    /// tasks of a step fitted; it may remove the step that it gets, and no other.
+    ///
+    /// Of many steps that don't fit, each visit leaves out some; each is reached by one of the next
+    /// visits.
+    template <std::invocable<const TeamName &> Usage, std::predicate<const Value &> Place>
+    auto visit(BootTime now, Usage relativeUsage, Place place) -> void
+    {
+        moveLateSteps(now);
+        for (auto &[band, queues] : m_bands) {
+            visitBand(band, queues, relativeUsage, place);
+            std::erase_if(queues, [](const auto &it) { return it.second.steps.empty(); });
+        }
+        std::erase_if(m_bands, [](const auto &it) { return it.second.empty(); });
+    }
+
+private:
+    struct Entry
+    {
+        WaitingStep step;
+        Value value;
+        bool isLate = false;
+    };
+    /// A key of the order within a queue.
+    using Key = std::pair<Duration::rep, WaitingStepId>;
+    struct Queue
+    {
+        std::set<Key> steps;
+        /// The last step that the last visit reached, if it didn't reach all.
+        std::optional<Key> resumeAfter;
+    };
+    struct Band
+    {
+        bool isFinite = false;
+        std::uint32_t priority = 0;
+        bool isLate = false;
+
+        auto operator<=>(const Band &) const = default; // NOLINT(modernize-use-nullptr)
+    };
+    using Queues = std::map<std::pair<TeamName, std::string>, Queue>;
+
+    /// The position of a visit in a queue. Positions with the lowest order come first.
+    struct Cursor
+    {
+        Queue *queue = nullptr;
+        typename std::set<Key>::iterator next;
+        double factor = 1;
+        std::size_t misses = 0;
+        bool hasResumed = false;
+
+        [[nodiscard]] auto order() const -> Key
+        {
+            const auto weighted = static_cast<double>(next->first) * factor;
+            return {static_cast<Duration::rep>(weighted), next->second};
+        }
+        auto operator<(const Cursor &other) const -> bool { return other.order() < order(); }
+    };
+
+    static auto orderOf(const WaitingStep &step, bool isLate) -> Duration::rep
+    {
+        return isLate ? step.submittedAt.time_since_epoch().count() : step.remainingWork.count();
+    }
+
+    auto queueOf(const WaitingStep &step, bool isLate) -> Queue &
+    {
+        const auto band = Band{!step.isLongRunning, step.priority, isLate};
+        return m_bands[band][{step.team, step.requiredLabel}];
+    }
+
+    auto moveLateSteps(BootTime now) -> void
+    {
+        while (!m_lateTimes.empty() && m_lateTimes.begin()->first < now) {
+            const auto id = m_lateTimes.extract(m_lateTimes.begin()).value().second;
+            auto &[step, value, isLate] = m_entries.at(id);
+            queueOf(step, false).steps.erase({orderOf(step, false), id});
+            isLate = true;
+            queueOf(step, true).steps.emplace(orderOf(step, true), id);
+        }
+    }
+
+    template <typename Usage, typename Place>
+    auto visitBand(const Band &band, Queues &queues, Usage &relativeUsage, Place &place) -> void
+    {
+        auto cursors = std::priority_queue<Cursor>();
+        for (auto &[group, queue] : queues) {
+            const auto usage = std::clamp(relativeUsage(group.first), 1 / MaxRelativeTeamUsage,
+                                          MaxRelativeTeamUsage);
+            if (!queue.steps.empty())
+                cursors.push({&queue, queue.steps.begin(), band.isLate ? 1 : usage});
+        }
+        while (!cursors.empty()) {
+            auto cursor = cursors.top();
+            cursors.pop();
+            const auto key = *cursor.next++; // the step may be removed
+            const auto value = m_entries.at(key.second).value;
+            const auto hasFitted = place(value);
+            if (!hasFitted && band.isFinite)
+                ++cursor.misses;
+            if (advance(cursor, key))
+                cursors.push(cursor);
+        }
+    }
+
+    /// Whether the visit goes on with the queue after this step.
+    static auto advance(Cursor &cursor, const Key &visited) -> bool
+    {
+        auto &[steps, resumeAfter] = *cursor.queue;
+        if (cursor.misses >= MaxMissesPerVisit) {
+            if (cursor.hasResumed) {
+                resumeAfter = visited;
+                return false;
+            }
+            cursor.hasResumed = true;
+            cursor.misses = 0;
+            if (resumeAfter && visited < *resumeAfter)
+                cursor.next = steps.upper_bound(*resumeAfter);
+        }
+        if (cursor.next != steps.end())
+            return true;
+        resumeAfter.reset();
+        return false;
+    }
+
+    std::map<WaitingStepId, Entry> m_entries;
+    std::map<Band, Queues> m_bands;
+    /// When steps become late.
+    std::set<std::pair<BootTime, WaitingStepId>> m_lateTimes;
+};
 
 } // namespace shallotproxy
--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -52,6 +52,12 @@
     return left -= right;
 }
 
+auto operator*(const Resources &resources, std::int64_t count) -> Resources
+{
+    return {resources.milliCores * count, resources.memoryMegabytes * count,
+            resources.accelerators * count};
+}
+
 auto StepSpec::reservedResources() const -> Resources
 {
     auto reserved = resources;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -255,6 +255,8 @@
 
 auto Steward::crashesChanged(Task &task) -> void
 {
+    if (task.crashes.isSuspect())
+        noteSuspect(task);
     // A steward that dies before the record is written may cost another worker.
     markChanged(*task.job, task.crashes.isSuspect() ? WriteUrgency::First : WriteUrgency::Relaxed);
     task.crashChange = task.job->change;
--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -176,8 +176,13 @@
     if (!isAllPolled && m_now < m_recoveryDeadline)
         return;
     m_isRecovering = false;
-    for (const auto &[pool, jobs] : m_openJobs)
+    for (const auto &[pool, jobs] : m_openJobs) {
+        for (const auto &[number, job] : jobs) {
+            if (job->mayRunAlready)
+                updateBacklog(*job);
+        }
         markDirty(pool);
+    }
 }
 
 } // namespace shallotproxy
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -66,8 +66,7 @@
             std::clamp(step.estimatedMilliseconds, std::int64_t{0}, MaxForecastMilliseconds);
         const auto time = estimate * step.taskCount;
         const auto task = step.reservedResources();
-        accepted.work += Resources{task.milliCores * time, task.memoryMegabytes * time,
-                                   task.accelerators * time};
+        accepted.work += task * time;
     }
 }
 
@@ -77,11 +76,14 @@
     auto &occurrence = it->second;
     if (!isNew)
         return occurrence;
+    occurrence.number = number;
     occurrence.remainingSteps = static_cast<std::uint32_t>(job.spec.steps.size());
     occurrence.steps.resize(job.spec.steps.size());
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
         const auto count = job.spec.steps[step].taskCount;
         occurrence.remainingTasks.push_back(count);
+        occurrence.waitingTasks.push_back(count);
+        occurrence.firstWaiting.push_back(0);
         occurrence.steps[step].resize(count);
         for (std::uint32_t n = 0; n < count; ++n) {
             auto &task = occurrence.steps[step][n];
@@ -92,8 +94,9 @@
             task.phaseSince = m_now;
             task.mayHaveUnknownRun = job.mayRunAlready;
         }
-        job.waitingTasks += count;
     }
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step)
+        updateBacklog(job, number, step);
     return occurrence;
 }
 
@@ -141,7 +144,11 @@
         m_endedJobs.push_back(&job);
         return;
     }
-    m_openJobs[poolOf(job)].push_back(&job);
+    job.number = ++m_lastJobNumber;
+    m_openJobs[poolOf(job)].emplace(job.number, &job);
+    if (std::ranges::any_of(job.spec.steps, &StepSpec::isLongRunning))
+        m_longRunningJobs.emplace(job.number, &job);
+    m_scheduledJobs.emplace(job.number, &job);
     if (!event.mayRunAlready && !job.spec.isScheduled())
         countAcceptedWork(job);
     restore(job, event.progress);
@@ -162,6 +169,8 @@
         auto &task = occurrence.steps[it.step][it.index];
         task.failedRuns = it.failedRuns;
         task.crashes = CrashHistory(it.crashedRuns);
+        if (task.crashes.isSuspect())
+            noteSuspect(task);
         if (!it.possibleCrashes.empty()) {
             task.possibleCrash = it.possibleCrashes.front();
             m_inheritedCrashes.push_back(task.id());
@@ -193,10 +202,11 @@
     if (task.phase == TaskPhase::Done)
         return;
     auto &job = *task.job;
-    if (task.phase == TaskPhase::Waiting)
-        --job.waitingTasks;
+    const auto wasWaiting = task.phase == TaskPhase::Waiting;
     detach(task);
     task.phase = TaskPhase::Done;
+    if (wasWaiting)
+        removeWaiting(task);
     task.phaseSince = m_now;
     markChanged(job, WriteUrgency::Relaxed);
     auto &occurrence = job.occurrences.at(task.occurrence);
@@ -209,6 +219,7 @@
             remaining.steps[n].estimatedMilliseconds = 0;
     }
     job.remainingWork = milliseconds(remaining.criticalPathMilliseconds());
+    updateBacklog(job);
     markDirty(poolOf(job));
     if (--occurrence.remainingSteps > 0)
         return;
@@ -235,8 +246,10 @@
     job.endedMilliseconds = m_wallMilliseconds;
     job.endedAt = m_now;
     m_endedJobs.push_back(&job);
-    auto &open = m_openJobs[poolOf(job)];
-    std::erase(open, &job);
+    m_openJobs[poolOf(job)].erase(job.number);
+    m_longRunningJobs.erase(job.number);
+    m_scheduledJobs.erase(job.number);
+    removeFromBacklog(job);
     markChanged(job, WriteUrgency::Urgent);
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
@@ -348,8 +361,9 @@
 {
     auto count = std::size_t{0};
     for (const auto &[pool, jobs] : m_openJobs) {
-        count += static_cast<std::size_t>(std::ranges::count_if(jobs, [&queue](const Job *job) {
-            return job->spec.queue == queue && !job->hasStarted && !job->spec.isScheduled();
+        count += static_cast<std::size_t>(std::ranges::count_if(jobs, [&queue](const auto &it) {
+            const auto &job = *it.second;
+            return job.spec.queue == queue && !job.hasStarted && !job.spec.isScheduled();
         }));
     }
     return count;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "shallotproxy/job/waiting_order.hpp"
 #include "steward_state.hpp"
 
 namespace shallotproxy {
@@ -71,15 +70,15 @@
 auto Steward::handle(const steward_event::RulesChanged &event) -> void
 {
     // Open jobs are listed by pool, and the pool of a queue may have changed.
-    auto open = std::vector<Job *>();
-    for (const auto &[pool, jobs] : m_openJobs)
-        open.insert(open.end(), jobs.begin(), jobs.end());
-    m_openJobs.clear();
+    const auto before = std::exchange(m_openJobs, {});
     m_rules = event.rules;
-    for (auto *job : open) {
-        m_openJobs[poolOf(*job)].push_back(job);
-        markDirty(poolOf(*job));
+    for (const auto &[pool, jobs] : before) {
+        for (const auto &[number, job] : jobs) {
+            m_openJobs[poolOf(*job)].emplace(number, job);
+            markDirty(poolOf(*job));
+        }
     }
+    rebuildBacklogs();
 }
 
 auto Steward::handle(const steward_event::DataCentresClosed &event) -> void
@@ -98,13 +97,13 @@
         tickWorker(*worker);
     settleRecentCrashes();
     applyVerdicts();
-    for (auto &[pool, jobs] : m_openJobs) {
-        for (auto *job : jobs) {
-            if (job->nextOccurrence < job->spec.occurrences)
-                openDueOccurrences(*job);
-        }
+    for (const auto &[number, job] : m_scheduledJobs)
+        openDueOccurrences(*job);
+    std::erase_if(m_scheduledJobs, [](const auto &it) {
+        return it.second->nextOccurrence == it.second->spec.occurrences;
+    });
+    for (const auto &[pool, jobs] : m_openJobs)
         markDirty(pool);
-    }
     reportWaitingTasks();
 }
 
@@ -133,44 +132,15 @@
     return isWaitingToStart(task) && !task.crashes.isSuspect();
 }
 
-/// Places the waiting tasks of a pool in the order of sortWaiting().
+/// Places the waiting tasks of a pool in the order of WaitingSteps.
 auto Steward::place(const PoolName &pool) -> void
 {
-    const auto jobs = m_openJobs.find(pool);
-    if (jobs == m_openJobs.end() || m_poolWorkers[pool].empty())
+    const auto entry = m_backlogs.find(pool);
+    if (entry == m_backlogs.end() || m_poolWorkers[pool].empty())
         return;
-    auto candidates = std::vector<Candidate>();
-    auto suspects = std::vector<Candidate>();
-    auto waitingSteps = std::vector<WaitingStep>();
-    const auto meanShare = meanTeamShare();
-    for (auto *job : jobs->second) {
-        if (job->waitingTasks == 0)
-            continue;
-        const auto *rules = rulesOf(*job);
-        for (auto &[number, occurrence] : job->occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const auto isPlaceable = occurrence.remainingTasks[step] > 0
-                    && std::ranges::any_of(occurrence.steps[step],
-                                           [this](const Task &it) { return mayPlace(it); });
-                const auto hasSuspect = occurrence.remainingTasks[step] > 0
-                    && std::ranges::any_of(occurrence.steps[step],
-                                           [this](const Task &it) { return mayPlaceSuspect(it); });
-                if (!(isPlaceable || hasSuspect) || !isReady(*job, occurrence, step))
-                    continue;
-                if (hasSuspect)
-                    suspects.push_back({job, &occurrence, step, true});
-                if (!isPlaceable)
-                    continue;
-                waitingSteps.push_back(
-                    {rules == nullptr ? 0 : rules->priority, job->spec.steps[step].isLongRunning,
-                     job->remainingWork, job->deadline, job->submittedAt,
-                     meanShare > 0 ? teamShare(job->spec.team) / meanShare : 1, candidates.size()});
-                candidates.push_back({job, &occurrence, step});
-            }
-        }
-    }
     // Before the others: a worker that becomes free for a suspect is soon taken again. Finite
     // suspects keep their workers to themselves for longer than long-running ones.
+    auto suspects = waitingSuspects(pool);
     std::stable_partition(suspects.begin(), suspects.end(),
                           [](const Candidate &it) { return it.spec().isLongRunning; });
     for (const auto &it : suspects)
@@ -185,22 +155,27 @@
         nextPreemption = m_now + PreemptionInterval;
     };
     std::ranges::for_each(suspects, preempt);
-    if (waitingSteps.empty())
+    auto &waiting = entry->second->steps;
+    if (waiting.isEmpty())
         return;
-    sortWaiting(waitingSteps, m_now);
+    const auto meanShare = meanTeamShare();
+    const auto relativeUsage = [this, meanShare](const TeamName &team) {
+        return meanShare > 0 ? teamShare(team) / meanShare : 1;
+    };
     const auto workers = workersToPlaceOn(pool);
     auto unplaceable = UnplaceableResources();
-    for (const auto &it : waitingSteps) {
-        const auto &step = candidates[it.index].spec();
+    waiting.visit(m_now, relativeUsage, [&](const Candidate &candidate) {
+        const auto &step = candidate.spec();
         const auto resources = step.reservedResources();
-        if (!it.isLongRunning && unplaceable.covers(resources))
-            continue;
-        if (placeStep(workers, candidates[it.index]))
-            continue;
-        if (!hasPlacementConstraints(step))
+        if (!step.isLongRunning && unplaceable.covers(resources))
+            return false;
+        const auto result = placeStep(workers, candidate);
+        if (result == PlaceResult::NoRoom && !hasPlacementConstraints(step))
             unplaceable.add(resources);
-        preempt(candidates[it.index]);
-    }
+        if (result == PlaceResult::NoRoom)
+            preempt(candidate);
+        return result == PlaceResult::Placed;
+    });
 }
 
 /// Returns the milli-cores of the team's running tasks divided by its weight.
@@ -226,20 +201,23 @@
 }
 
 /// Places waiting tasks of a step until one fits on no worker; the tasks of a step are alike.
-/// Returns whether all of them fitted, or the limit of the team was reached.
-auto Steward::placeStep(std::span<Worker *const> workers, const Candidate &candidate) -> bool
+auto Steward::placeStep(std::span<Worker *const> workers, const Candidate &candidate) -> PlaceResult
 {
-    for (auto &task : candidate.occurrence->steps[candidate.step]) {
+    const auto tasks = candidate.tasks();
+    auto &first = candidate.occurrence->firstWaiting[candidate.step];
+    while (first < tasks.size() && tasks[first].phase != TaskPhase::Waiting)
+        ++first;
+    for (auto &task : tasks.subspan(first)) {
         if (!mayPlace(task))
             continue;
         if (!isWithinTeamLimit(*task.job, task.spec().resources))
-            return true;
+            return PlaceResult::TeamLimit;
         auto *worker = chooseWorker(workers, task);
         if (worker == nullptr)
-            return false;
+            return PlaceResult::NoRoom;
         startTask(task, *worker);
     }
-    return true;
+    return PlaceResult::Placed;
 }
 
 auto Steward::isWithinTeamLimit(const Job &job, const Resources &resources) const -> bool
@@ -469,30 +447,35 @@
             }
         }
     }
-    for (const auto &[pool, jobs] : m_openJobs) {
-        auto &load = loads[pool];
-        for (const auto *job : jobs) {
-            for (const auto &[number, occurrence] : job->occurrences) {
-                for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                    const auto &spec = job->spec.steps[step];
-                    if (spec.isLongRunning && spec.maxTasksPerWorker > 0) {
-                        load.minWorkers = std::max<std::size_t>(
-                            load.minWorkers,
-                            (spec.taskCount + spec.maxTasksPerWorker - 1) / spec.maxTasksPerWorker);
-                    }
-                    if (!isReady(*job, occurrence, step) || !mayFitAnyHost(spec))
-                        continue;
-                    for (const auto &task : occurrence.steps[step]) {
-                        if (task.phase != TaskPhase::Waiting || task.crashes.isCause())
-                            continue;
-                        load.waiting += spec.reservedResources();
-                        if (spec.isLongRunning)
-                            load.longRunning += spec.reservedResources();
-                    }
-                }
+    for (const auto &[number, job] : m_longRunningJobs) {
+        auto &load = loads[poolOf(*job)];
+        for (const auto &step : job->spec.steps) {
+            if (step.isLongRunning && step.maxTasksPerWorker > 0) {
+                load.minWorkers = std::max<std::size_t>(
+                    load.minWorkers,
+                    (step.taskCount + step.maxTasksPerWorker - 1) / step.maxTasksPerWorker);
             }
         }
     }
+    for (const auto &[pool, backlog] : m_backlogs) {
+        auto &load = loads[pool];
+        const auto &suspects = backlog->suspects;
+        backlog->steps.forEach([this, &load, &suspects](const Candidate &it) {
+            const auto &spec = it.spec();
+            if (!mayFitAnyHost(spec))
+                return;
+            auto count = std::int64_t{it.occurrence->waitingTasks[it.step]};
+            if (suspects.contains({it.job->number, it.occurrence->number, it.step})) {
+                count -= std::ranges::count_if(it.tasks(), [](const Task &task) {
+                    return task.phase == TaskPhase::Waiting && task.crashes.isCause();
+                });
+            }
+            const auto waiting = spec.reservedResources() * count;
+            load.waiting += waiting;
+            if (spec.isLongRunning)
+                load.longRunning += waiting;
+        });
+    }
     return loads;
 }
 
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -129,10 +129,10 @@
         worker.detachedRunsEndAt = latestLeaseEnd(m_settings.maxRunLease, {});
         return;
     }
-    --task->job->waitingTasks;
     task->job->hasStarted = true;
     task->run = run.run;
     task->phase = TaskPhase::Running;
+    removeWaiting(*task);
     task->phaseSince = m_now;
     task->confirmedAt = m_now;
     task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "shallotproxy/job/steward.hpp"
+#include "shallotproxy/job/waiting_order.hpp"
 
 namespace shallotproxy {
 
@@ -79,15 +80,22 @@
 
 struct Steward::Occurrence
 {
+    std::uint32_t number = 0;
     std::vector<std::vector<Task>> steps;
     /// Number of tasks of each step that aren't done.
     std::vector<std::uint32_t> remainingTasks;
     std::uint32_t remainingSteps = 0;
+    /// Number of waiting tasks of each step.
+    std::vector<std::uint32_t> waitingTasks;
+    /// No task of the step with a lower index waits.
+    std::vector<std::uint32_t> firstWaiting;
 };
 
 struct Steward::Job
 {
     JobSpec spec;
+    /// Jobs are numbered in the order in which this steward has accepted them.
+    std::uint64_t number = 0;
     JobOutcome outcome = JobOutcome::Open;
     /// Unix time of the end, for the record.
     std::int64_t endedMilliseconds = 0;
@@ -109,7 +117,6 @@
     Duration remainingWork{};
     BootTime submittedAt;
     BootTime deadline;
-    std::size_t waitingTasks = 0;
 };
 
 /// A step with waiting tasks: its suspects, or its other tasks.
@@ -121,6 +128,15 @@
     bool isOfSuspects = false;
 
     [[nodiscard]] auto spec() const -> const StepSpec & { return job->spec.steps[step]; }
+    [[nodiscard]] auto tasks() const -> std::span<Task> { return occurrence->steps[step]; }
+};
+
+/// The ready steps of a pool with tasks that wait.
+struct Steward::Backlog
+{
+    WaitingSteps<Candidate> steps;
+    /// All steps with suspects that wait, and some that had such suspects.
+    std::map<WaitingStepId, Candidate> suspects;
 };
 
 /// What the long-running tasks that wait for room in a pool claim in one placement.
--- a/packages/job/src/steward_waiting.cpp
+++ b/packages/job/src/steward_waiting.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <ranges>
 
 #include "steward_state.hpp"
 
@@ -30,11 +31,7 @@
     if (m_now < m_nextWaitReportAt)
         return;
     m_nextWaitReportAt = m_now + ReportInterval;
-    auto tasks = std::vector<Task *>();
-    for (const auto &[pool, jobs] : m_openJobs) {
-        for (auto *job : jobs)
-            findLongWaiting(*job, tasks);
-    }
+    auto tasks = findLongWaiting();
     const auto count = std::min(tasks.size(), MaxTasksPerReport);
     std::ranges::partial_sort(tasks, tasks.begin() + static_cast<std::ptrdiff_t>(count),
                               std::ranges::less(), &Task::waitReportedAt);
@@ -49,20 +46,38 @@
         m_actions.emplace_back(steward_action::ReportMoreWaitingTasks{tasks.size() - count});
 }
 
-/// Adds the tasks of the job that are due for a report.
-auto Steward::findLongWaiting(Job &job, std::vector<Task *> &found) const -> void
+/// Returns the tasks that are due for a report.
+auto Steward::findLongWaiting() -> std::vector<Task *>
 {
-    for (auto &[number, occurrence] : job.occurrences) {
-        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (occurrence.remainingTasks[step] == 0 || !isReady(job, occurrence, step))
-                continue;
-            for (auto &task : occurrence.steps[step]) {
-                task.noteAvailability();
-                if (hasWaitedLong(task) && m_now >= task.waitReportedAt + TaskReportInterval)
-                    found.push_back(&task);
+    auto found = std::map<JobTaskId, Task *>();
+    const auto examine = [this, &found](Task &task) {
+        task.noteAvailability();
+        if (hasWaitedLong(task) && m_now >= task.waitReportedAt + TaskReportInterval)
+            found.emplace(task.id(), &task);
+    };
+    for (const auto &[number, job] : m_longRunningJobs) {
+        for (auto &[occurrenceNumber, occurrence] : job->occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.remainingTasks[step] > 0 && isReady(*job, occurrence, step))
+                    std::ranges::for_each(occurrence.steps[step], examine);
             }
         }
     }
+    for (const auto &[pool, backlog] : m_backlogs) {
+        for (const auto &[id, candidate] : backlog->suspects) {
+            if (isReady(*candidate.job, *candidate.occurrence, candidate.step))
+                std::ranges::for_each(candidate.tasks(), examine);
+        }
+    }
+    for (const auto &[name, worker] : m_workers) {
+        for (auto *task : worker->runs) {
+            if (task->job->outcome == JobOutcome::Open)
+                examine(*task);
+        }
+    }
+    auto tasks = std::vector<Task *>();
+    std::ranges::copy(found | std::views::values, std::back_inserter(tasks));
+    return tasks;
 }
 
 /// Whether the task of a ready step has had no running run for long. Of the finite tasks without a
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "steward_state.hpp"
 
@@ -158,9 +159,9 @@
     detach(task);
     if (task.phase == TaskPhase::Done)
         return;
-    if (task.phase != TaskPhase::Waiting)
-        ++task.job->waitingTasks;
-    task.phase = TaskPhase::Waiting;
+    const auto wasWaiting = std::exchange(task.phase, TaskPhase::Waiting) == TaskPhase::Waiting;
+    if (!wasWaiting)
+        addWaiting(task);
     task.phaseSince = m_now;
     task.progressPercent = 0;
     markDirty(poolOf(*task.job));
@@ -316,9 +317,9 @@
 
 auto Steward::startTask(Task &task, Worker &worker) -> void
 {
-    --task.job->waitingTasks;
     task.run = std::max(task.run + 1, m_token * RunsPerToken + 1);
     task.phase = TaskPhase::Starting;
+    removeWaiting(task);
     task.phaseSince = m_now;
     task.progressPercent = 0;
     task.speedPercent = FullSpeedPercent;
