Keep the place of a crash record after a failed write

What callers saw: nothing traced.

Cause: the records of a write that failed or conflicted were scheduled again as ordinary records, due after the whole backlog. They now keep their queue and their place; the delay before the next try holds for all records.

Test: ProgressWriter.KeepsThePlaceOfACrashAfterAFailedWrite, red with the former rescheduling.

--- a/packages/job/include/shallotproxy/job/progress_writer.hpp
+++ b/packages/job/include/shallotproxy/job/progress_writer.hpp
@@ -72,17 +72,18 @@
     auto failed(BootTime now) -> void;
 
 private:
-    /// Schedules the entries of the write in flight again.
-    auto reschedule(BootTime now) -> void;
-    auto schedule(const std::string &job, BootTime at, bool goesFirst = false) -> void;
-    auto takeNext() -> std::string;
-
     /// When a record is to be written.
     struct Due
     {
         BootTime at;
         bool goesFirst = false;
     };
+
+    /// Schedules the entries of the write in flight again, in the places that they had.
+    auto reschedule(BootTime retryAt) -> void;
+    auto schedule(const std::string &job, const Due &due) -> void;
+    auto takeNext() -> std::string;
+
     using Queue = std::set<std::pair<BootTime, std::string>>;
 
     std::map<std::string, std::uint64_t> m_revisions;
@@ -91,6 +92,8 @@
     Queue m_queue;
     Queue m_firstQueue;
     Batch m_inFlight;
+    std::map<std::string, Due> m_inFlightDue;
+    BootTime m_retryAt;
 };
 
 } // namespace shallotproxy
--- a/packages/job/src/progress_writer.cpp
+++ b/packages/job/src/progress_writer.cpp
@@ -11,35 +11,38 @@
 {
     switch (urgency) {
     case WriteUrgency::Relaxed:
-        schedule(job, now + RelaxedDelay);
+        schedule(job, {now + RelaxedDelay});
         return;
     case WriteUrgency::Urgent:
-        schedule(job, now + UrgentDelay);
+        schedule(job, {now + UrgentDelay});
         return;
     case WriteUrgency::First:
-        schedule(job, now, true);
+        schedule(job, {now, true});
     }
 }
 
-/// Makes the job due at `at`, or leaves it due earlier. One that goes first keeps its place.
-auto ProgressWriter::schedule(const std::string &job, BootTime at, bool goesFirst) -> void
+/// Makes the job due, or leaves it due earlier. One that goes first keeps its place.
+auto ProgressWriter::schedule(const std::string &job, const Due &due) -> void
 {
-    const auto [it, isNew] = m_due.try_emplace(job, Due{at, goesFirst});
-    auto &due = it->second;
+    const auto [it, isNew] = m_due.try_emplace(job, due);
+    auto &present = it->second;
     if (!isNew) {
-        if (due.goesFirst || (!goesFirst && due.at <= at))
+        const auto goesBefore =
+            due.goesFirst == present.goesFirst ? due.at < present.at : due.goesFirst;
+        if (!goesBefore)
             return;
-        m_queue.erase({due.at, job});
-        due = {at, goesFirst};
+        (present.goesFirst ? m_firstQueue : m_queue).erase({present.at, job});
+        present = due;
     }
-    (goesFirst ? m_firstQueue : m_queue).emplace(at, job);
+    (due.goesFirst ? m_firstQueue : m_queue).emplace(due.at, job);
 }
 
 auto ProgressWriter::dueAt() const -> std::optional<BootTime>
 {
     if (!m_inFlight.empty() || (m_queue.empty() && m_firstQueue.empty()))
         return std::nullopt;
-    return m_firstQueue.empty() ? m_queue.begin()->first : m_firstQueue.begin()->first;
+    const auto &queue = m_firstQueue.empty() ? m_queue : m_firstQueue;
+    return std::max(queue.begin()->first, m_retryAt);
 }
 
 /// Removes the job that is written next from its queue and returns it.
@@ -49,7 +52,7 @@
         !m_firstQueue.empty() && (m_queue.empty() || m_inFlight.size() < MaxFirstJobsPerWrite);
     auto &queue = goesFirst ? m_firstQueue : m_queue;
     auto job = std::move(queue.extract(queue.begin()).value().second);
-    m_due.erase(job);
+    m_inFlightDue.insert(m_due.extract(job));
     return job;
 }
 
@@ -58,6 +61,7 @@
     const auto due = dueAt();
     if (!due || now < *due)
         return std::nullopt;
+    m_inFlightDue.clear();
     // The write takes the jobs that are due first, then others that wait: it costs the same.
     while (!m_due.empty() && m_inFlight.size() < MaxJobsPerWrite) {
         const auto job = takeNext();
@@ -93,10 +97,11 @@
     reschedule(now + RetryDelay);
 }
 
-auto ProgressWriter::reschedule(BootTime now) -> void
+auto ProgressWriter::reschedule(BootTime retryAt) -> void
 {
+    m_retryAt = retryAt;
     for (const auto &it : std::exchange(m_inFlight, {}))
-        schedule(it.job, now);
+        schedule(it.job, m_inFlightDue.at(it.job));
 }
 
 } // namespace shallotproxy
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -504,6 +504,32 @@
     EXPECT_LE(timeUntilWritten(writer, "last", now), ProgressWriter::RelaxedDelay + 100ms);
 }
 
+// A crash in a write that failed was written after the backlog of all other records.
+TEST(ProgressWriter, KeepsThePlaceOfACrashAfterAFailedWrite)
+{
+    for (const auto isConflict : {false, true}) {
+        auto writer = ProgressWriter();
+        auto now = BootTime(1h);
+        writer.changed("crash", WriteUrgency::First, now);
+        ASSERT_TRUE(writer.next(now, emptyRecord).has_value());
+        for (auto n = 0; n < 200; ++n) {
+            writer.changed("urgent-" + std::to_string(n), WriteUrgency::Urgent, now);
+            writer.changed("other-crash-" + std::to_string(n), WriteUrgency::First, now);
+        }
+        now += 1s;
+        if (isConflict) {
+            writer.conflicted({}, now);
+        } else {
+            writer.failed(now);
+            EXPECT_FALSE(writer.next(now, emptyRecord).has_value());
+        }
+        now += ProgressWriter::RetryDelay;
+        const auto retried = writer.next(now, emptyRecord);
+        ASSERT_TRUE(retried.has_value());
+        EXPECT_EQ(retried->front().job, "crash");
+    }
+}
+
 TEST(ProgressWriter, RetriesWithTheRevisionsOfAConflict)
 {
     auto writer = ProgressWriter();
