Share moves of hosts among the pools that lack some

Cause: the first pool by its name took all moves until it had all its hosts. Each move now goes to the pool that lacks the largest part of the hosts that it needs.

Test: PoolSizer.SharesMovesAmongPoolsThatLackHosts, red with the former loop.

--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -28,6 +28,14 @@
             std::max(left.accelerators, right.accelerators)};
 }
 
+/// Returns which part of the hosts that the pool needs it doesn't have.
+auto lackingPart(const PoolSize &pool) -> double
+{
+    if (pool.hosts >= pool.needed)
+        return 0;
+    return static_cast<double>(pool.needed - pool.hosts) / static_cast<double>(pool.needed);
+}
+
 } // namespace
 
 /// Returns the resources that the arriving work occupies, by the window with the higher rate.
@@ -139,26 +147,31 @@
     auto moves = std::vector<HostMove>();
     const auto maxMoves = (hosts.size() + HostsPerMove - 1) / HostsPerMove;
     const auto mayAddMove = [&moves, moving, maxMoves] { return moves.size() + moving < maxMoves; };
-    for (auto &[name, pool] : pools) {
-        while (pool.hosts < pool.needed && mayAddMove()) {
-            const auto largest = std::ranges::max_element(pools, {}, [](const auto &it) {
-                const auto &[donorName, donor] = it;
-                const auto surplus = donor.hosts > donor.needed ? donor.hosts - donor.needed : 0;
-                return std::min(surplus, donor.idle.size());
-            });
-            auto &donor = largest->second;
-            if (donor.hosts > donor.needed && !donor.idle.empty()) {
-                moves.push_back({donor.idle.front(), name});
-                donor.idle.erase(donor.idle.begin());
-                --donor.hosts;
-            } else if (!standby.empty()) {
-                moves.push_back({standby.back(), name});
-                standby.pop_back();
-            } else {
-                break;
-            }
-            ++pool.hosts;
+    // Each move goes to the pool that lacks the largest part of its hosts, so that no pool waits
+    // until the others have all of theirs.
+    while (!pools.empty() && mayAddMove()) {
+        const auto neediest = std::ranges::max_element(
+            pools, {}, [](const auto &it) { return lackingPart(it.second); });
+        auto &[name, pool] = *neediest;
+        if (lackingPart(pool) <= 0)
+            break;
+        const auto largest = std::ranges::max_element(pools, {}, [](const auto &it) {
+            const auto &[donorName, donor] = it;
+            const auto surplus = donor.hosts > donor.needed ? donor.hosts - donor.needed : 0;
+            return std::min(surplus, donor.idle.size());
+        });
+        auto &donor = largest->second;
+        if (donor.hosts > donor.needed && !donor.idle.empty()) {
+            moves.push_back({donor.idle.front(), name});
+            donor.idle.erase(donor.idle.begin());
+            --donor.hosts;
+        } else if (!standby.empty()) {
+            moves.push_back({standby.back(), name});
+            standby.pop_back();
+        } else {
+            break;
         }
+        ++pool.hosts;
     }
     const auto standbyPool =
         std::ranges::find_if(rules.pools, [](const auto &it) { return it.second.isStandby; });
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -205,6 +205,25 @@
         EXPECT_EQ(it.to, PoolName("a"));
 }
 
+// The first pool by its name took all moves until it had all its hosts.
+TEST(PoolSizer, SharesMovesAmongPoolsThatLackHosts)
+{
+    auto sizer = PoolSizer();
+    auto hosts = std::vector<HostView>{idleHost(0, "a"), idleHost(1, "b")};
+    for (auto &it : hosts)
+        it.otherRuns = 4;
+    for (std::size_t n = 2; n < 12; ++n)
+        hosts.push_back(idleHost(n, "spare"));
+    auto loads = std::map<PoolName, PoolLoad>();
+    for (const auto *pool : {"a", "b"})
+        loads[PoolName(pool)].waiting = {200'000, 0, 0};
+    auto count = std::map<PoolName, std::size_t>();
+    for (const auto &it : sizer.step(hosts, loads, poolRules(), {}, BootTime(1h)))
+        ++count[it.to];
+    EXPECT_EQ(count[PoolName("a")], 3U);
+    EXPECT_EQ(count[PoolName("b")], 3U);
+}
+
 // A pool whose hosts are drained for their upkeep needs other hosts: otherwise a long-running task
 // doesn't fit there for seconds.
 TEST(PoolSizer, ReplacesDrainingHosts)
