Let no quarantine close a pool to long-running tasks

What callers would see: LOST. A pool whose workers fail all that they start for some seconds gets no work for 6 s and more, up to 96 s, after they are sound again.

Cause: the steward had one Quarantine for all pools, so that its limit, a fifth of the workers, was larger than a whole pool. A pool now has its own. Besides, a long-running task that needs a label, or as many workers as its pool has, may find those that it needs in quarantine: after 2.5 s, longer than a preemption takes, it starts there if it fits on no other worker.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -99,6 +99,9 @@
     Milliseconds startTimeout{5'000};
     /// Length of a worker's first quarantine.
     Milliseconds quarantine{6'000};
+    /// A long-running task that has waited for this long starts on a worker in quarantine if it
+    /// fits on no other one. Preemption takes less.
+    Milliseconds quarantineOverrideDelay{2'500};
     /// A worker that refused an order, or left one unanswered, gets no new work for this long.
     Milliseconds unhealthyBackoff{1'000};
     /// A long-running task that has waited for this long may preempt other runs.
@@ -346,7 +349,13 @@
     [[nodiscard]] auto isReservedFor(const Worker &worker, const Task &task) const -> bool;
     auto startTask(Task &task, Worker &worker) -> void;
     [[nodiscard]] auto fits(const Worker &worker, const Task &task) const -> bool;
+    [[nodiscard]] auto startsInFlight() const -> std::size_t;
+    auto placeOnQuarantined(const PoolName &pool, const Candidate &candidate) -> void;
+    auto quarantineOf(const Worker &worker) -> Quarantine &;
+    [[nodiscard]] auto isQuarantined(const Worker &worker) const -> bool;
     [[nodiscard]] auto acceptsRuns(const Worker &worker) const -> bool;
+    [[nodiscard]] auto isOpen(const Worker &worker) const -> bool;
+    [[nodiscard]] auto isKeptForSuspects(const Worker &worker) const -> bool;
     [[nodiscard]] auto takesNewWork(const Worker &worker) const -> bool;
     [[nodiscard]] auto isWaitingToStart(const Task &task) const -> bool;
     [[nodiscard]] auto isAllowedOn(const Worker &worker, const Task &task) const -> bool;
@@ -391,7 +400,7 @@
     std::map<PoolName, AcceptedWork> m_acceptedWork;
     std::set<PoolName> m_dirtyPools;
     std::set<WorkerName> m_expectedWorkers;
-    Quarantine m_quarantine;
+    std::map<PoolName, Quarantine> m_quarantines;
     std::deque<RecentCrash> m_recentCrashes;
     std::map<DataCentreName, BootTime> m_lostDataCentres;
     /// When a task was last found to crash its workers.
--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -44,8 +44,8 @@
     if (worker.isRegistered)
         m_endedWorkers[name] = {worker.report, m_now};
     std::erase(m_poolWorkers[worker.report.pool], &worker);
+    quarantineOf(worker).workerRemoved(HostName(name.value()));
     m_workers.erase(name);
-    m_quarantine.workerRemoved(HostName(name.value()));
     endRecoveryIfDone();
     return true;
 }
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -52,7 +52,6 @@
     : m_token(token)
     , m_settings(settings)
     , m_now(now)
-    , m_quarantine(settings.quarantine)
     , m_startedAt(now)
     , m_recoveryDeadline(now + settings.recoveryTimeout)
 { }
@@ -172,9 +171,11 @@
         const auto result = placeStep(workers, candidate);
         if (result == PlaceResult::NoRoom && !hasPlacementConstraints(step))
             unplaceable.add(resources);
-        if (result == PlaceResult::NoRoom)
+        if (result == PlaceResult::NoRoom && step.isLongRunning) {
             preempt(candidate);
-        return result == PlaceResult::Placed;
+            placeOnQuarantined(pool, candidate);
+        }
+        return result == PlaceResult::Placed ? StepVisit::Placed : StepVisit::Missed;
     });
 }
 
@@ -248,16 +249,61 @@
     return workers;
 }
 
+/// Whether runs may start on the worker, apart from a quarantine.
+auto Steward::isOpen(const Worker &worker) const -> bool
+{
+    return isUsable(worker) && !worker.isDraining && worker.unknownRuns == 0;
+}
+
 auto Steward::acceptsRuns(const Worker &worker) const -> bool
 {
-    return isUsable(worker) && !worker.isDraining && worker.unknownRuns == 0
-        && !m_quarantine.isQuarantined(HostName(worker.report.name.value()), m_now);
+    return isOpen(worker) && !isQuarantined(worker);
+}
+
+auto Steward::isKeptForSuspects(const Worker &worker) const -> bool
+{
+    return m_now < worker.suspectReservedUntil || hasRunUnderTest(worker);
 }
 
 /// Whether the worker accepts runs of tasks that aren't suspects.
 auto Steward::takesNewWork(const Worker &worker) const -> bool
 {
-    return acceptsRuns(worker) && m_now >= worker.suspectReservedUntil && !hasRunUnderTest(worker);
+    return acceptsRuns(worker) && !isKeptForSuspects(worker);
+}
+
+/// Returns the quarantine of the worker's pool. Each pool has its own, as its tasks can't run on
+/// the workers of others.
+auto Steward::quarantineOf(const Worker &worker) -> Quarantine &
+{
+    return m_quarantines.try_emplace(worker.report.pool, m_settings.quarantine).first->second;
+}
+
+auto Steward::isQuarantined(const Worker &worker) const -> bool
+{
+    const auto it = m_quarantines.find(worker.report.pool);
+    return it != m_quarantines.end()
+        && it->second.isQuarantined(HostName(worker.report.name.value()), m_now);
+}
+
+/// Places the long-running tasks of a step that have waited for long on workers in quarantine. They
+/// have no limit of attempts, and the worker may be sound again long before its quarantine ends.
+auto Steward::placeOnQuarantined(const PoolName &pool, const Candidate &candidate) -> void
+{
+    auto workers = std::vector<Worker *>();
+    std::ranges::copy_if(m_poolWorkers[pool], std::back_inserter(workers),
+                         [this](const Worker *it) {
+                             return isOpen(*it) && isQuarantined(*it) && !isKeptForSuspects(*it);
+                         });
+    for (auto &task : candidate.tasks()) {
+        if (!mayPlace(task) || m_now < task.phaseSince + m_settings.quarantineOverrideDelay)
+            continue;
+        auto *worker = isWithinTeamLimit(*task.job, task.spec().resources)
+            ? chooseWorker(workers, task)
+            : nullptr;
+        if (worker == nullptr)
+            return; // the tasks of a step are alike
+        startTask(task, *worker);
+    }
 }
 
 /// Whether a task fits on a worker that takes new work.
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -180,7 +180,7 @@
                                + std::to_string(end.task.index));
     const auto isDone = end.end == RunEnd::Done && !task.spec().isLongRunning;
     if (isDone && (isAssigned || task.phase == TaskPhase::Waiting)) {
-        m_quarantine.runSucceeded(host, taskId);
+        quarantineOf(worker).runSucceeded(host, taskId);
         finishTask(task);
         return;
     }
@@ -189,7 +189,7 @@
     if (end.end != RunEnd::Failed)
         return;
     task.failedOn = worker.report.name;
-    m_quarantine.runFailed(host, taskId, m_now);
+    quarantineOf(worker).runFailed(host, taskId, m_now);
     failTask(task, end.run);
 }
 
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -63,8 +63,10 @@
     auto &worker = *entry;
     if (isNew || worker.report.startedMilliseconds != report.startedMilliseconds)
         worker.firstSeenAt = m_now;
-    if (!isNew && worker.report.pool != report.pool)
+    if (!isNew && worker.report.pool != report.pool) {
         std::erase(m_poolWorkers[worker.report.pool], &worker);
+        quarantineOf(worker).workerRemoved(HostName(report.name.value()));
+    }
     const auto isMoved = isNew || worker.report.pool != report.pool;
     // The next incarnation may carry out an order by the clock of the one before.
     const auto isRestarted =
@@ -78,11 +80,11 @@
     worker.reportedAt = m_now;
     worker.isRegistered = true;
     worker.isEndSuspected = false;
-    if (isMoved)
+    if (isMoved) {
         m_poolWorkers[worker.report.pool].push_back(&worker);
+        quarantineOf(worker).workerAdded(HostName(report.name.value()));
+    }
     markDirty(worker.report.pool);
-    if (isNew)
-        m_quarantine.workerAdded(HostName(report.name.value()));
     if (!worker.isReportCurrent()) {
         // The next poll shows which incarnation is there. Until then its clock isn't known.
         worker.hasClock = false;
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -274,6 +274,16 @@
     m_workers[static_cast<std::size_t>(worker)].report.dataCentre = DataCentreName(dataCentre);
 }
 
+auto FakeFleet::setPool(int worker, const std::string &pool) -> void
+{
+    m_workers[static_cast<std::size_t>(worker)].report.pool = PoolName(pool);
+}
+
+auto FakeFleet::setLabel(int worker, const std::string &label) -> void
+{
+    m_workers[static_cast<std::size_t>(worker)].report.labels = {label};
+}
+
 auto FakeFleet::crashes(const JobTaskId &task) const -> std::uint32_t
 {
     const auto it = m_crashes.find(task);
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -97,6 +97,9 @@
     auto endWorkersOf(const std::string &job) -> void;
     /// Requires that no steward has been added yet.
     auto setDataCentre(int worker, const std::string &dataCentre) -> void;
+    /// The same for a worker of another pool, or with a label.
+    auto setPool(int worker, const std::string &pool) -> void;
+    auto setLabel(int worker, const std::string &label) -> void;
     /// Whether a run of the task ends its worker, and how long after its start.
     std::function<bool(const JobTaskId &)> crashesWorker = [](const auto &) { return false; };
     Duration crashDelay = 0ms;
