--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -368,6 +368,7 @@
     auto reportWaitingTasks() -> void;
     auto findLongWaiting() -> std::vector<Task *>;
     [[nodiscard]] auto hasWaitedLong(const Task &task) const -> bool;
+    [[nodiscard]] static auto waitingSince(const Task &task) -> BootTime;
     [[nodiscard]] auto waitReason(const Task &task) const -> WaitReason;
     [[nodiscard]] auto suspectWaitReason(const Task &task) const -> WaitReason;
 
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -132,6 +132,8 @@
 
 /// Why a task has no running run.
 enum class WaitReason {
+    /// The steward counts its run as running, but no poll has listed the run lately.
+    NotListed,
     /// An order to stop its last run has not been confirmed by the worker.
     StopUnconfirmed,
     /// The worker has confirmed the stop of its last run, but hasn't reported the end.
@@ -338,7 +340,8 @@
     JobTaskId task;
     std::size_t crashes = 0;
 };
-/// Reports a task that has had no running run for a while. Nothing has to be done.
+/// Reports a task that has had no running run for a while, as far as polls tell. Nothing has to be
+/// done.
 struct ReportWaitingTask
 {
     JobTaskId task;
@@ -347,7 +350,7 @@
     /// Where the run is being started or stopped; empty if the task has no worker.
     WorkerName worker;
     WaitReason reason = WaitReason::NoRoom;
-    /// Since this steward first knew the task to wait.
+    /// Since this steward first knew the task to wait, or since a poll last listed its run.
     Duration time{};
 };
 /// Reports the number of waiting tasks that were due for a report and exceeded its limit. Nothing
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -76,6 +76,7 @@
             continue;
         }
         task->job->hasStarted = true;
+        task->listedAt = event.sentAt;
         clearPossibleCrash(*task);
         if (!run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -47,6 +47,8 @@
     BootTime startSentAt;
     /// When the worker last confirmed the run or its stop.
     BootTime confirmedAt;
+    /// When the last poll was sent that has listed the run as active, or the run was started.
+    BootTime listedAt;
     /// The start order was sent again because the first one had no answer.
     bool wasStartResent = false;
     /// A start order without an answer may have been carried out, and isn't sent again. The next
--- a/packages/job/src/steward_waiting.cpp
+++ b/packages/job/src/steward_waiting.cpp
@@ -40,7 +40,7 @@
         const auto *worker = task->worker;
         m_actions.emplace_back(steward_action::ReportWaitingTask{
             task->id(), task->run, worker == nullptr ? WorkerName() : worker->report.name,
-            waitReason(*task), m_now - task->waitingSince()});
+            waitReason(*task), m_now - waitingSince(*task)});
     }
     if (tasks.size() > count)
         m_actions.emplace_back(steward_action::ReportMoreWaitingTasks{tasks.size() - count});
@@ -80,16 +80,25 @@
     return tasks;
 }
 
+/// Returns since when the task has had no run that is known to be running.
+auto Steward::waitingSince(const Task &task) -> BootTime
+{
+    return task.phase == TaskPhase::Running ? std::max(task.listedAt, task.confirmedAt)
+                                            : task.waitingSince();
+}
+
 /// Whether the task of a ready step has had no running run for long. Of the finite tasks without a
 /// worker only suspects count: the other ones wait for room in the normal course. A task that was
 /// given up has been reported as such.
 auto Steward::hasWaitedLong(const Task &task) const -> bool
 {
     const auto &crashes = task.crashes;
-    const auto isReported = task.phase == TaskPhase::Starting || task.phase == TaskPhase::Stopping
+    const auto hasRun = task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running
+        || task.phase == TaskPhase::Stopping;
+    const auto isReported = hasRun
         || (task.phase == TaskPhase::Waiting && !crashes.isCause()
             && (task.spec().isLongRunning || crashes.isSuspect()));
-    return isReported && m_now >= task.waitingSince() + TaskReportInterval;
+    return isReported && m_now >= waitingSince(task) + TaskReportInterval;
 }
 
 auto Steward::waitReason(const Task &task) const -> WaitReason
@@ -98,6 +107,8 @@
         return task.isStopConfirmed ? WaitReason::EndUnreported : WaitReason::StopUnconfirmed;
     if (task.phase == TaskPhase::Starting)
         return WaitReason::StartUnanswered;
+    if (task.phase == TaskPhase::Running)
+        return WaitReason::NotListed;
     if (!isWaitingToStart(task))
         return WaitReason::Recovering;
     if (!m_rules)
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -135,6 +135,7 @@
     task.worker = &worker;
     task.attachedAt = m_now;
     task.activeAtMilliseconds.reset();
+    task.listedAt = m_now;
     task.isRunLost = false;
     worker.runs.push_back(&task);
     worker.used += task.spec().reservedResources();
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QObject>
+#include <QPointer>
 #include <QTimer>
 
 #include "record_watch.hpp"
@@ -41,7 +42,14 @@
     /// Wraps a function so that it does nothing after this object's end or in a later term of the
     /// key.
     template <typename Function>
-    [[nodiscard]] auto ifSameTerm(Function function);
+    [[nodiscard]] auto ifSameTerm(Function function)
+    {
+        return [self = QPointer(this), term = m_term,
+                function = std::move(function)]<typename... Arguments>(Arguments &&...arguments) {
+            if (self && term == self->m_term)
+                function(std::forward<Arguments>(arguments)...);
+        };
+    }
 
     auto holderChanged(const VersionedRecord *record) -> void;
     auto campaign() -> void;
@@ -59,6 +67,7 @@
     auto workerChanged(const VersionedRecord &record) -> void;
     auto removeWorker(const WorkerName &name) -> void;
     auto tick() -> void;
+    auto reportTickDelay(BootTime now) -> void;
     auto removeEndedJobs() -> void;
 
     auto perform(const steward_action::StartRun &action) -> void;
@@ -98,6 +107,7 @@
     QTimer m_placeTimer;
     std::vector<StewardEvent> m_events;
     BootTime m_nextCleanupAt;
+    BootTime m_tickDueAt;
     bool m_isDispatching = false;
     bool m_isCampaigning = false;
     bool m_wasNotFresh = false; // the declarations weren't fresh at the last campaign attempt
--- a/tests/unit/unit-waiting-reports.cpp
+++ b/tests/unit/unit-waiting-reports.cpp
@@ -352,6 +352,16 @@
     EXPECT_TRUE(reportsWhileActive(single, {run}, 8s, 250ms).empty());
 }
 
+// The steward counted the run as running, and no line told that nothing has listed it.
+TEST(WaitingReports, TellOfARunThatNoPollLists)
+{
+    auto single = SingleWorker(test::longRunningStep(1));
+    const auto run = startAndConfirm(single);
+    reportsWhileActive(single, {run}, 5s);
+    const auto reports = reportsWithin(single, TaskReportInterval + ReportInterval);
+    expectReason(reports, single.task, WaitReason::NotListed);
+}
+
 } // namespace
 
 } // namespace shallotproxy
