Order no more than a steward can read the answers of

Cause: a placement orders as many starts as fit, thousands at once, and workers are polled as often as ever. The answers of one turn of the event loop then take longer than the steward's lease.

At most 128 start orders of finite tasks are now without an answer; pools that wait for answers go first in the next placement. Long-running tasks don't wait. While ticks are late, the time between two polls of a worker doubles, up to 600 ms.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -87,6 +87,11 @@
     Milliseconds minPollInterval{15};
     /// Lengthens that time with the number of workers, which bounds the polls per second.
     std::chrono::microseconds pollIntervalPerWorker{400};
+    /// Time between two Ticked events. If they come later, the steward has too little processor
+    /// time and polls less often, so that each poll tells of more ends.
+    Milliseconds tickInterval{100};
+    /// The longest time by which that delays a poll; well below `responseTimeout`.
+    Milliseconds maxPollInterval{600};
     /// A worker with runs that hasn't answered for this long gets no new work.
     Milliseconds responseTimeout{2'200};
     /// Shortest time between two start orders or two stop orders for one run.
@@ -94,6 +99,11 @@
     /// A worker with an order that has had no answer for this long gets no new work. Workers answer
     /// within milliseconds.
     Milliseconds orderResponseTime{250};
+    /// Number of start orders of finite tasks that may be without an answer at the same time. A
+    /// steward with too little processor time reads the answers late, and so orders no more than
+    /// it can read, and goes on renewing leases and reading cancellations. Workers answer within
+    /// milliseconds, so that this many allow tens of thousands of starts a second.
+    std::size_t maxStartsInFlight = 128;
     /// A run whose start has had no answer for this long is stopped, so that the task starts on
     /// another worker.
     Milliseconds startTimeout{5'000};
@@ -270,6 +280,8 @@
     auto requeueMissingRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void;
     auto highestAcknowledgeable(Worker &worker) -> std::uint64_t;
     auto pollIfDue(Worker &worker) -> void;
+    auto adjustPollInterval() -> void;
+    [[nodiscard]] auto pollInterval() const -> Duration;
     [[nodiscard]] auto isUnlisted(const Worker &worker) const -> bool;
 
     // Runs and workers: steward_workers.cpp
@@ -335,7 +347,7 @@
     // Placement: steward_placing.cpp
     auto placeDirtyPools() -> void;
     auto place(const PoolName &pool) -> void;
-    enum class PlaceResult : std::uint8_t { Placed, NoRoom, TeamLimit };
+    enum class PlaceResult : std::uint8_t { Placed, NoRoom, TeamLimit, WindowFull };
     auto placeStep(std::span<Worker *const> workers, const Candidate &candidate) -> PlaceResult;
     [[nodiscard]] auto workersToPlaceOn(const PoolName &pool) const -> std::vector<Worker *>;
     [[nodiscard]] auto chooseWorker(std::span<Worker *const> workers, const Task &task) const
@@ -400,6 +412,11 @@
     std::map<PoolName, BootTime> m_nextPreemptions;
     std::map<PoolName, AcceptedWork> m_acceptedWork;
     std::set<PoolName> m_dirtyPools;
+    /// Pools with tasks that wait until start orders have been answered, in the order in which they
+    /// go on.
+    std::vector<PoolName> m_pacedPools;
+    /// Number of start orders of finite tasks that may still be sent in this placement.
+    std::size_t m_startBudget = 0;
     std::set<WorkerName> m_expectedWorkers;
     std::map<PoolName, Quarantine> m_quarantines;
     std::deque<RecentCrash> m_recentCrashes;
@@ -410,6 +427,9 @@
     /// Tasks with a possible crash that an earlier steward has recorded.
     std::vector<JobTaskId> m_inheritedCrashes;
     std::uint64_t m_lastChange = 0;
+    BootTime m_lastTickAt;
+    /// By which polls are delayed because ticks are late.
+    int m_pollIntervalFactor = 1;
     BootTime m_nextWaitReportAt;
     BootTime m_startedAt;
     BootTime m_recoveryDeadline;
--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -47,6 +47,10 @@
     [[nodiscard]] auto lateAfter() const -> BootTime { return deadline - remainingWork; }
 };
 
+/// What became of a step in a visit: its tasks were placed, they don't fit, or nothing more can be
+/// placed now.
+enum class StepVisit : std::uint8_t { Placed, Missed, Stop };
+
 /// Bounds the influence of team shares, so that they don't dominate the remaining work.
 inline constexpr double MaxRelativeTeamUsage = 2;
 /// Number of finite steps of a team and label that may be found not to fit in one visit before the
@@ -98,17 +102,18 @@
     }
 
     /// Visits steps in the order of their placement. `relativeUsage` returns the running cores of a
-    /// team divided by its weight, relative to the mean of all teams. `place` returns whether the
-    /// tasks of a step fitted; it may remove the step that it gets, and no other.
+    /// team divided by its weight, relative to the mean of all teams. `place` may remove the step
+    /// that it gets, and no other.
     ///
     /// Of many steps that don't fit, each visit leaves out some; each is reached by one of the next
     /// visits.
-    template <std::invocable<const TeamName &> Usage, std::predicate<const Value &> Place>
+    template <std::invocable<const TeamName &> Usage, std::invocable<const Value &> Place>
     auto visit(BootTime now, Usage relativeUsage, Place place) -> void
     {
         moveLateSteps(now);
+        auto goesOn = true;
         for (auto &[band, queues] : m_bands) {
-            visitBand(band, queues, relativeUsage, place);
+            goesOn = goesOn && visitBand(band, queues, relativeUsage, place);
             std::erase_if(queues, [](const auto &it) { return it.second.steps.empty(); });
         }
         std::erase_if(m_bands, [](const auto &it) { return it.second.empty(); });
@@ -178,8 +183,9 @@
         }
     }
 
+    /// Returns whether the visit goes on with the next band.
     template <typename Usage, typename Place>
-    auto visitBand(const Band &band, Queues &queues, Usage &relativeUsage, Place &place) -> void
+    auto visitBand(const Band &band, Queues &queues, Usage &relativeUsage, Place &place) -> bool
     {
         auto cursors = std::priority_queue<Cursor>();
         for (auto &[group, queue] : queues) {
@@ -193,12 +199,15 @@
             cursors.pop();
             const auto key = *cursor.next++; // the step may be removed
             const auto value = m_entries.at(key.second).value;
-            const auto hasFitted = place(value);
-            if (!hasFitted && band.isFinite)
+            const StepVisit result = place(value);
+            if (result == StepVisit::Stop)
+                return false;
+            if (result == StepVisit::Missed && band.isFinite)
                 ++cursor.misses;
             if (advance(cursor, key))
                 cursors.push(cursor);
         }
+        return true;
     }
 
     /// Whether the visit goes on with the queue after this step.
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -90,6 +90,7 @@
 auto Steward::handle(const steward_event::Ticked &event) -> void
 {
     m_wallMilliseconds = event.wallMilliseconds;
+    adjustPollInterval();
     endRecoveryIfDone();
     endUnlistedWorkers();
     for (const auto &[name, worker] : m_workers)
@@ -114,12 +115,34 @@
 
 auto Steward::placeDirtyPools() -> void
 {
-    const auto dirty = std::exchange(m_dirtyPools, {});
+    auto dirty = std::exchange(m_dirtyPools, {});
+    const auto inFlight = startsInFlight();
+    m_startBudget = m_settings.maxStartsInFlight - std::min(inFlight, m_settings.maxStartsInFlight);
+    // The pools that have waited for answers go first, so that none has all starts.
+    for (const auto &pool : std::exchange(m_pacedPools, {})) {
+        place(pool);
+        dirty.erase(pool);
+    }
     for (const auto &pool : dirty)
         place(pool);
     m_dirtyPools.clear();
 }
 
+/// Returns the number of start orders of finite tasks without an answer that may still come soon.
+auto Steward::startsInFlight() const -> std::size_t
+{
+    auto count = std::size_t{0};
+    for (const auto &[name, worker] : m_workers) {
+        count +=
+            static_cast<std::size_t>(std::ranges::count_if(worker->runs, [this](const Task *it) {
+                return it->phase == TaskPhase::Starting && it->isOrderPending
+                    && !it->spec().isLongRunning
+                    && m_now < it->startSentAt + m_settings.orderResponseTime;
+            }));
+    }
+    return count;
+}
+
 auto Steward::isWaitingToStart(const Task &task) const -> bool
 {
     return task.phase == TaskPhase::Waiting && !(task.mayHaveUnknownRun && m_isRecovering);
@@ -167,8 +190,12 @@
         const auto &step = candidate.spec();
         const auto resources = step.reservedResources();
         if (!step.isLongRunning && unplaceable.covers(resources))
-            return false;
+            return StepVisit::Missed;
         const auto result = placeStep(workers, candidate);
+        if (result == PlaceResult::WindowFull) {
+            m_pacedPools.push_back(pool);
+            return StepVisit::Stop;
+        }
         if (result == PlaceResult::NoRoom && !hasPlacementConstraints(step))
             unplaceable.add(resources);
         if (result == PlaceResult::NoRoom && step.isLongRunning) {
@@ -216,6 +243,10 @@
         auto *worker = chooseWorker(workers, task);
         if (worker == nullptr)
             return PlaceResult::NoRoom;
+        if (!task.spec().isLongRunning && m_startBudget == 0)
+            return PlaceResult::WindowFull;
+        if (!task.spec().isLongRunning)
+            --m_startBudget;
         startTask(task, *worker);
     }
     return PlaceResult::Placed;
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "shallotproxy/job/latency_guard.hpp"
 #include "steward_state.hpp"
@@ -9,6 +10,11 @@
 
 // A worker reports at most this many ended runs in one poll, and the rest in later ones.
 constexpr std::size_t EndedRunsPerPoll = 500;
+// A tick that is later than MaxTickDelay shows that the steward lacks processor time, one that is
+// earlier than MinTickDelay that it doesn't.
+constexpr std::chrono::milliseconds MaxTickDelay{100};
+constexpr std::chrono::milliseconds MinTickDelay{25};
+constexpr int MaxPollIntervalFactor = 16;
 
 } // namespace
 
@@ -53,9 +59,7 @@
     if (event.ended.size() < EndedRunsPerPoll)
         requeueMissingRuns(*worker, event);
     adjustRunSpeeds(*worker);
-    auto interval =
-        std::max<Duration>(m_settings.minPollInterval,
-                           m_settings.pollIntervalPerWorker * static_cast<int>(m_workers.size()));
+    auto interval = pollInterval();
     // The registration of the new incarnation follows.
     if (!worker->isReportCurrent() && worker->runs.empty())
         interval = std::max<Duration>(interval, m_settings.resendInterval);
@@ -328,6 +332,29 @@
         mayWait ? static_cast<int>(wait.count()) : 0});
 }
 
+/// Doubles the time between polls with each late tick, and shortens it step by step.
+auto Steward::adjustPollInterval() -> void
+{
+    const auto last = std::exchange(m_lastTickAt, m_now);
+    if (last == BootTime())
+        return;
+    const auto delay = m_now - last - m_settings.tickInterval;
+    if (delay > MaxTickDelay) {
+        m_pollIntervalFactor = std::min(m_pollIntervalFactor * 2, MaxPollIntervalFactor);
+    } else if (delay < MinTickDelay) {
+        m_pollIntervalFactor = std::max(m_pollIntervalFactor - 1, 1);
+    }
+}
+
+auto Steward::pollInterval() const -> Duration
+{
+    const auto interval =
+        std::max<Duration>(m_settings.minPollInterval,
+                           m_settings.pollIntervalPerWorker * static_cast<int>(m_workers.size()));
+    return std::max<Duration>(
+        interval, std::min<Duration>(interval * m_pollIntervalFactor, m_settings.maxPollInterval));
+}
+
 /// Whether a worker that never answered is on no listed host. The registration of a worker whose
 /// host was moved stays for seconds.
 auto Steward::isUnlisted(const Worker &worker) const -> bool
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -188,6 +188,8 @@
     if (worker == nullptr || task == nullptr || task->worker != worker || task->run != event.run)
         return;
     task->isOrderPending = false;
+    for (const auto &pool : m_pacedPools)
+        markDirty(pool);
     if (event.outcome == OrderOutcome::Unanswered)
         worker->lastUnansweredAt = m_now;
     // The answer may be that of another worker at this address, or, if it is about an earlier run,
--- a/tests/unit/unit-waiting-order.cpp
+++ b/tests/unit/unit-waiting-order.cpp
@@ -33,7 +33,7 @@
     auto visited = std::vector<std::uint64_t>();
     waiting.visit(now, usageIn(usage), [&visited](std::uint64_t job) {
         visited.push_back(job);
-        return true;
+        return StepVisit::Placed;
     });
     return visited;
 }
@@ -149,7 +149,7 @@
         steps[job] = step;
         now += std::chrono::milliseconds(random(0, 10));
         if (random(0, 3) == 0)
-            waiting.visit(now, usageIn(usage), [](std::uint64_t) { return true; });
+            waiting.visit(now, usageIn(usage), [](std::uint64_t) { return StepVisit::Placed; });
     }
     auto expected = std::vector<std::uint64_t>();
     for (const auto &[job, step] : steps)
@@ -166,7 +166,7 @@
     auto visited = std::vector<std::uint64_t>();
     waiting.visit(now, usageIn(usage), [&visited](std::uint64_t job) {
         visited.push_back(job);
-        return true;
+        return StepVisit::Placed;
     });
     RC_ASSERT(visited == expected);
 }
@@ -191,7 +191,7 @@
             auto examined = std::size_t{0};
             waiting.visit(BootTime(2h), usageIn({}), [&examined](std::uint64_t) {
                 ++examined;
-                return false;
+                return StepVisit::Missed;
             });
             EXPECT_LE(examined, 2 * MaxMissesPerVisit);
         }
@@ -213,7 +213,7 @@
                 placed.insert(job);
                 waiting.remove({job, 0, 0});
             }
-            return fits(job);
+            return fits(job) ? StepVisit::Placed : StepVisit::Missed;
         });
     }
     for (auto job = std::uint64_t{0}; job < Count; ++job)
@@ -237,7 +237,7 @@
     waiting.visit(BootTime(2h), usageIn({}), [&placed](std::uint64_t job) {
         if (job >= 2'000)
             placed.insert(job);
-        return job >= 2'000;
+        return job >= 2'000 ? StepVisit::Placed : StepVisit::Missed;
     });
     EXPECT_EQ(placed, (std::set<std::uint64_t>{2'000, 2'001}));
 }
