Keep a cancelled job cancelled when its last run completes

What callers saw: a job that was cancelled may be shown as completed, if its run ends before it is stopped.

Cause: endJob() gave a job that had ended another outcome.

Test: Steward.KeepsACancelledJobCancelledWhenItsRunCompletes, red before.

--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -242,6 +242,9 @@
 
 auto Steward::endJob(Job &job, JobOutcome outcome) -> void
 {
+    // The last run of a cancelled job may complete before it is stopped.
+    if (job.outcome != JobOutcome::Open)
+        return;
     job.outcome = outcome;
     job.endedMilliseconds = m_wallMilliseconds;
     job.endedAt = m_now;
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -748,6 +748,21 @@
     RC_ASSERT(fleet.activeRuns("c") == 2U);
 }
 
+// The run of a cancelled job completed before it was stopped: the job was shown as completed, and
+// the steward kept it twice among the ended jobs.
+TEST(Steward, KeepsACancelledJobCancelledWhenItsRunCompletes)
+{
+    auto single = SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    single.step(steward_event::JobCancelled{"job"});
+    single.poll({}, {{1, single.task, run, RunEnd::Done, {}}});
+    const auto record = single.steward.record("job");
+    ASSERT_TRUE(record.has_value());
+    EXPECT_EQ(record->progress.state(), JobOutcome::Cancelled);
+    single.step(steward_event::ProgressPersisted{"job", record->change});
+    EXPECT_EQ(single.steward.evictEnded(single.now + 1s, 10), std::vector<std::string>{"job"});
+}
+
 } // namespace
 
 } // namespace shallotproxy
