Share the starts that may be in flight among pools

What callers would see: while one pool has more waiting tasks than the steward may order, other pools get no starts.

Cause: the pool that took all starts of a placement went first in the next one, too. Pools that had none go first now.

Test: BusySteward.SharesStartsAmongPools, red before.

--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -118,13 +118,23 @@
     auto dirty = std::exchange(m_dirtyPools, {});
     const auto inFlight = startsInFlight();
     m_startBudget = m_settings.maxStartsInFlight - std::min(inFlight, m_settings.maxStartsInFlight);
-    // The pools that have waited for answers go first, so that none has all starts.
-    for (const auto &pool : std::exchange(m_pacedPools, {})) {
-        place(pool);
+    // The pools that have waited for answers go first, and those of them that have had starts last
+    // in the next placement.
+    auto order = std::exchange(m_pacedPools, {});
+    for (const auto &pool : order)
         dirty.erase(pool);
-    }
-    for (const auto &pool : dirty)
+    order.insert(order.end(), dirty.begin(), dirty.end());
+    auto served = std::vector<PoolName>();
+    for (const auto &pool : order) {
+        const auto budget = m_startBudget;
         place(pool);
+        const auto isPaced = !m_pacedPools.empty() && m_pacedPools.back() == pool;
+        if (isPaced && m_startBudget < budget) {
+            m_pacedPools.pop_back();
+            served.push_back(pool);
+        }
+    }
+    m_pacedPools.insert(m_pacedPools.end(), served.begin(), served.end());
     m_dirtyPools.clear();
 }
 
--- a/tests/unit/unit-busy-steward.cpp
+++ b/tests/unit/unit-busy-steward.cpp
@@ -13,16 +13,26 @@
 using test::firstOf;
 using test::SingleWorker;
 
+const auto OtherPool = PoolName("other");
+const auto OtherQueue = QueueName("other");
+
 /// A steward with many workers that answer nothing but their first poll.
 class SilentFleet
 {
 public:
-    explicit SilentFleet(int workers)
+    explicit SilentFleet(int workers, int otherWorkers = 0)
     {
         m_steward.step(steward_event::Ticked{1'000'000}, m_now);
-        m_steward.step(steward_event::RulesChanged{test::testRules(2)}, m_now);
-        for (auto n = 0; n < workers; ++n) {
-            m_steward.step(steward_event::WorkerReported{test::workerReport(n)}, m_now);
+        auto rules = *test::testRules(2);
+        rules.pools[OtherPool] = {};
+        rules.queues[OtherQueue] = {OtherPool, 2, 0, 1.6, 600};
+        m_steward.step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)},
+                       m_now);
+        for (auto n = 0; n < workers + otherWorkers; ++n) {
+            auto report = test::workerReport(n);
+            if (n >= workers)
+                report.pool = OtherPool;
+            m_steward.step(steward_event::WorkerReported{report}, m_now);
             auto poll = steward_event::WorkerPolled();
             poll.worker = test::workerName(n);
             poll.sentAt = m_now;
@@ -34,7 +44,12 @@
 
     auto addJob(const std::string &id, const StepSpec &step) -> void
     {
-        m_steward.step(steward_event::JobAccepted{test::oneStepJob(id, step), {}, false}, m_now);
+        addJob(test::oneStepJob(id, step));
+    }
+
+    auto addJob(const JobSpec &job) -> void
+    {
+        m_steward.step(steward_event::JobAccepted{job, {}, false}, m_now);
     }
 
     /// Places the waiting tasks and returns the start orders.
@@ -80,6 +95,26 @@
     EXPECT_EQ(fleet.place().size(), Answered);
 }
 
+// The pool that had all starts went first in each placement, and the other one had none.
+TEST(BusySteward, SharesStartsAmongPools)
+{
+    constexpr auto Workers = 150;
+    auto fleet = SilentFleet(Workers, Workers);
+    fleet.addJob("first", test::shortStep(Workers * 8));
+    auto other = test::oneStepJob("other", test::shortStep(Workers * 8));
+    other.queue = OtherQueue;
+    fleet.addJob(other);
+    auto count = std::map<std::string, std::size_t>();
+    for (auto n = 0; n < 4; ++n) {
+        for (const auto &it : fleet.place()) {
+            ++count[it.task.job];
+            fleet.answer(it);
+        }
+    }
+    EXPECT_EQ(count["first"], 2 * StewardSettings().maxStartsInFlight);
+    EXPECT_EQ(count["other"], 2 * StewardSettings().maxStartsInFlight);
+}
+
 // Long-running tasks wait for no answers of others.
 TEST(BusySteward, StartsLongRunningTasksBeforeAnswersOfOthers)
 {
