--- a/packages/job/src/steward_waiting.cpp
+++ b/packages/job/src/steward_waiting.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <ranges>
 
 #include "steward_state.hpp"
 
@@ -76,7 +75,8 @@
         }
     }
     auto tasks = std::vector<Task *>();
-    std::ranges::copy(found | std::views::values, std::back_inserter(tasks));
+    for (const auto &[id, task] : found)
+        tasks.push_back(task);
     return tasks;
 }
 
