--- a/tests/unit/unit-busy-steward.cpp
+++ b/tests/unit/unit-busy-steward.cpp
@@ -13,8 +13,8 @@
 using test::firstOf;
 using test::SingleWorker;
 
-const auto OtherPool = PoolName("other");
-const auto OtherQueue = QueueName("other");
+const auto otherPool = PoolName("other");
+const auto otherQueue = QueueName("other");
 
 /// A steward with many workers that answer nothing but their first poll.
 class SilentFleet
@@ -24,14 +24,14 @@
     {
         m_steward.step(steward_event::Ticked{1'000'000}, m_now);
         auto rules = *test::testRules(2);
-        rules.pools[OtherPool] = {};
-        rules.queues[OtherQueue] = {OtherPool, 2, 0, 1.6, 600};
+        rules.pools[otherPool] = {};
+        rules.queues[otherQueue] = {otherPool, 2, 0, 1.6, 600};
         m_steward.step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)},
                        m_now);
         for (auto n = 0; n < workers + otherWorkers; ++n) {
             auto report = test::workerReport(n);
             if (n >= workers)
-                report.pool = OtherPool;
+                report.pool = otherPool;
             m_steward.step(steward_event::WorkerReported{report}, m_now);
             auto poll = steward_event::WorkerPolled();
             poll.worker = test::workerName(n);
@@ -102,7 +102,7 @@
     auto fleet = SilentFleet(Workers, Workers);
     fleet.addJob("first", test::shortStep(Workers * 8));
     auto other = test::oneStepJob("other", test::shortStep(Workers * 8));
-    other.queue = OtherQueue;
+    other.queue = otherQueue;
     fleet.addJob(other);
     auto count = std::map<std::string, std::size_t>();
     for (auto n = 0; n < 4; ++n) {
