--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -43,7 +43,8 @@
 constexpr milliseconds AnswerTime{1'000};
 // A worker is reserved for a suspect for at most this long.
 constexpr milliseconds SuspectReservation{1'000};
-// At most one in this many workers of a pool is reserved for suspects or has only a run under test.
+// At most one in this many workers of a pool is reserved for suspects or isolates one. Suspects
+// with one crash are soon established and have no limit.
 constexpr std::size_t WorkersPerSuspect = 4;
 
 auto isolationTime(const CrashHistory &crashes) -> milliseconds
