Name a limit apart from its neighbour, and correct two comments

After a last read: isKeptForSuspect and isKeptForSuspects differed by a letter, and the comment of maxStartsInFlight left out that old orders don't count. A rename and comments only; the library builds and the linter is clean, the tests weren't run again.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -99,10 +99,11 @@
     /// A worker with an order that has had no answer for this long gets no new work. Workers answer
     /// within milliseconds.
     Milliseconds orderResponseTime{250};
-    /// Number of start orders of finite tasks that may be without an answer at the same time. A
-    /// steward with too little processor time reads the answers late, and so orders no more than
-    /// it can read, and goes on renewing leases and reading cancellations. Workers answer within
-    /// milliseconds, so that this many allow tens of thousands of starts a second.
+    /// Number of start orders of finite tasks that may be without an answer at the same time;
+    /// orders older than `orderResponseTime` don't count. A steward with too little processor time
+    /// reads the answers late, and so orders less, and goes on renewing leases and reading
+    /// cancellations. Workers answer within milliseconds, so that this many allow tens of
+    /// thousands of starts a second.
     std::size_t maxStartsInFlight = 128;
     /// A run whose start has had no answer for this long is stopped, so that the task starts on
     /// another worker.
@@ -336,7 +337,8 @@
     [[nodiscard]] auto hasEnded(const PossibleCrash &crash) const -> bool;
     [[nodiscard]] auto mayPlaceSuspect(const Task &task) const -> bool;
     [[nodiscard]] auto mayReserveForSuspect(const PoolName &pool, const Task &task) const -> bool;
-    [[nodiscard]] auto isKeptForSuspect(const Worker &worker, bool isLongRunning) const -> bool;
+    [[nodiscard]] auto countsForSuspectLimit(const Worker &worker, bool isLongRunning) const
+        -> bool;
     [[nodiscard]] auto isNew(const Worker &worker) const -> bool;
     [[nodiscard]] auto isEstablished(const Task &task) const -> bool;
     [[nodiscard]] auto isUnderTest(const Task &task) const -> bool;
--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -103,7 +103,7 @@
 
     /// Visits steps in the order of their placement. `relativeUsage` returns the running cores of a
     /// team divided by its weight, relative to the mean of all teams. `place` may remove the step
-    /// that it gets, and no other.
+    /// that it gets, and no other. `StepVisit::Stop` ends the visit.
     ///
     /// Of many steps that don't fit, each visit leaves out some; each is reached by one of the next
     /// visits.
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -422,7 +422,7 @@
 
 /// Whether the worker is kept from other tasks for a suspect of this kind. Finite suspects keep
 /// theirs for long and must not keep long-running ones waiting.
-auto Steward::isKeptForSuspect(const Worker &worker, bool isLongRunning) const -> bool
+auto Steward::countsForSuspectLimit(const Worker &worker, bool isLongRunning) const -> bool
 {
     const auto isFiniteTest = [this](const Task *it) {
         return !it->spec().isLongRunning && isUnderTest(*it);
@@ -436,7 +436,7 @@
 {
     const auto &workers = m_poolWorkers.at(pool);
     const auto isKept = [this, &task](const Worker *it) {
-        return isKeptForSuspect(*it, task.spec().isLongRunning);
+        return countsForSuspectLimit(*it, task.spec().isLongRunning);
     };
     const auto kept = static_cast<std::size_t>(std::ranges::count_if(workers, isKept));
     return kept < std::max<std::size_t>(1, workers.size() / WorkersPerSuspect);
