--- a/packages/member/include/shallotproxy/member/member_runtime.hpp
+++ b/packages/member/include/shallotproxy/member/member_runtime.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_duty.hpp"
+#include "delegate_duty.hpp"
 
 namespace shallotproxy {
 
@@ -24,6 +25,7 @@
     RuntimeContext &m_context;
     StewardDuty m_steward;
     CallerDuty m_callerDuty;
+    DelegateDuty m_delegate;
     std::unique_ptr<RecordWatch> m_declarations;
     QTimer m_flushTimer;
     QTimer m_drainTimer;
--- a/packages/member/include/shallotproxy/member/runtime_context.hpp
+++ b/packages/member/include/shallotproxy/member/runtime_context.hpp
@@ -11,6 +11,7 @@
 struct RuntimeSettings
 {
     std::string member;
+    DataCentreName dataCentre;
     std::string callersEndpoint;
     std::string readinessEndpoint;
     std::string peerEndpoint; // where other members reach this one
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -4,6 +4,7 @@
 #include <QPointer>
 #include <QTimer>
 
+#include "delegated_workers.hpp"
 #include "record_watch.hpp"
 #include "runtime_context.hpp"
 
@@ -35,6 +36,8 @@
     /// member holds it.
     [[nodiscard]] auto fencedCommit() const -> StoreCommit;
     [[nodiscard]] auto workerReport(const WorkerName &name) const -> const WorkerReport *;
+    /// Sends the steward's orders, in part through other members.
+    [[nodiscard]] auto workers() -> DelegatedWorkers & { return m_workers; }
 
 private:
     struct LoadedRecords;
@@ -90,6 +93,7 @@
     std::string m_identity; // identifies this process in the record of the key
     std::string m_holderAddress;
     Stewardship m_stewardship;
+    DelegatedWorkers m_workers;
     StoreLease m_lease = 0;
     StoreLease m_previousLease = 0; // the lease of this member's previous term
     std::uint64_t m_term = 0; // changes with each gain or loss of the key; marks stale replies
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -1,6 +1,7 @@
 #include <QPointer>
 #include <QTimer>
 
+#include "delegate_messages.hpp"
 #include "shallotproxy/member/caller_duty.hpp"
 #include "shallotproxy/process/base/record_codec.hpp"
 #include "store_keys.hpp"
@@ -393,6 +394,10 @@
         receiveRelayedSubmission(request, std::move(responder));
         return;
     }
+    if (path == DelegatePath) {
+        m_steward.workers().receiveReport(request, std::move(responder));
+        return;
+    }
     auto peerReply = PeerReply();
     if (const auto *steward = m_steward.steward()) {
         peerReply.isSteward = true;
--- a/packages/member/src/member_runtime.cpp
+++ b/packages/member/src/member_runtime.cpp
@@ -20,6 +20,7 @@
     : m_context(context)
     , m_steward(context, this)
     , m_callerDuty(context, m_steward, this)
+    , m_delegate(context, m_steward, this)
 {
     m_flushTimer.setInterval(LogFlushInterval);
     connect(&m_flushTimer, &QTimer::timeout, this, [this] { m_context.log.flush(); });
@@ -52,6 +53,7 @@
                                       DeclarationWatchWait, handlers, this);
     m_declarations->start();
     m_steward.start();
+    m_delegate.start();
     m_flushTimer.start();
     return {};
 }
@@ -101,6 +103,7 @@
     m_drainStartedAt = BootClock::now();
     m_callerDuty.drain();
     m_steward.resign();
+    m_delegate.drain();
     connect(&m_drainTimer, &QTimer::timeout, this, [this, finished = std::move(finished)] {
         const auto elapsed = BootClock::now() - m_drainStartedAt;
         const auto isIdle = elapsed >= MinDrainTime && m_callerDuty.openCalls() == 0;
--- a/packages/member/src/steward_actions.cpp
+++ b/packages/member/src/steward_actions.cpp
@@ -70,7 +70,7 @@
         return;
     }
     m_context.metrics.count("shallotproxy_run_starts_total");
-    m_context.workers.start(
+    m_workers.start(
         *report, *m_stewardship.token(), action,
         ifSameTerm([this, action, now](const OrderReply &reply) {
             m_context.metrics.sample("shallotproxy_run_start_seconds", {},
@@ -99,11 +99,11 @@
     m_context.log.info("event=stop-ordered job={} occurrence={} step={} task={} run={} worker={}",
                        action.task.job, action.task.occurrence, action.task.step, action.task.index,
                        action.run, action.worker.value());
-    m_context.workers.stop(*report, *m_stewardship.token(), action,
-                           ifSameTerm([this, action](const OrderReply &reply) {
-                               dispatch(steward_event::StopAnswered{action.worker, action.task,
-                                                                    action.run, reply.outcome});
-                           }));
+    m_workers.stop(*report, *m_stewardship.token(), action,
+                   ifSameTerm([this, action](const OrderReply &reply) {
+                       dispatch(steward_event::StopAnswered{action.worker, action.task, action.run,
+                                                            reply.outcome});
+                   }));
 }
 
 auto StewardDuty::perform(const steward_action::PollWorker &action) -> void
@@ -114,7 +114,7 @@
         dispatch(steward_event::PollFailed{action.worker, now, OrderOutcome::NotSent});
         return;
     }
-    m_context.workers.poll(
+    m_workers.poll(
         *report, *m_stewardship.token(), action,
         ifSameTerm([this, worker = action.worker, now](const OrderReply &reply, auto pollResult) {
             if (!pollResult) {
@@ -138,11 +138,11 @@
     const auto *report = workerReport(action.worker);
     if (report == nullptr || !m_stewardship.mayOrder(BootClock::now()))
         return; // the next poll decides again
-    m_context.workers.setRunSpeed(*report, *m_stewardship.token(), action,
-                                  ifSameTerm([this, action](const OrderReply &reply) {
-                                      if (reply.outcome == OrderOutcome::Superseded)
-                                          superseded(action.worker.value());
-                                  }));
+    m_workers.setRunSpeed(*report, *m_stewardship.token(), action,
+                          ifSameTerm([this, action](const OrderReply &reply) {
+                              if (reply.outcome == OrderOutcome::Superseded)
+                                  superseded(action.worker.value());
+                          }));
 }
 
 auto StewardDuty::perform(const steward_action::PersistProgress &action) -> void
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -37,6 +37,7 @@
     : QObject(parent)
     , m_context(context)
     , m_identity(identityOf(context.settings))
+    , m_workers(context, m_stewardship, this)
 {
     m_renewTimer.setInterval(Stewardship::RenewInterval);
     m_tickTimer.setInterval(StewardSettings().tickInterval);
@@ -226,6 +227,7 @@
     m_writeTimer.stop();
     m_placeTimer.stop();
     m_events.clear();
+    m_workers.reset();
     m_writer = {};
     // Destroyed from the event loop, because one of their functions may be on the call stack.
     for (auto *watch : {m_jobWatch.release(), m_workerWatch.release()}) {
@@ -281,7 +283,7 @@
     dispatch(steward_event::Ticked{wallMilliseconds()});
     if (!m_steward)
         return;
-    m_context.workers.closeIdle(now);
+    m_workers.closeIdle(now);
     if (now >= m_nextCleanupAt) {
         m_nextCleanupAt = now + CleanupInterval;
         removeEndedJobs();
