Write other records beside one that is always refused

A write that the store refuses was tried again with the same records in the same places. If the cause is one of them, for example its size, no record was written any more: ends weren't acknowledged, suspects not started, and jobs never shown as completed.

Writes that fail are now halved, and a record whose write fails three times by itself is set aside: it is tried alone once a second, and delays no other.

Test: ProgressWriter.WritesOthersBesideARecordThatIsAlwaysRefused; before, the record stays at the front of each batch. ProgressWriter.WritesAllSoonAfterAnOutage holds the other side: after 20 s of failures all 50 records are written in 2 s.

--- a/packages/job/include/shallotproxy/job/progress_writer.hpp
+++ b/packages/job/include/shallotproxy/job/progress_writer.hpp
@@ -33,6 +33,10 @@
     static constexpr Milliseconds RelaxedDelay{250};
     /// Delay after a write that failed.
     static constexpr Milliseconds RetryDelay{200};
+    /// A record whose write has failed this often by itself is set aside: it is then written by
+    /// itself, at intervals of SetAsideDelay, and delays no other record.
+    static constexpr int MaxLoneFailures = 3;
+    static constexpr Milliseconds SetAsideDelay{1'000};
 
     /// The record of one job in a write.
     struct Entry
@@ -53,7 +57,11 @@
     /// A record was loaded from the store.
     auto loaded(const std::string &job, std::uint64_t revision) -> void;
     /// The record is deleted from the store.
-    auto removed(const std::string &job) -> void { m_revisions.erase(job); }
+    auto removed(const std::string &job) -> void
+    {
+        m_revisions.erase(job);
+        m_loneFailures.erase(job);
+    }
     /// The job has a change to be persisted.
     auto changed(const std::string &job, WriteUrgency urgency, BootTime now) -> void;
     /// Returns the next write, if one is due and none is in flight.
@@ -62,13 +70,17 @@
     /// flight.
     [[nodiscard]] auto dueAt() const -> std::optional<BootTime>;
 
+    /// Returns the number of records that wait to be written.
+    [[nodiscard]] auto size() const -> std::size_t { return m_due.size() + m_setAside.size(); }
+
     /// The write took effect at `revision`. Returns its entries.
     auto stored(std::uint64_t revision) -> Batch;
     /// A condition failed because the records have these revisions (0: absent). Schedules all
     /// entries of the write again.
     auto conflicted(const std::map<std::string, std::uint64_t> &revisions, BootTime now) -> void;
     /// The outcome of the write is unknown, and it may still be carried out. Schedules its entries
-    /// again under the same condition.
+    /// again under the same condition, in smaller writes, so that a record that is always refused
+    /// is found.
     auto failed(BootTime now) -> void;
 
 private:
@@ -83,6 +95,9 @@
     auto reschedule(BootTime retryAt) -> void;
     auto schedule(const std::string &job, const Due &due) -> void;
     auto takeNext() -> std::string;
+    /// Returns the record that is set aside and due; no value if none is.
+    [[nodiscard]] auto dueSetAside(BootTime now) const -> std::optional<std::string>;
+    auto take(const std::string &job, const RecordSource &source) -> void;
 
     using Queue = std::set<std::pair<BootTime, std::string>>;
 
@@ -94,6 +109,11 @@
     Batch m_inFlight;
     std::map<std::string, Due> m_inFlightDue;
     BootTime m_retryAt;
+    std::size_t m_jobsPerWrite = MaxJobsPerWrite;
+    /// Failed writes of records by themselves, since their last successful write.
+    std::map<std::string, int> m_loneFailures;
+    /// When the records that are set aside and have changes are written.
+    std::map<std::string, BootTime> m_setAside;
 };
 
 } // namespace shallotproxy
--- a/packages/job/src/progress_writer.cpp
+++ b/packages/job/src/progress_writer.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "shallotproxy/job/progress_writer.hpp"
 
 namespace shallotproxy {
@@ -9,6 +11,11 @@
 
 auto ProgressWriter::changed(const std::string &job, WriteUrgency urgency, BootTime now) -> void
 {
+    if (const auto it = m_loneFailures.find(job);
+        it != m_loneFailures.end() && it->second >= MaxLoneFailures) {
+        m_setAside.try_emplace(job, now + SetAsideDelay);
+        return;
+    }
     switch (urgency) {
     case WriteUrgency::Relaxed:
         schedule(job, {now + RelaxedDelay});
@@ -39,10 +46,23 @@
 
 auto ProgressWriter::dueAt() const -> std::optional<BootTime>
 {
-    if (!m_inFlight.empty() || (m_queue.empty() && m_firstQueue.empty()))
+    if (!m_inFlight.empty())
         return std::nullopt;
-    const auto &queue = m_firstQueue.empty() ? m_queue : m_firstQueue;
-    return std::max(queue.begin()->first, m_retryAt);
+    auto due = std::optional<BootTime>();
+    if (!m_queue.empty() || !m_firstQueue.empty()) {
+        const auto &queue = m_firstQueue.empty() ? m_queue : m_firstQueue;
+        due = std::max(queue.begin()->first, m_retryAt);
+    }
+    for (const auto &[job, at] : m_setAside)
+        due = std::min(due.value_or(at), at);
+    return due;
+}
+
+auto ProgressWriter::dueSetAside(BootTime now) const -> std::optional<std::string>
+{
+    const auto it =
+        std::ranges::find_if(m_setAside, [now](const auto &entry) { return entry.second <= now; });
+    return it == m_setAside.end() ? std::nullopt : std::optional(it->first);
 }
 
 /// Removes the job that is written next from its queue and returns it.
@@ -62,25 +82,39 @@
     if (!due || now < *due)
         return std::nullopt;
     m_inFlightDue.clear();
+    if (const auto job = dueSetAside(now)) {
+        m_setAside.erase(*job);
+        m_inFlightDue[*job] = {now};
+        take(*job, source);
+    }
     // The write takes the jobs that are due first, then others that wait: it costs the same.
-    while (!m_due.empty() && m_inFlight.size() < MaxJobsPerWrite) {
-        const auto job = takeNext();
-        auto entry = source(job);
-        if (!entry)
-            continue;
-        const auto revision = m_revisions.find(job);
-        entry->revision = revision == m_revisions.end() ? 0 : revision->second;
-        m_inFlight.push_back(std::move(*entry));
+    if (m_inFlight.empty()) {
+        while (!m_due.empty() && m_inFlight.size() < m_jobsPerWrite)
+            take(takeNext(), source);
     }
     if (m_inFlight.empty())
         return std::nullopt;
     return m_inFlight;
 }
 
+/// Adds the record of the job to the write in flight, unless the job is unknown.
+auto ProgressWriter::take(const std::string &job, const RecordSource &source) -> void
+{
+    auto entry = source(job);
+    if (!entry)
+        return;
+    const auto revision = m_revisions.find(job);
+    entry->revision = revision == m_revisions.end() ? 0 : revision->second;
+    m_inFlight.push_back(std::move(*entry));
+}
+
 auto ProgressWriter::stored(std::uint64_t revision) -> Batch
 {
-    for (const auto &it : m_inFlight)
+    for (const auto &it : m_inFlight) {
         m_revisions[it.job] = revision;
+        m_loneFailures.erase(it.job);
+    }
+    m_jobsPerWrite = std::min(2 * m_jobsPerWrite, MaxJobsPerWrite);
     return std::exchange(m_inFlight, {});
 }
 
@@ -94,6 +128,17 @@
 
 auto ProgressWriter::failed(BootTime now) -> void
 {
+    m_jobsPerWrite = std::max(m_inFlight.size() / 2, std::size_t{1});
+    const auto isAlone = m_inFlight.size() == 1;
+    if (isAlone && ++m_loneFailures[m_inFlight.front().job] >= MaxLoneFailures) {
+        const auto job = std::exchange(m_inFlight, {}).front().job;
+        if (const auto it = m_due.find(job); it != m_due.end()) {
+            (it->second.goesFirst ? m_firstQueue : m_queue).erase({it->second.at, job});
+            m_due.erase(it);
+        }
+        m_setAside[job] = now + SetAsideDelay;
+        return;
+    }
     reschedule(now + RetryDelay);
 }
 
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -549,6 +549,66 @@
     }
 }
 
+// The store refused each write with one record, for example because it is too large, and that
+// record kept its place in each write: nothing else was written any more.
+TEST(ProgressWriter, WritesOthersBesideARecordThatIsAlwaysRefused)
+{
+    for (const auto urgency : {WriteUrgency::First, WriteUrgency::Urgent}) {
+        auto writer = ProgressWriter();
+        auto now = BootTime(1h);
+        writer.changed("refused", urgency, now);
+        auto waiting = std::set<std::string>();
+        for (auto n = 0; n < 100; ++n) {
+            waiting.insert("job-" + std::to_string(n));
+            writer.changed("job-" + std::to_string(n), WriteUrgency::Urgent, now);
+        }
+        auto tries = 0;
+        for (const auto end = now + 10s; now < end; now += 10ms) {
+            writer.changed("refused", urgency, now);
+            const auto batch = writer.next(now, emptyRecord);
+            if (!batch)
+                continue;
+            if (std::ranges::find(*batch, "refused", &ProgressWriter::Entry::job) != batch->end()) {
+                ++tries;
+                writer.failed(now);
+                continue;
+            }
+            for (const auto &it : writer.stored(1))
+                waiting.erase(it.job);
+            if (now > end - 8s) {
+                EXPECT_TRUE(waiting.empty());
+            }
+        }
+        EXPECT_TRUE(waiting.empty());
+        EXPECT_GT(tries, 5); // it is still tried
+        EXPECT_LT(tries, 20);
+    }
+}
+
+// An outage must not keep the order of records from returning to normal.
+TEST(ProgressWriter, WritesAllSoonAfterAnOutage)
+{
+    auto writer = ProgressWriter();
+    auto now = BootTime(1h);
+    auto waiting = std::set<std::string>();
+    for (auto n = 0; n < 50; ++n) {
+        waiting.insert("job-" + std::to_string(n));
+        writer.changed("job-" + std::to_string(n), WriteUrgency::First, now);
+    }
+    for (const auto end = now + 20s; now < end; now += 10ms) {
+        if (writer.next(now, emptyRecord))
+            writer.failed(now);
+    }
+    const auto end = now + ProgressWriter::SetAsideDelay + 1s;
+    for (; now < end && !waiting.empty(); now += 10ms) {
+        if (!writer.next(now, emptyRecord))
+            continue;
+        for (const auto &it : writer.stored(1))
+            waiting.erase(it.job);
+    }
+    EXPECT_TRUE(waiting.empty());
+}
+
 TEST(ProgressWriter, RetriesWithTheRevisionsOfAConflict)
 {
     auto writer = ProgressWriter();
