Spread the steward's calls over other members

Cause: the steward made all calls to workers itself, 2,000 and more a second, each with a request, a socket and timers. That took most of its processor time, while 38 members were idle.

From a load of 0.3 on, members with plenty of processor time report to the steward, get its orders in batches, and bring the replies of the workers back. What a delegate didn't send the steward sends itself; what it may have sent has no answer.

The load is also told in metrics and in steward-busy, with the lengths of the steward's queues.

--- a/packages/member/include/shallotproxy/member/delegated_workers.hpp
+++ b/packages/member/include/shallotproxy/member/delegated_workers.hpp
@@ -6,7 +6,6 @@
 #include <QTimer>
 
 #include "delegate_table.hpp"
-#include "processor_load.hpp"
 #include "runtime_context.hpp"
 
 namespace shallotproxy {
@@ -37,6 +36,8 @@
 
     /// Takes the report of another member, and answers it when there are orders for that member.
     auto receiveReport(const HttpRequest &request, HttpResponder responder) -> void;
+    /// The steward's process has used this part of its processor time.
+    auto loadMeasured(double load) -> void;
     /// Drops all orders, because this member isn't the steward any more.
     auto reset() -> void;
 
@@ -58,12 +59,10 @@
     RuntimeContext &m_context;
     const Stewardship &m_stewardship;
     DelegateTable m_table;
-    ProcessorLoad m_load;
     std::map<MemberName, Channel> m_channels;
     std::unordered_map<std::uint64_t, PendingOrder> m_pending;
     std::uint64_t m_lastId = 0;
     QTimer m_flushTimer;
-    std::uint64_t m_direct=0, m_delegated=0, m_polls=0; double m_startMs=0; std::uint64_t m_starts=0; double m_loadSum=0; int m_ticks=0; BootTime m_logAt; double m_maxTick=0; BootTime m_lastTick;
 };
 
 } // namespace shallotproxy
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -5,6 +5,7 @@
 #include <QTimer>
 
 #include "delegated_workers.hpp"
+#include "processor_load.hpp"
 #include "record_watch.hpp"
 #include "runtime_context.hpp"
 
@@ -71,6 +72,7 @@
     auto removeWorker(const WorkerName &name) -> void;
     auto tick() -> void;
     auto reportTickDelay(BootTime now) -> void;
+    auto reportLoad(BootTime now) -> void;
     auto removeEndedJobs() -> void;
 
     auto perform(const steward_action::StartRun &action) -> void;
@@ -112,6 +114,10 @@
     std::vector<StewardEvent> m_events;
     BootTime m_nextCleanupAt;
     BootTime m_tickDueAt;
+    ProcessorLoad m_processorLoad;
+    BootTime m_nextLoadReportAt;
+    std::size_t m_openStarts = 0; // start orders without an answer
+    std::size_t m_openPolls = 0;
     bool m_isDispatching = false;
     bool m_isCampaigning = false;
     bool m_wasNotFresh = false; // the declarations weren't fresh at the last campaign attempt
--- a/packages/member/src/delegated_workers.cpp
+++ b/packages/member/src/delegated_workers.cpp
@@ -41,6 +41,8 @@
     /// The report that is held back until there are orders.
     std::optional<HttpResponder> heldReport;
     BootTime reportedAt;
+    /// When the last report was answered; the next one follows.
+    BootTime answeredAt;
     /// Orders that aren't sent yet.
     std::vector<std::uint64_t> orders;
 };
@@ -50,24 +52,24 @@
     : QObject(parent)
     , m_context(context)
     , m_stewardship(stewardship)
-    , m_load(context.settings.processorShare)
 {
     m_flushTimer.setSingleShot(true);
     m_flushTimer.setTimerType(Qt::PreciseTimer);
     connect(&m_flushTimer, &QTimer::timeout, this, [this] { flush(); });
 }
 
-DelegatedWorkers::~DelegatedWorkers() = default;
+DelegatedWorkers::~DelegatedWorkers()
+{
+    reset();
+}
 
 auto DelegatedWorkers::start(const WorkerReport &worker, std::uint64_t token,
                              const steward_action::StartRun &order, Reply reply) -> void
 {
-    reply = [this, at = BootClock::now(), reply = std::move(reply)](const OrderReply &it) { ++m_starts; m_startMs += std::chrono::duration<double>(BootClock::now() - at).count()*1e3; reply(it); };
     if (const auto name = route(worker)) {
         delegate(*name, delegated(worker, token, order),
                  [reply = std::move(reply)](const OrderReply &it, auto) { reply(it); });
     } else {
-        ++m_direct;
         m_context.workers.start(worker, token, order, std::move(reply));
     }
 }
@@ -100,7 +102,6 @@
     if (const auto name = route(worker)) {
         delegate(*name, delegated(worker, token, order), std::move(reply));
     } else {
-        ++m_direct; ++m_polls;
         m_context.workers.poll(worker, token, order, std::move(reply));
     }
 }
@@ -113,8 +114,7 @@
 auto DelegatedWorkers::delegate(const MemberName &name, DelegatedOrder order, PollReply reply)
     -> void
 {
-    order.id = ++m_lastId; ++m_delegated;
-    if (order.kind == 3) ++m_polls;
+    order.id = ++m_lastId;
     m_channels[name].orders.push_back(order.id);
     m_pending.emplace(m_lastId,
                       PendingOrder{std::move(order), std::move(reply), name, false,
@@ -175,6 +175,7 @@
         pending.dueAt = now + OrderTimeout + milliseconds(pending.order.waitMilliseconds);
         orders.push_back(pending.order);
     }
+    channel.answeredAt = now;
     auto responder = std::move(*channel.heldReport);
     channel.heldReport.reset();
     responder.answer(encodeOrders(std::move(orders)));
@@ -236,8 +237,12 @@
 
 auto DelegatedWorkers::lose(const MemberName &name, std::string_view reason) -> void
 {
-    if (m_channels.erase(name) == 0)
+    // Taken out first: a held report that is destroyed unanswered calls this function again.
+    auto node = m_channels.extract(name);
+    if (node.empty())
         return;
+    if (node.mapped().heldReport)
+        node.mapped().heldReport->answer(encodeOrders({}));
     decide(delegate_event::Lost{name});
     auto orders = std::vector<PendingOrder>();
     std::erase_if(m_pending, [&](auto &it) {
@@ -257,21 +262,14 @@
 auto DelegatedWorkers::closeIdle(BootTime now) -> void
 {
     m_context.workers.closeIdle(now);
-    const auto load = m_load.measure(now); m_loadSum += load; ++m_ticks;
-    decide(delegate_event::LoadMeasured{load});
-    m_maxTick = std::max(m_maxTick, std::chrono::duration<double>(now-m_lastTick).count()*1e3); m_lastTick = now;
-    if (now >= m_logAt) { m_logAt = now + std::chrono::seconds(1);
-      m_context.log.info("event=TMP load={:.2f} ticks={} maxtick={:.0f} direct={} delegated={} polls={} starts={} startms={:.1f} pending={}", m_loadSum/m_ticks, m_ticks, m_maxTick, m_direct, m_delegated, m_polls, m_starts, m_startMs/std::max<double>(1,double(m_starts)), m_pending.size());
-      m_loadSum=0;m_ticks=0;m_maxTick=0;m_direct=m_delegated=m_polls=m_starts=0;m_startMs=0; }
     auto silent = std::vector<MemberName>();
     for (auto &[name, channel] : m_channels) {
-        const auto isSelected = m_table.isSelected(name);
-        const auto age = now - channel.reportedAt;
-        const auto interval = isSelected ? DelegateTable::ReportInterval : UnusedReportInterval;
-        const auto timeout = isSelected ? DelegateTable::ReportTimeout : UnusedReportTimeout;
-        if (channel.heldReport && age >= interval)
+        const auto isUsed = m_table.isSpreading() && m_table.isSelected(name);
+        const auto interval = isUsed ? DelegateTable::ReportInterval : UnusedReportInterval;
+        const auto timeout = isUsed ? DelegateTable::ReportTimeout : UnusedReportTimeout;
+        if (channel.heldReport && now >= channel.reportedAt + interval)
             flush(channel, now);
-        if (!channel.heldReport && age >= timeout)
+        if (!channel.heldReport && now >= channel.answeredAt + timeout)
             silent.push_back(name);
     }
     for (const auto &it : silent)
@@ -289,6 +287,11 @@
     }
 }
 
+auto DelegatedWorkers::loadMeasured(double load) -> void
+{
+    decide(delegate_event::LoadMeasured{load});
+}
+
 auto DelegatedWorkers::reset() -> void
 {
     m_flushTimer.stop();
--- a/packages/member/src/steward_actions.cpp
+++ b/packages/member/src/steward_actions.cpp
@@ -70,9 +70,11 @@
         return;
     }
     m_context.metrics.count("shallotproxy_run_starts_total");
+    ++m_openStarts;
     m_workers.start(
         *report, *m_stewardship.token(), action,
         ifSameTerm([this, action, now](const OrderReply &reply) {
+            --m_openStarts;
             m_context.metrics.sample("shallotproxy_run_start_seconds", {},
                                      std::chrono::duration<double>(BootClock::now() - now).count());
             if (reply.outcome != OrderOutcome::Accepted) {
@@ -114,9 +116,11 @@
         dispatch(steward_event::PollFailed{action.worker, now, OrderOutcome::NotSent});
         return;
     }
+    ++m_openPolls;
     m_workers.poll(
         *report, *m_stewardship.token(), action,
         ifSameTerm([this, worker = action.worker, now](const OrderReply &reply, auto pollResult) {
+            --m_openPolls;
             if (!pollResult) {
                 m_context.log.info("event=look-failed worker={} outcome={}", worker.value(),
                                    static_cast<int>(reply.outcome));
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds HolderWatchWait{3'000};
 // A tick that is later than this is reported: answers of workers and changes in the store wait too.
 constexpr milliseconds MaxTickDelay{500};
+// Above this load the steward's queues are reported, once in each interval.
+constexpr double BusyLoad = 0.8;
+constexpr milliseconds LoadReportInterval{1'000};
 constexpr milliseconds PlacementDelay{5}; // one placement serves replies that arrive together
 // Spreads the campaigns of the members, so that few calls are wasted on a key that is taken.
 constexpr milliseconds CampaignJitter{80};
@@ -38,6 +41,7 @@
     , m_context(context)
     , m_identity(identityOf(context.settings))
     , m_workers(context, m_stewardship, this)
+    , m_processorLoad(context.settings.processorShare)
 {
     m_renewTimer.setInterval(Stewardship::RenewInterval);
     m_tickTimer.setInterval(StewardSettings().tickInterval);
@@ -228,6 +232,8 @@
     m_placeTimer.stop();
     m_events.clear();
     m_workers.reset();
+    m_openStarts = 0;
+    m_openPolls = 0;
     m_writer = {};
     // Destroyed from the event loop, because one of their functions may be on the call stack.
     for (auto *watch : {m_jobWatch.release(), m_workerWatch.release()}) {
@@ -280,6 +286,7 @@
         return;
     }
     reportTickDelay(now);
+    reportLoad(now);
     dispatch(steward_event::Ticked{wallMilliseconds()});
     if (!m_steward)
         return;
@@ -303,6 +310,27 @@
     }
 }
 
+/// Reports which of the steward's queues grows while it lacks processor time.
+auto StewardDuty::reportLoad(BootTime now) -> void
+{
+    const auto load = m_processorLoad.measure(now);
+    m_workers.loadMeasured(load);
+    auto &metrics = m_context.metrics;
+    metrics.gauge("shallotproxy_steward_load", {}, load);
+    metrics.gauge("shallotproxy_steward_open_calls", "kind=\"start\"",
+                  static_cast<double>(m_openStarts));
+    metrics.gauge("shallotproxy_steward_open_calls", "kind=\"poll\"",
+                  static_cast<double>(m_openPolls));
+    metrics.gauge("shallotproxy_steward_unwritten_records", {},
+                  static_cast<double>(m_writer.size()));
+    if (load < BusyLoad || now < m_nextLoadReportAt)
+        return;
+    m_nextLoadReportAt = now + LoadReportInterval;
+    m_context.log.info(
+        "event=steward-busy load={:.2f} open-starts={} open-polls={} unwritten-records={}", load,
+        m_openStarts, m_openPolls, m_writer.size());
+}
+
 /// Passes an event to the steward and performs the resulting actions. Events that arrive meanwhile
 /// are queued, so that the steward is never re-entered.
 auto StewardDuty::dispatch(StewardEvent event) -> void
