--- a/tests/unit/fleet_model.cpp
+++ b/tests/unit/fleet_model.cpp
@@ -1118,6 +1118,7 @@
     const auto &task = action.task;
     trace(fmt::format("given up: {}", describe(task)));
     m_jobsGivenUp.insert(task.job);
+    m_tasksGivenUp.insert(task);
     const auto hasCrashed = [this](const auto &it) { return !m_lives[it.second].isUp; };
     if (std::ranges::count_if(m_orderedOn[task], hasCrashed) < MinCrashes)
         violate("given up without crashes: " + describe(task), describe(task));
@@ -1169,8 +1170,6 @@
 /// Checks that no long-running task is missing for too long while the fleet is calm.
 auto FleetModel::checkLongRunning() -> void
 {
-    if (m_jobsGivenUp.contains(ServiceJob))
-        return;
     auto active = std::set<JobTaskId>();
     auto hostsWith = std::size_t{0};
     for (const auto &it : m_hosts) {
@@ -1186,7 +1185,8 @@
     for (auto n = std::uint32_t{0}; n < m_plan.longRunningTasks; ++n) {
         const auto task = JobTaskId{ServiceJob, 0, 0, n};
         auto &lastActiveAt = m_lastActiveAt.try_emplace(task, m_now).first->second;
-        if (active.contains(task)) {
+        // The others of the job go on without a task that is given up.
+        if (active.contains(task) || m_tasksGivenUp.contains(task)) {
             lastActiveAt = m_now;
         } else if (m_now > lastActiveAt + MissingTime && m_now > m_disturbedAt + CalmTime
                    && hasRoom) {
--- a/tests/unit/fleet_model.hpp
+++ b/tests/unit/fleet_model.hpp
@@ -192,6 +192,7 @@
     /// The lives on which the runs of a task were ordered to start.
     std::map<JobTaskId, std::map<std::uint64_t, std::size_t>> m_orderedOn;
     std::set<std::string> m_jobsGivenUp;
+    std::set<JobTaskId> m_tasksGivenUp;
     std::size_t m_jobCount = 0;
     std::vector<std::string> m_trace;
     std::vector<std::string> m_violations;
