--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -4,6 +4,8 @@
 #include <QPointer>
 #include <QTimer>
 
+#include "delegated_workers.hpp"
+#include "processor_load.hpp"
 #include "record_watch.hpp"
 #include "runtime_context.hpp"
 
@@ -35,6 +37,8 @@
     /// member holds it.
     [[nodiscard]] auto fencedCommit() const -> StoreCommit;
     [[nodiscard]] auto workerReport(const WorkerName &name) const -> const WorkerReport *;
+    /// Sends the steward's orders, in part through other members.
+    [[nodiscard]] auto workers() -> DelegatedWorkers & { return m_workers; }
 
 private:
     struct LoadedRecords;
@@ -68,6 +72,7 @@
     auto removeWorker(const WorkerName &name) -> void;
     auto tick() -> void;
     auto reportTickDelay(BootTime now) -> void;
+    auto reportLoad(BootTime now) -> void;
     auto removeEndedJobs() -> void;
 
     auto perform(const steward_action::StartRun &action) -> void;
@@ -90,6 +95,7 @@
     std::string m_identity; // identifies this process in the record of the key
     std::string m_holderAddress;
     Stewardship m_stewardship;
+    DelegatedWorkers m_workers;
     StoreLease m_lease = 0;
     StoreLease m_previousLease = 0; // the lease of this member's previous term
     std::uint64_t m_term = 0; // changes with each gain or loss of the key; marks stale replies
@@ -108,6 +114,10 @@
     std::vector<StewardEvent> m_events;
     BootTime m_nextCleanupAt;
     BootTime m_tickDueAt;
+    ProcessorLoad m_processorLoad;
+    BootTime m_nextLoadReportAt;
+    std::size_t m_openStarts = 0; // start orders without an answer
+    std::size_t m_openPolls = 0;
     bool m_isDispatching = false;
     bool m_isCampaigning = false;
     bool m_wasNotFresh = false; // the declarations weren't fresh at the last campaign attempt
