Let refused records take turns with the others

Records that were set aside were tried again without the pause after a failed write, and before all others: in an outage the number of tries a second grew with them, and two records whose writes take a second to be refused kept a crash from being written.

The pause now follows each failed write, the one that has been due for the longest time goes first, and writes of records that are set aside alternate with those of others.

--- a/packages/job/include/shallotproxy/job/progress_writer.hpp
+++ b/packages/job/include/shallotproxy/job/progress_writer.hpp
@@ -34,7 +34,7 @@
     /// Delay after a write that failed.
     static constexpr Milliseconds RetryDelay{200};
     /// A record whose write has failed this often by itself is set aside: it is then written by
-    /// itself, at intervals of SetAsideDelay, and delays no other record.
+    /// itself, at intervals of SetAsideDelay, in turn with the others.
     static constexpr int MaxLoneFailures = 3;
     static constexpr Milliseconds SetAsideDelay{1'000};
 
@@ -91,12 +91,15 @@
         bool goesFirst = false;
     };
 
+    /// When the records that are set aside and have changes are written.
+    using SetAside = std::map<std::string, BootTime>;
+
     /// Schedules the entries of the write in flight again, in the places that they had.
     auto reschedule(BootTime retryAt) -> void;
     auto schedule(const std::string &job, const Due &due) -> void;
     auto takeNext() -> std::string;
-    /// Returns the record that is set aside and due; no value if none is.
-    [[nodiscard]] auto dueSetAside(BootTime now) const -> std::optional<std::string>;
+    [[nodiscard]] auto queuesDueAt() const -> std::optional<BootTime>;
+    [[nodiscard]] auto firstSetAside() const -> SetAside::const_iterator;
     auto take(const std::string &job, const RecordSource &source) -> void;
 
     using Queue = std::set<std::pair<BootTime, std::string>>;
@@ -112,8 +115,8 @@
     std::size_t m_jobsPerWrite = MaxJobsPerWrite;
     /// Failed writes of records by themselves, since their last successful write.
     std::map<std::string, int> m_loneFailures;
-    /// When the records that are set aside and have changes are written.
-    std::map<std::string, BootTime> m_setAside;
+    SetAside m_setAside;
+    bool m_wasSetAside = false; // the last write
 };
 
 } // namespace shallotproxy
--- a/packages/job/src/progress_writer.cpp
+++ b/packages/job/src/progress_writer.cpp
@@ -48,21 +48,22 @@
 {
     if (!m_inFlight.empty())
         return std::nullopt;
-    auto due = std::optional<BootTime>();
-    if (!m_queue.empty() || !m_firstQueue.empty()) {
-        const auto &queue = m_firstQueue.empty() ? m_queue : m_firstQueue;
-        due = std::max(queue.begin()->first, m_retryAt);
-    }
-    for (const auto &[job, at] : m_setAside)
-        due = std::min(due.value_or(at), at);
-    return due;
+    auto due = queuesDueAt();
+    if (const auto it = firstSetAside(); it != m_setAside.end())
+        due = std::min(due.value_or(it->second), it->second);
+    return due ? std::optional(std::max(*due, m_retryAt)) : std::nullopt;
+}
+
+auto ProgressWriter::queuesDueAt() const -> std::optional<BootTime>
+{
+    if (m_queue.empty() && m_firstQueue.empty())
+        return std::nullopt;
+    return (m_firstQueue.empty() ? m_queue : m_firstQueue).begin()->first;
 }
 
-auto ProgressWriter::dueSetAside(BootTime now) const -> std::optional<std::string>
+auto ProgressWriter::firstSetAside() const -> SetAside::const_iterator
 {
-    const auto it =
-        std::ranges::find_if(m_setAside, [now](const auto &entry) { return entry.second <= now; });
-    return it == m_setAside.end() ? std::nullopt : std::optional(it->first);
+    return std::ranges::min_element(m_setAside, {}, &SetAside::value_type::second);
 }
 
 /// Removes the job that is written next from its queue and returns it.
@@ -82,13 +83,20 @@
     if (!due || now < *due)
         return std::nullopt;
     m_inFlightDue.clear();
-    if (const auto job = dueSetAside(now)) {
-        m_setAside.erase(*job);
-        m_inFlightDue[*job] = {now};
-        take(*job, source);
-    }
-    // The write takes the jobs that are due first, then others that wait: it costs the same.
-    if (m_inFlight.empty()) {
+    const auto queuesDue = queuesDueAt();
+    const auto areQueuesDue = queuesDue && *queuesDue <= now;
+    const auto setAside = firstSetAside();
+    // In turn with the other records, so that neither waits for the other.
+    const auto takesSetAside =
+        setAside != m_setAside.end() && setAside->second <= now && !(areQueuesDue && m_wasSetAside);
+    m_wasSetAside = takesSetAside;
+    if (takesSetAside) {
+        const auto job = setAside->first;
+        m_setAside.erase(setAside);
+        m_inFlightDue[job] = {now};
+        take(job, source);
+    } else {
+        // The write takes the jobs that are due first, then others that wait: it costs the same.
         while (!m_due.empty() && m_inFlight.size() < m_jobsPerWrite)
             take(takeNext(), source);
     }
@@ -137,6 +145,7 @@
             m_due.erase(it);
         }
         m_setAside[job] = now + SetAsideDelay;
+        m_retryAt = now + RetryDelay;
         return;
     }
     reschedule(now + RetryDelay);
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -585,6 +585,32 @@
     }
 }
 
+// Records that are refused after a second each took all writes in turn.
+TEST(ProgressWriter, WritesACrashBesideSlowWritesThatAreRefused)
+{
+    auto writer = ProgressWriter();
+    auto now = BootTime(1h);
+    const auto isRefused = [](const auto &it) { return it.job.starts_with("refused"); };
+    const auto write = [&] {
+        const auto batch = writer.next(now, emptyRecord);
+        now += batch ? 1s : 10ms;
+        if (batch && std::ranges::any_of(*batch, isRefused)) {
+            writer.failed(now);
+            return ProgressWriter::Batch();
+        }
+        return batch ? writer.stored(1) : ProgressWriter::Batch();
+    };
+    for (auto n = 0; n < 5; ++n)
+        writer.changed("refused-" + std::to_string(n), WriteUrgency::Urgent, now);
+    for (const auto end = now + 60s; now < end;)
+        write();
+    writer.changed("crash", WriteUrgency::First, now);
+    const auto changedAt = now;
+    for (auto isWritten = false; !isWritten && now < changedAt + 10s;)
+        isWritten = !write().empty();
+    EXPECT_LE(now - changedAt, 3s);
+}
+
 // An outage must not keep the order of records from returning to normal.
 TEST(ProgressWriter, WritesAllSoonAfterAnOutage)
 {
