Bound the age of delegated orders, and announce a delegate that leaves

The steward sends none that is older than 0.5 s; the delegate none that was on its way for 0.5 s, or for longer than the key is known to last. The time on the way is the age of the report that is answered, less the time for which the steward held it. - A report that hung at an old steward kept the new one from getting delegates for a second. - Ids of orders began at 1 in each process, so that a reply to an earlier incarnation could be taken for another order's. - A poll that a delegate left unanswered was repeated with its old lease; the steward makes a new one now. - A steward that was late itself took all delegates for silent. - Batches had no bound in bytes, and a message above 1 MB would have been refused as a whole.

--- a/packages/job/include/shallotproxy/job/stewardship.hpp
+++ b/packages/job/include/shallotproxy/job/stewardship.hpp
@@ -35,6 +35,8 @@
     [[nodiscard]] auto token() const -> std::optional<std::uint64_t> { return m_token; }
     /// Whether orders that start work may be sent.
     [[nodiscard]] auto mayOrder(BootTime now) const -> bool;
+    /// Returns how long such orders may be sent unless the lease is renewed; zero if not at all.
+    [[nodiscard]] auto orderTimeLeft(BootTime now) const -> Duration;
     /// Whether the leases of active runs may be renewed, and runs stopped. This is allowed for a
     /// while after the store has become unresponsive: workers reject these orders once they have
     /// received an order with a successor's higher token.
--- a/packages/job/src/stewardship.cpp
+++ b/packages/job/src/stewardship.cpp
@@ -42,7 +42,14 @@
 
 auto Stewardship::mayOrder(BootTime now) const -> bool
 {
-    return m_token && now < m_renewedAt + LeaseTime - OrderMargin;
+    return orderTimeLeft(now) > Duration(0);
+}
+
+auto Stewardship::orderTimeLeft(BootTime now) const -> Duration
+{
+    if (!m_token)
+        return {};
+    return std::max<Duration>(m_renewedAt + LeaseTime - OrderMargin - now, Duration(0));
 }
 
 auto Stewardship::mayRenewRuns(BootTime now) const -> bool
--- a/packages/member/include/shallotproxy/member/delegate_duty.hpp
+++ b/packages/member/include/shallotproxy/member/delegate_duty.hpp
@@ -24,10 +24,11 @@
 
 private:
     auto tick() -> void;
+    [[nodiscard]] auto hasSteward() const -> bool;
     auto reportIfDue() -> void;
     auto report() -> void;
     auto receiveOrders(const TargetReply &reply, BootTime reportedAt) -> void;
-    auto perform(const DelegatedOrder &order, bool isLate) -> void;
+    auto perform(const DelegatedOrder &order, bool maySend) -> void;
     auto addReply(DelegatedReply reply) -> void;
 
     RuntimeContext &m_context;
@@ -37,6 +38,7 @@
     double m_load = 0;
     std::string m_stewardAddress;
     std::vector<DelegatedReply> m_replies;
+    std::uint64_t m_generation = 0; // changes with the steward; marks stale replies
     std::size_t m_openReports = 0;
     BootTime m_nextReportAt;
     QTimer m_tickTimer;
--- a/packages/member/include/shallotproxy/member/delegated_workers.hpp
+++ b/packages/member/include/shallotproxy/member/delegated_workers.hpp
@@ -47,13 +47,16 @@
 
     auto delegate(const MemberName &name, DelegatedOrder order, PollReply reply) -> void;
     auto sendDirectly(const PendingOrder &pending) -> void;
-    auto giveUp(PendingOrder &&pending) -> void;
-    auto receiveReply(DelegatedReply &&reply) -> void;
+    auto giveUp(const PendingOrder &pending) -> void;
+    template <typename Predicate>
+    auto takeOrders(Predicate matches) -> std::vector<PendingOrder>;
+    auto receiveReply(const MemberName &name, DelegatedReply &&reply) -> void;
     auto flush() -> void;
     auto flush(Channel &channel, BootTime now) -> void;
     auto lose(const MemberName &name, std::string_view reason) -> void;
+    auto leave(const MemberName &name) -> void;
     auto decide(const DelegateEvent &event) -> void;
-    [[nodiscard]] auto maySend(const DelegatedOrder &order) const -> bool;
+    [[nodiscard]] auto maySend(const PendingOrder &pending) const -> bool;
     [[nodiscard]] auto route(const WorkerReport &worker) const -> std::optional<MemberName>;
 
     RuntimeContext &m_context;
@@ -62,6 +65,7 @@
     std::map<MemberName, Channel> m_channels;
     std::unordered_map<std::uint64_t, PendingOrder> m_pending;
     std::uint64_t m_lastId = 0;
+    BootTime m_checkedAt;
     QTimer m_flushTimer;
 };
 
--- a/packages/member/src/delegate_duty.cpp
+++ b/packages/member/src/delegate_duty.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <QPointer>
 
 #include "delegate_messages.hpp"
@@ -17,9 +19,8 @@
 constexpr int ReportTimeoutMilliseconds = 2'500;
 // One report waits for orders while another one brings replies.
 constexpr std::size_t MaxOpenReports = 2;
-// Orders that arrive this long after the report that they answer have waited on the way, and the
-// steward may have lost its key or given them up.
-constexpr milliseconds MaxOrderAge{1'300};
+// Orders that were longer on their way aren't sent: the steward may have given them up.
+constexpr milliseconds MaxTransitTime{500};
 constexpr double LoadSmoothing = 0.3; // weight of the newest measurement
 
 auto stewardBounds() -> HttpBounds
@@ -55,7 +56,8 @@
 auto DelegateDuty::drain() -> void
 {
     m_isDraining = true;
-    reportIfDue();
+    if (hasSteward())
+        report();
 }
 
 auto DelegateDuty::tick() -> void
@@ -66,6 +68,8 @@
     if (holder != m_stewardAddress) {
         m_stewardAddress = holder;
         m_replies.clear(); // only the steward that gave the orders waits for them
+        m_openReports = 0;
+        ++m_generation;
         m_nextReportAt = now;
     }
     if (m_steward.stewardship().token())
@@ -75,11 +79,14 @@
     reportIfDue();
 }
 
+auto DelegateDuty::hasSteward() const -> bool
+{
+    return !m_stewardAddress.empty() && m_stewardAddress != m_context.settings.peerEndpoint;
+}
+
 auto DelegateDuty::reportIfDue() -> void
 {
-    const auto hasSteward =
-        !m_stewardAddress.empty() && m_stewardAddress != m_context.settings.peerEndpoint;
-    if (!hasSteward || m_openReports >= MaxOpenReports || BootClock::now() < m_nextReportAt)
+    if (!hasSteward() || m_openReports >= MaxOpenReports || BootClock::now() < m_nextReportAt)
         return;
     if (!m_replies.empty() || (m_openReports == 0 && !m_isDraining))
         report();
@@ -93,20 +100,24 @@
     message.processorShare = m_context.settings.processorShare;
     message.load = m_load;
     message.isLeaving = m_isDraining;
-    message.replies = std::exchange(m_replies, {});
+    auto bytes = std::size_t{0};
+    auto next = m_replies.begin();
+    for (; next != m_replies.end() && bytes < MaxBatchBytes; ++next) {
+        bytes += encodedSize(*next);
+        message.replies.push_back(std::move(*next));
+    }
+    m_replies.erase(m_replies.begin(), next);
     auto request = HttpRequest();
     request.method = "POST";
     request.path = DelegatePath;
     request.body = packRecord(message);
     ++m_openReports;
     m_client.send(m_stewardAddress, request, ReportTimeoutMilliseconds,
-                  [self = QPointer(this), steward = m_stewardAddress, at = BootClock::now(),
+                  [self = QPointer(this), generation = m_generation, at = BootClock::now(),
                    replies = std::move(message.replies)](const TargetReply &reply) mutable {
-                      if (!self)
+                      if (!self || generation != self->m_generation)
                           return;
                       --self->m_openReports;
-                      if (steward != self->m_stewardAddress)
-                          return;
                       // The steward may not have received them; it ignores those that it has.
                       if (!reply)
                           std::ranges::move(replies, std::back_inserter(self->m_replies));
@@ -123,30 +134,35 @@
         m_nextReportAt = now + RetryDelay;
         return;
     }
-    const auto isLate = now >= reportedAt + MaxOrderAge;
+    // Measured without the steward's clock: the report was on its way for a part of the time.
+    const auto transit = now - reportedAt - milliseconds(orders->heldMilliseconds);
+    const auto isLate = transit >= MaxTransitTime;
+    const auto mayStart = transit < milliseconds(orders->startsAllowedMilliseconds);
     if (isLate && !orders->orders.empty()) {
         m_context.log.warning("event=delegated-orders-late orders={} ms={}", orders->orders.size(),
-                              std::chrono::duration_cast<milliseconds>(now - reportedAt).count());
+                              std::chrono::duration_cast<milliseconds>(transit).count());
+    }
+    for (const auto &it : orders->orders) {
+        const auto isStart = it.kind == static_cast<std::uint8_t>(DelegatedOrder::Kind::Start);
+        perform(it, !m_isDraining && !isLate && (mayStart || !isStart));
     }
-    for (const auto &it : orders->orders)
-        perform(it, isLate);
     if (!m_reportTimer.isActive())
         m_reportTimer.start(orders->orders.empty() ? milliseconds(0) : ReplyDelay);
 }
 
-auto DelegateDuty::perform(const DelegatedOrder &order, bool isLate) -> void
+auto DelegateDuty::perform(const DelegatedOrder &order, bool maySend) -> void
 {
     const auto notSent = OrderReply{OrderOutcome::NotSent, 0};
-    if (isLate) {
+    if (!maySend) {
         addReply(encodeReply(order.id, notSent, std::nullopt));
         return;
     }
     m_context.metrics.count("shallotproxy_delegated_orders_total");
     const auto isSent = sendOrder(
         m_context.workers, order,
-        [self = QPointer(this), id = order.id, steward = m_stewardAddress](
+        [self = QPointer(this), id = order.id, generation = m_generation](
             const OrderReply &reply, const std::optional<steward_event::WorkerPolled> &poll) {
-            if (self && steward == self->m_stewardAddress)
+            if (self && generation == self->m_generation)
                 self->addReply(encodeReply(id, reply, poll));
         });
     if (!isSent)
--- a/packages/member/src/delegate_messages.cpp
+++ b/packages/member/src/delegate_messages.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Upper bound of the encoded fields of an order, a reply or a run that have no text of callers.
+constexpr std::size_t MessageOverheadBytes = 256;
+
 auto orderOf(DelegatedOrder::Kind kind, const WorkerReport &worker, std::uint64_t token)
     -> DelegatedOrder
 {
@@ -27,11 +30,16 @@
     return order;
 }
 
-/// Returns the task that a message names.
+/// Returns the task that a message names. Leaves the message without the job's id.
 template <typename Message>
-auto taskOf(Message &&message) -> JobTaskId
+auto takeTask(Message &message) -> JobTaskId
 {
-    return {std::forward<Message>(message).job, message.occurrence, message.step, message.index};
+    return {std::move(message.job), message.occurrence, message.step, message.index};
+}
+
+auto taskOf(const DelegatedOrder &order) -> JobTaskId
+{
+    return {order.job, order.occurrence, order.step, order.index};
 }
 
 } // namespace
@@ -70,6 +78,21 @@
     return result;
 }
 
+auto encodedSize(const DelegatedOrder &order) -> std::size_t
+{
+    return MessageOverheadBytes + order.payload.size() + order.checkpoint.size();
+}
+
+auto encodedSize(const DelegatedReply &reply) -> std::size_t
+{
+    auto size = MessageOverheadBytes;
+    for (const auto &it : reply.active)
+        size += MessageOverheadBytes + it.checkpoint.size();
+    for (const auto &it : reply.ended)
+        size += MessageOverheadBytes + it.checkpoint.size();
+    return size;
+}
+
 auto isRepeatable(const DelegatedOrder &order) -> bool
 {
     const auto kind = static_cast<DelegatedOrder::Kind>(order.kind);
@@ -151,13 +174,13 @@
     poll.startedMilliseconds = reply.startedMilliseconds;
     poll.active.reserve(reply.active.size());
     for (auto &it : reply.active) {
-        poll.active.push_back({taskOf(std::move(it)), it.run, std::move(it.checkpoint),
-                               it.progressPercent, it.latencyOrUsage});
+        poll.active.push_back({takeTask(it), it.run, std::move(it.checkpoint), it.progressPercent,
+                               it.latencyOrUsage});
     }
     poll.ended.reserve(reply.ended.size());
     for (auto &it : reply.ended) {
         const auto end = std::min(it.end, static_cast<std::uint8_t>(RunEnd::GangIncomplete));
-        poll.ended.push_back({it.sequence, taskOf(std::move(it)), it.run, static_cast<RunEnd>(end),
+        poll.ended.push_back({it.sequence, takeTask(it), it.run, static_cast<RunEnd>(end),
                               std::move(it.checkpoint)});
     }
     return result;
--- a/packages/member/src/delegate_messages.hpp
+++ b/packages/member/src/delegate_messages.hpp
@@ -6,13 +6,15 @@
 namespace shallotproxy {
 
 inline constexpr std::string_view DelegatePath = "/delegate";
+/// Orders or replies beyond this size wait for the next message; a body has a bound of 1 MB.
+inline constexpr std::size_t MaxBatchBytes = std::size_t{256} * 1024;
 
 /// An order to a worker, as members pass it on. The fields depend on the kind.
 struct DelegatedOrder
 {
     enum class Kind : std::uint8_t { Start, Stop, SetRunSpeed, Poll };
 
-    std::uint64_t id = 0; // unique within one incarnation of the steward's process
+    std::uint64_t id = 0; // starts at a random number in each term of the steward
     std::uint64_t token = 0;
     std::uint8_t kind = 0;
     std::string worker;
@@ -93,9 +95,13 @@
 struct DelegateOrders
 {
     bool isSteward = false;
+    /// How long the steward has held the report back.
+    std::int64_t heldMilliseconds = 0;
+    /// How long the steward may order starts from now on.
+    std::int64_t startsAllowedMilliseconds = 0;
     std::vector<DelegatedOrder> orders;
 
-    MSGPACK_DEFINE(isSteward, orders)
+    MSGPACK_DEFINE(isSteward, heldMilliseconds, startsAllowedMilliseconds, orders)
 };
 
 auto delegated(const WorkerReport &worker, std::uint64_t token,
@@ -106,6 +112,9 @@
                const steward_action::SetRunSpeed &order) -> DelegatedOrder;
 auto delegated(const WorkerReport &worker, std::uint64_t token,
                const steward_action::PollWorker &order) -> DelegatedOrder;
+/// Returns an upper bound of the size of an encoded message.
+auto encodedSize(const DelegatedOrder &order) -> std::size_t;
+auto encodedSize(const DelegatedReply &reply) -> std::size_t;
 /// Whether the order may be sent twice: a second poll or stop changes nothing.
 auto isRepeatable(const DelegatedOrder &order) -> bool;
 
--- a/packages/member/src/delegated_workers.cpp
+++ b/packages/member/src/delegated_workers.cpp
@@ -1,4 +1,5 @@
 #include <QPointer>
+#include <QRandomGenerator>
 
 #include "delegate_messages.hpp"
 #include "shallotproxy/member/delegated_workers.hpp"
@@ -13,15 +14,21 @@
 constexpr milliseconds BatchDelay{10};
 // An order that waits this long for a report of its delegate is sent directly.
 constexpr milliseconds MaxWaitForReport{200};
-// Longer than the time in which a delegate gives up an order, and less than `startTimeout`.
-constexpr milliseconds OrderTimeout{1'100};
+// Longer than the time in which a delegate gives up an order, besides the wait of a poll.
+constexpr milliseconds OrderTimeout{900};
+// A start that is older isn't sent any more: its worker may be draining by now, or its job
+// cancelled.
+constexpr milliseconds MaxStartAge{500};
+// A check that is later than this shows that the steward was late, not the delegates.
+constexpr milliseconds MaxCheckInterval{300};
 // Members that get no calls report rarely.
 constexpr milliseconds UnusedReportInterval{1'000};
 constexpr milliseconds UnusedReportTimeout{3'000};
 
-auto encodeOrders(std::vector<DelegatedOrder> orders) -> HttpResponse
+auto encodeOrders(DelegateOrders orders) -> HttpResponse
 {
-    return {200, {}, packRecord(DelegateOrders{true, std::move(orders)})};
+    orders.isSteward = true;
+    return {200, {}, packRecord(orders)};
 }
 
 } // namespace
@@ -32,6 +39,7 @@
     PollReply reply;
     MemberName delegate;
     bool isSent = false;
+    BootTime orderedAt;
     BootTime dueAt;
 };
 
@@ -114,42 +122,62 @@
 auto DelegatedWorkers::delegate(const MemberName &name, DelegatedOrder order, PollReply reply)
     -> void
 {
+    const auto now = BootClock::now();
     order.id = ++m_lastId;
     m_channels[name].orders.push_back(order.id);
-    m_pending.emplace(m_lastId,
-                      PendingOrder{std::move(order), std::move(reply), name, false,
-                                   BootClock::now() + MaxWaitForReport});
+    m_pending.emplace(
+        m_lastId,
+        PendingOrder{std::move(order), std::move(reply), name, false, now, now + MaxWaitForReport});
     if (!m_flushTimer.isActive())
         m_flushTimer.start(BatchDelay);
 }
 
-/// Whether this member still holds the key, since orders wait here.
-auto DelegatedWorkers::maySend(const DelegatedOrder &order) const -> bool
+/// Checks again what was checked when the order was made, since orders wait here.
+auto DelegatedWorkers::maySend(const PendingOrder &pending) const -> bool
 {
     const auto now = BootClock::now();
-    const auto isStart = order.kind == static_cast<std::uint8_t>(DelegatedOrder::Kind::Start);
-    return isStart ? m_stewardship.mayOrder(now) : m_stewardship.mayRenewRuns(now);
+    const auto isStart =
+        pending.order.kind == static_cast<std::uint8_t>(DelegatedOrder::Kind::Start);
+    if (!isStart)
+        return m_stewardship.mayRenewRuns(now);
+    return m_stewardship.mayOrder(now) && now < pending.orderedAt + MaxStartAge;
 }
 
+/// Sends an order that hasn't been sent, or that may be sent twice.
 auto DelegatedWorkers::sendDirectly(const PendingOrder &pending) -> void
 {
-    if (maySend(pending.order)) {
+    if (maySend(pending)) {
         sendOrder(m_context.workers, pending.order, pending.reply);
-    } else {
+    } else if (isRepeatable(pending.order)) {
         pending.reply({OrderOutcome::Unanswered, 0}, std::nullopt);
+    } else {
+        pending.reply({OrderOutcome::NotSent, 0}, std::nullopt);
     }
 }
 
-auto DelegatedWorkers::giveUp(PendingOrder &&pending) -> void
+auto DelegatedWorkers::giveUp(const PendingOrder &pending) -> void
 {
-    const auto order = std::move(pending);
-    if (!order.isSent || isRepeatable(order.order)) {
-        sendDirectly(order);
+    if (!pending.isSent || isRepeatable(pending.order)) {
+        sendDirectly(pending);
     } else {
-        order.reply({OrderOutcome::Unanswered, 0}, std::nullopt);
+        pending.reply({OrderOutcome::Unanswered, 0}, std::nullopt);
     }
 }
 
+/// Removes the orders that match and returns them. Their replies may lead to new orders.
+template <typename Predicate>
+auto DelegatedWorkers::takeOrders(Predicate matches) -> std::vector<PendingOrder>
+{
+    auto orders = std::vector<PendingOrder>();
+    std::erase_if(m_pending, [&](auto &it) {
+        const auto isTaken = matches(it.second);
+        if (isTaken)
+            orders.push_back(std::move(it.second));
+        return isTaken;
+    });
+    return orders;
+}
+
 auto DelegatedWorkers::flush() -> void
 {
     const auto now = BootClock::now();
@@ -163,22 +191,32 @@
 {
     if (!channel.heldReport)
         return;
-    auto orders = std::vector<DelegatedOrder>();
-    for (const auto id : std::exchange(channel.orders, {})) {
-        const auto it = m_pending.find(id);
+    auto message = DelegateOrders();
+    auto bytes = std::size_t{0};
+    auto next = channel.orders.begin();
+    for (; next != channel.orders.end() && bytes < MaxBatchBytes; ++next) {
+        const auto it = m_pending.find(*next);
         if (it == m_pending.end())
             continue;
         auto &pending = it->second;
-        if (!maySend(pending.order))
+        if (!maySend(pending))
             continue; // answered as the order's time is over
         pending.isSent = true;
         pending.dueAt = now + OrderTimeout + milliseconds(pending.order.waitMilliseconds);
-        orders.push_back(pending.order);
+        bytes += encodedSize(pending.order);
+        message.orders.push_back(pending.order);
     }
+    channel.orders.erase(channel.orders.begin(), next);
+    if (!channel.orders.empty() && !m_flushTimer.isActive())
+        m_flushTimer.start(BatchDelay);
+    using std::chrono::duration_cast;
+    message.heldMilliseconds = duration_cast<milliseconds>(now - channel.reportedAt).count();
+    message.startsAllowedMilliseconds =
+        duration_cast<milliseconds>(m_stewardship.orderTimeLeft(now)).count();
     channel.answeredAt = now;
     auto responder = std::move(*channel.heldReport);
     channel.heldReport.reset();
-    responder.answer(encodeOrders(std::move(orders)));
+    responder.answer(encodeOrders(std::move(message)));
 }
 
 auto DelegatedWorkers::receiveReport(const HttpRequest &request, HttpResponder responder) -> void
@@ -195,30 +233,32 @@
     }
     const auto name = MemberName(report->delegate);
     auto &channel = m_channels[name];
-    channel.reportedAt = BootClock::now();
+    const auto now = BootClock::now();
     if (channel.heldReport)
-        flush(channel, channel.reportedAt);
+        flush(channel, now);
+    channel.reportedAt = now;
     responder.onClientDisconnected([self = QPointer(this), name] {
         if (self)
             self->lose(name, "disconnected");
     });
     channel.heldReport = std::move(responder);
-    decide(delegate_event::Reported{name, DataCentreName(report->dataCentre),
-                                    report->processorShare, report->load});
-    const auto hasOrders = !channel.orders.empty();
-    for (auto &it : report->replies)
-        receiveReply(std::move(it));
     if (report->isLeaving) {
-        lose(name, "leaving");
-    } else if (hasOrders && !m_flushTimer.isActive()) {
-        m_flushTimer.start(0);
+        leave(name);
+    } else {
+        decide(delegate_event::Reported{name, DataCentreName(report->dataCentre),
+                                        report->processorShare, report->load});
+        if (!channel.orders.empty() && !m_flushTimer.isActive())
+            m_flushTimer.start(0);
     }
+    // Last, as a reply may end the term.
+    for (auto &it : report->replies)
+        receiveReply(name, std::move(it));
 }
 
-auto DelegatedWorkers::receiveReply(DelegatedReply &&reply) -> void
+auto DelegatedWorkers::receiveReply(const MemberName &name, DelegatedReply &&reply) -> void
 {
     const auto it = m_pending.find(reply.id);
-    if (it == m_pending.end())
+    if (it == m_pending.end() || it->second.delegate != name)
         return; // given up, or of an earlier term
     const auto pending = std::move(it->second);
     m_pending.erase(it);
@@ -242,26 +282,34 @@
     if (node.empty())
         return;
     if (node.mapped().heldReport)
-        node.mapped().heldReport->answer(encodeOrders({}));
+        node.mapped().heldReport->answer(encodeOrders(DelegateOrders()));
     decide(delegate_event::Lost{name});
-    auto orders = std::vector<PendingOrder>();
-    std::erase_if(m_pending, [&](auto &it) {
-        const auto isLost = it.second.delegate == name;
-        if (isLost)
-            orders.push_back(std::move(it.second));
-        return isLost;
-    });
+    const auto orders = takeOrders([&name](const auto &it) { return it.delegate == name; });
     if (!orders.empty()) {
         m_context.log.info("event=delegate-lost delegate={} reason={} orders={}", name.value(),
                            reason, orders.size());
     }
-    for (auto &it : orders)
-        giveUp(std::move(it));
+    for (const auto &it : orders)
+        giveUp(it);
+}
+
+/// Gives the member no more orders; it still brings the replies to those that it has.
+auto DelegatedWorkers::leave(const MemberName &name) -> void
+{
+    decide(delegate_event::Lost{name});
+    const auto orders =
+        takeOrders([&name](const auto &it) { return it.delegate == name && !it.isSent; });
+    m_context.log.info("event=delegate-leaves delegate={} orders={}", name.value(), orders.size());
+    for (const auto &it : orders)
+        sendDirectly(it);
 }
 
 auto DelegatedWorkers::closeIdle(BootTime now) -> void
 {
     m_context.workers.closeIdle(now);
+    const auto last = std::exchange(m_checkedAt, now);
+    if (now >= last + MaxCheckInterval)
+        return; // what has arrived meanwhile isn't read yet
     auto silent = std::vector<MemberName>();
     for (auto &[name, channel] : m_channels) {
         const auto isUsed = m_table.isSpreading() && m_table.isSelected(name);
@@ -274,16 +322,14 @@
     }
     for (const auto &it : silent)
         lose(it, "silent");
-    auto late = std::vector<PendingOrder>();
-    std::erase_if(m_pending, [&](auto &it) {
-        const auto isLate = it.second.dueAt <= now;
-        if (isLate)
-            late.push_back(std::move(it.second));
-        return isLate;
-    });
-    for (auto &it : late) {
+    // A poll that has no answer is made anew by the steward, with a new lease.
+    for (const auto &it : takeOrders([now](const auto &entry) { return entry.dueAt <= now; })) {
         decide(delegate_event::WorkerUnanswered{WorkerName(it.order.worker)});
-        giveUp(std::move(it));
+        if (it.isSent) {
+            it.reply({OrderOutcome::Unanswered, 0}, std::nullopt);
+        } else {
+            sendDirectly(it);
+        }
     }
 }
 
@@ -296,6 +342,7 @@
 {
     m_flushTimer.stop();
     m_pending.clear();
+    m_lastId = QRandomGenerator::global()->generate64();
     m_table = DelegateTable();
     for (auto &[name, channel] : std::exchange(m_channels, {})) {
         if (channel.heldReport)
--- a/tests/unit/unit-delegate-table.cpp
+++ b/tests/unit/unit-delegate-table.cpp
@@ -48,7 +48,8 @@
     }
 
     /// Returns the number of workers that each member calls; the steward's own have an empty name.
-    auto workersByMember(const DataCentreName &dataCentre) const -> std::map<MemberName, int>
+    [[nodiscard]] auto workersByMember(const DataCentreName &dataCentre) const
+        -> std::map<MemberName, int>
     {
         auto counts = std::map<MemberName, int>();
         for (auto n = 0; n < Workers; ++n)
--- a/tests/unit/unit-delegated-calls.cpp
+++ b/tests/unit/unit-delegated-calls.cpp
@@ -278,6 +278,19 @@
     EXPECT_EQ(fleet.other().workers.starts, before);
 }
 
+// The answers to starts that a leaving member had sent were dropped, and its workers got no work
+// for a while, as if they hadn't answered.
+TEST(StewardShortOfProcessorTime, TakesTheRepliesOfADelegateThatLeaves)
+{
+    auto fleet = BusyFleet();
+    const auto before = fleet.other().workers.starts;
+    fleet.submit("job", 100);
+    EXPECT_TRUE(test::runUntil([&] { return fleet.other().workers.starts > before; }));
+    fleet.other().drain();
+    EXPECT_TRUE(fleet.isCompletedWithin("job", 4'000));
+    EXPECT_EQ(fleet.starts(), 100U);
+}
+
 // A delegate behind a partition reports that the worker can't be reached, which would count as a
 // crash of the worker.
 TEST(StewardShortOfProcessorTime, CallsWorkersThatADelegateCannotReach)
