Check the orders of delegates also while the steward is late each time

A steward that is late each time would never have checked, so that an order to a lost delegate stayed without an answer. Only every other check is left out now. Covered by no test of its own.

--- a/packages/member/include/shallotproxy/member/delegated_workers.hpp
+++ b/packages/member/include/shallotproxy/member/delegated_workers.hpp
@@ -65,7 +65,8 @@
     std::map<MemberName, Channel> m_channels;
     std::unordered_map<std::uint64_t, PendingOrder> m_pending;
     std::uint64_t m_lastId = 0;
-    BootTime m_checkedAt;
+    BootTime m_checkedAt; // when the orders and delegates were last checked, or should have been
+    bool m_isCheckSkipped = false;
     QTimer m_flushTimer;
 };
 
--- a/packages/member/src/delegated_workers.cpp
+++ b/packages/member/src/delegated_workers.cpp
@@ -308,8 +308,11 @@
 {
     m_context.workers.closeIdle(now);
     const auto last = std::exchange(m_checkedAt, now);
-    if (now >= last + MaxCheckInterval)
-        return; // what has arrived meanwhile isn't read yet
+    // What has arrived meanwhile isn't read yet. A steward that is late each time checks all the
+    // same, so that no order stays without an answer.
+    m_isCheckSkipped = now >= last + MaxCheckInterval && !m_isCheckSkipped;
+    if (m_isCheckSkipped)
+        return;
     auto silent = std::vector<MemberName>();
     for (auto &[name, channel] : m_channels) {
         const auto isUsed = m_table.isSpreading() && m_table.isSelected(name);
