--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -812,11 +812,16 @@
         throw std::runtime_error("no temporary folder");
     m_folder = folder;
     constexpr auto PortsPerMember = 5U;
-    auto port = 20'000U + static_cast<unsigned>(getpid()) % 20'000U;
+    constexpr auto FirstPort = 20'000U;
+    // Cases that run at the same time have addresses of their own.
+    const auto process = static_cast<unsigned>(getpid());
+    const auto network = "127." + std::to_string(1 + process / 250 % 250) + '.'
+        + std::to_string(1 + process % 250) + '.';
+    auto port = FirstPort;
     for (auto n = 1; n <= 3; ++n) {
         auto member = Member();
         member.name = "front-" + std::to_string(n);
-        member.host = "127.0.0." + std::to_string(10 + n);
+        member.host = network + std::to_string(10 + n);
         while (!arePortsFree(member.host, port, PortsPerMember))
             port += PortsPerMember;
         member.firstPort = port;
