Review case 9: a cancelled job runs whole if its submission is still being repeated

A client hands a job in at a member that is cut off from the store, leaves, and cancels the job at another member, which answers 410. Then the first member reaches the store again, its repeated write stores the job, and the steward runs it whole.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review-2/case-9
+[ -x "$program" ] || exit 2
+exec "$program" review/9
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -28,7 +28,6 @@
 constexpr Milliseconds StopTime{200};
 constexpr std::size_t EndsPerAnswer = 500;
 constexpr std::size_t ItemsPerPage = 500;
-constexpr Milliseconds CallTimeout{3'000};
 constexpr Milliseconds CaseTimeout{105'000};
 // An executor's clock starts here, so that a lease can't end before it.
 constexpr std::int64_t ClockOrigin = 100'000;
@@ -277,14 +276,15 @@
 }
 
 auto call(const std::string &address, const std::string &method, const std::string &path,
-          const std::vector<std::string> &headers, const std::string &body) -> Response
+          const std::vector<std::string> &headers, const std::string &body, Milliseconds timeout)
+    -> Response
 {
     const auto colon = address.find(':');
     const auto descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto to = socketAddress(address.substr(0, colon),
                                   static_cast<unsigned>(std::stoul(address.substr(colon + 1))));
-    const auto timeout = timeval{CallTimeout.count() / 1'000, 0};
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    const auto limit = timeval{timeout.count() / 1'000, timeout.count() % 1'000 * 1'000};
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     auto request = method + ' ' + path + " HTTP/1.1\r\nConnection: close\r\n";
     for (const auto &it : headers)
         request += it + "\r\n";
@@ -303,7 +303,6 @@
 
 Store::Store(Record &record)
     : m_record(record)
-    , m_server([this](const Request &request) { return handle(request); })
 {
     std::thread([this] {
         while (true) {
@@ -826,7 +825,9 @@
             port += PortsPerMember;
         member.firstPort = port;
         port += PortsPerMember;
-        m_members.push_back(member);
+        member.store = std::make_unique<Server>(
+            [this](const Request &request) { return m_store.handle(request); });
+        m_members.push_back(std::move(member));
     }
 }
 
@@ -887,10 +888,13 @@
     settings["listen"] = {{"front", at(2)}, {"ready", at(3)}, {"control", at(4)}};
     settings["port_range"] = {member.firstPort, member.firstPort + 1};
     settings["advice"] = m_machines.address();
-    settings["platform"] = {
-        {"address", m_store.address()}, {"form", "kv"},    {"writes_per_s", 400},
-        {"reads_per_s", 2'000},         {"history_s", 20}, {"value_bytes", 1'048'576},
-        {"ttl_min_ms", 1'000}};
+    settings["platform"] = {{"address", member.store->address()},
+                            {"form", "kv"},
+                            {"writes_per_s", 400},
+                            {"reads_per_s", 2'000},
+                            {"history_s", 20},
+                            {"value_bytes", 1'048'576},
+                            {"ttl_min_ms", 1'000}};
     settings["cloud"] = {{"address", m_machines.address()},
                          {"rate_per_s", 64.0},
                          {"duties", Json::array()},
@@ -941,39 +945,61 @@
 auto Deployment::client(const std::string &method, const std::string &path, const std::string &key,
                         const std::string &body) -> Response
 {
-    auto running = std::vector<const Member *>();
-    for (const auto &it : m_members) {
-        if (!it.isSignalled)
-            running.push_back(&it);
-    }
-    const auto &member = *running.at(m_calls++ % running.size());
+    auto number = std::size_t{0};
+    do {
+        number = m_calls++ % m_members.size();
+    } while (m_members[number].isSignalled);
+    return clientOf(number, method, path, key, body);
+}
+
+auto Deployment::clientOf(std::size_t number, const std::string &method, const std::string &path,
+                          const std::string &key, const std::string &body, Milliseconds patience)
+    -> Response
+{
+    const auto &member = m_members.at(number);
     const auto address = member.host + ':' + std::to_string(member.firstPort + 2);
     const auto sentAt = elapsed();
     auto response =
-        call(address, method, path, {"Host: jobs.example", "X-Credential: " + key}, body);
+        call(address, method, path, {"Host: jobs.example", "X-Credential: " + key}, body, patience);
     m_record.line("client: " + method + ' ' + path + ' ' + body + " sent at "
-                  + std::to_string(sentAt) + " to " + member.name + ", answer "
-                  + std::to_string(response.status) + ' ' + response.body);
+                  + std::to_string(sentAt) + " to " + member.name + ", "
+                  + (response.status == 0
+                         ? "no answer, the client leaves"
+                         : "answer " + std::to_string(response.status) + ' ' + response.body));
     return response;
 }
 
-auto Deployment::signalLeader(int signal) -> bool
+auto Deployment::leader() -> std::optional<std::size_t>
 {
     const auto values = m_store.leasedValues();
-    for (auto &member : m_members) {
-        const auto address = member.host + ':';
-        const auto isLeader =
-            !member.isSignalled && std::ranges::any_of(values, [&address](const std::string &it) {
-                return it.starts_with(address);
-            });
-        if (!isLeader)
-            continue;
-        m_record.line("trouble: signal " + std::to_string(signal) + " to " + member.name);
-        kill(member.process, signal);
-        member.isSignalled = true;
-        return true;
+    for (std::size_t n = 0; n < m_members.size(); ++n) {
+        const auto address = m_members[n].host + ':';
+        const auto isNamed = std::ranges::any_of(
+            values, [&address](const std::string &it) { return it.starts_with(address); });
+        if (isNamed && !m_members[n].isSignalled)
+            return n;
     }
-    return false;
+    return std::nullopt;
+}
+
+auto Deployment::setCutOffFromStore(std::size_t number, bool isCutOff) -> void
+{
+    auto &member = m_members.at(number);
+    m_record.line("trouble: " + member.name
+                  + (isCutOff ? " is cut off from the store" : " reaches the store again"));
+    member.store->setCutOff(isCutOff);
+}
+
+auto Deployment::signalLeader(int signal) -> bool
+{
+    const auto number = leader();
+    if (!number)
+        return false;
+    auto &member = m_members[*number];
+    m_record.line("trouble: signal " + std::to_string(signal) + " to " + member.name);
+    kill(member.process, signal);
+    member.isSignalled = true;
+    return true;
 }
 
 auto isCalm() -> bool
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -85,14 +85,15 @@
 
 /// Sends a request on a connection of its own. Returns status 0 if there is no complete answer.
 auto call(const std::string &address, const std::string &method, const std::string &path,
-          const std::vector<std::string> &headers, const std::string &body) -> Response;
+          const std::vector<std::string> &headers, const std::string &body,
+          Milliseconds timeout = Milliseconds(3'000)) -> Response;
 
 /// The platform's store of keys and values.
 class Store
 {
 public:
     explicit Store(Record &record);
-    [[nodiscard]] auto address() const -> std::string { return m_server.address(); }
+    auto handle(const Request &request) -> Response;
     /// Writes as the operator and the executors do.
     auto put(const std::string &key, const std::string &text) -> void;
     auto remove(const std::string &key) -> void;
@@ -113,7 +114,6 @@
         Clock::time_point endsAt;
     };
 
-    auto handle(const Request &request) -> Response;
     auto readKey(const std::string &key) -> Response;
     auto readRange(const Request &request) -> Response;
     auto watch(const Request &request) -> Response;
@@ -133,7 +133,6 @@
     std::vector<Json> m_history;
     std::uint64_t m_revision = 1;
     std::uint64_t m_lastLease = 0;
-    Server m_server;
 };
 
 /// What a task needs and what becomes of its runs.
@@ -223,6 +222,14 @@
     /// Sends a call of a client to a member that runs, and records it.
     auto client(const std::string &method, const std::string &path, const std::string &key,
                 const std::string &body = {}) -> Response;
+    /// Sends a call of a client to the member of this number; the client leaves after `patience`.
+    auto clientOf(std::size_t number, const std::string &method, const std::string &path,
+                  const std::string &key, const std::string &body = {},
+                  Milliseconds patience = Milliseconds(3'000)) -> Response;
+    /// Returns the number of the member whose address stands in the leased key.
+    [[nodiscard]] auto leader() -> std::optional<std::size_t>;
+    /// Cuts the member of this number off from the store.
+    auto setCutOffFromStore(std::size_t number, bool isCutOff) -> void;
     /// Ends the member whose address stands in the leased key by SIGKILL, or tells it to leave by
     /// SIGTERM. Returns whether there was one.
     auto signalLeader(int signal) -> bool;
@@ -238,6 +245,8 @@
         unsigned firstPort = 0;
         int process = -1;
         bool isSignalled = false;
+        /// Its way to the store.
+        std::unique_ptr<Server> store;
     };
 
     auto spawn(Member &member) -> void;
