Review case 7: a zone that is cut off instead of a kill and a cut worker

One disruption instead of two: the zone of the steward is cut off for 5 s, and the worker there runs on.

--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -264,7 +264,7 @@
         request.body = std::move(message->body);
         request.expectedInstance = message->fields["x-expected-instance"];
         const auto response = m_handler(request);
-        if (m_isCutOff)
+        if (m_isCutOff || response.isLost)
             continue;
         const auto head = "HTTP/1.1 " + std::to_string(response.status)
             + " X\r\nContent-Type: application/json\r\nContent-Length: "
@@ -531,10 +531,11 @@
             {"lease", item.lease}};
 }
 
-Executor::Executor(std::string id, std::string service, std::int64_t cpu, Store &store,
-                   Record &record, Planner planner)
+Executor::Executor(std::string id, std::string service, std::string zone, std::int64_t cpu,
+                   Store &store, Record &record, Planner planner)
     : m_id(std::move(id))
     , m_service(std::move(service))
+    , m_zone(std::move(zone))
     , m_cpu(cpu)
     , m_store(store)
     , m_record(record)
@@ -567,11 +568,12 @@
     }).detach();
 }
 
-auto Executor::setCutOff(bool isCutOff) -> void
+auto Executor::setZoneCutOff(bool isCutOff) -> void
 {
-    m_record.line("trouble: executor " + m_id + (isCutOff ? " is cut off" : " is back"));
+    const auto lock = std::scoped_lock(m_mutex);
+    m_record.line("trouble: the zone of " + m_id + (isCutOff ? " is cut off" : " is back"));
+    m_tokenInZone = m_token;
     m_isCutOff = isCutOff;
-    m_server.setCutOff(isCutOff);
 }
 
 auto Executor::runs() -> std::vector<Run>
@@ -585,7 +587,7 @@
 {
     return {{"service", m_service},
             {"address", m_server.address()},
-            {"zone", "zone-a"},
+            {"zone", m_zone},
             {"version", "v1"},
             {"slots", 8},
             {"state", "ready"},
@@ -603,7 +605,7 @@
     return {{"machine", "m-" + m_id},
             {"pool", m_service},
             {"state", "up"},
-            {"zone", "zone-a"},
+            {"zone", m_zone},
             {"labels", {"a", "r1"}},
             {"capacity", {{"cpu", m_cpu}, {"mem_mb", 131'072}, {"gpu", 0}}},
             {"id", m_id}};
@@ -636,6 +638,8 @@
     auto lock = std::unique_lock(m_mutex);
     advance();
     const auto token = body.value("fencing_token", std::uint64_t{0});
+    if (m_isCutOff && token != m_tokenInZone)
+        return {0, {}, true};
     if (token < m_token) {
         m_record.line(m_id + ": refused " + request.path() + " with token " + std::to_string(token)
                       + ", has seen " + std::to_string(m_token));
@@ -820,6 +824,7 @@
     for (auto n = 1; n <= 3; ++n) {
         auto member = Member();
         member.name = "front-" + std::to_string(n);
+        member.zone = "zone-" + std::to_string(n);
         member.host = network + std::to_string(10 + n);
         while (!arePortsFree(member.host, port, PortsPerMember))
             port += PortsPerMember;
@@ -844,10 +849,10 @@
 }
 
 auto Deployment::addExecutor(const std::string &id, const std::string &service, std::int64_t cpu,
-                             Planner planner) -> Executor &
+                             Planner planner, const std::string &zone) -> Executor &
 {
     auto executor =
-        std::make_unique<Executor>(id, service, cpu, m_store, m_record, std::move(planner));
+        std::make_unique<Executor>(id, service, zone, cpu, m_store, m_record, std::move(planner));
     const auto lock = std::scoped_lock(m_executorsMutex);
     return *m_executors.emplace_back(std::move(executor));
 }
@@ -864,8 +869,8 @@
         return member.host + ':' + std::to_string(member.firstPort + offset);
     };
     auto settings = Json::parse(R"({
-        "role": "member", "machine_class": "front", "serves": ["front"], "zone": "zone-a",
-        "region": "region", "zones": {"zone-a": "region"}, "seeds": [], "bootstrap": true,
+        "role": "member", "machine_class": "front", "serves": ["front"],
+        "region": "region", "zones": {"zone-1": "region", "zone-2": "region", "zone-3": "region"}, "seeds": [], "bootstrap": true,
         "loss_counts": false, "data_dir": null, "discovery": "platform", "entry": "vip",
         "heartbeat_ms": 1500, "orders": "call",
         "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100,
@@ -885,6 +890,7 @@
             "lease_ms": 3000, "thaw_ms": 300, "pace_ms": 100, "harm_ms": 4000}})");
     settings["node"] = member.name;
     settings["ip"] = member.host;
+    settings["zone"] = member.zone;
     settings["listen"] = {{"front", at(2)}, {"ready", at(3)}, {"control", at(4)}};
     settings["port_range"] = {member.firstPort, member.firstPort + 1};
     settings["advice"] = m_machines.address();
@@ -982,6 +988,11 @@
     return std::nullopt;
 }
 
+auto Deployment::zoneOf(std::size_t number) -> std::string
+{
+    return "zone-" + std::to_string(number + 1);
+}
+
 auto Deployment::setCutOffFromStore(std::size_t number, bool isCutOff) -> void
 {
     auto &member = m_members.at(number);
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -62,6 +62,8 @@
 {
     unsigned status = 200;
     std::string body = "{}";
+    /// The request didn't arrive.
+    bool isLost = false;
 };
 
 /// An HTTP server on a loopback address with a thread for each connection.
@@ -165,10 +167,11 @@
 class Executor
 {
 public:
-    Executor(std::string id, std::string service, std::int64_t cpu, Store &store, Record &record,
-             Planner planner);
-    /// Cuts the executor off from all machines; what runs there runs on.
-    auto setCutOff(bool isCutOff) -> void;
+    Executor(std::string id, std::string service, std::string zone, std::int64_t cpu, Store &store,
+             Record &record, Planner planner);
+    /// Cuts the zone of the executor off: only calls of the steward that has called it so far still
+    /// arrive, as that is in the same zone. What runs goes on.
+    auto setZoneCutOff(bool isCutOff) -> void;
     [[nodiscard]] auto id() const -> const std::string & { return m_id; }
     [[nodiscard]] auto runs() -> std::vector<Run>;
     [[nodiscard]] auto listing() const -> Json;
@@ -188,6 +191,7 @@
 
     std::string m_id;
     std::string m_service;
+    std::string m_zone;
     std::int64_t m_cpu = 0;
     Store &m_store;
     Record &m_record;
@@ -204,6 +208,8 @@
     std::uint64_t m_acknowledged = 0;
     Clock::time_point m_leaseEndsAt;
     std::atomic<bool> m_isCutOff = false;
+    /// The token of the steward in the zone that is cut off.
+    std::uint64_t m_tokenInZone = 0;
     std::uint64_t m_beats = 0;
     Server m_server;
 };
@@ -215,7 +221,7 @@
     explicit Deployment(Record &record);
 
     auto addExecutor(const std::string &id, const std::string &service, std::int64_t cpu,
-                     Planner planner) -> Executor &;
+                     Planner planner, const std::string &zone = "zone-1") -> Executor &;
     auto configure(const Json &configuration) -> void;
     /// Starts the members and waits until they are ready.
     auto start() -> bool;
@@ -228,6 +234,8 @@
                   Milliseconds patience = Milliseconds(3'000)) -> Response;
     /// Returns the number of the member whose address stands in the leased key.
     [[nodiscard]] auto leader() -> std::optional<std::size_t>;
+    /// Returns the zone of the member of this number.
+    [[nodiscard]] static auto zoneOf(std::size_t number) -> std::string;
     /// Cuts the member of this number off from the store.
     auto setCutOffFromStore(std::size_t number, bool isCutOff) -> void;
     /// Ends the member whose address stands in the leased key by SIGKILL, or tells it to leave by
@@ -241,6 +249,7 @@
     struct Member
     {
         std::string name;
+        std::string zone;
         std::string host;
         unsigned firstPort = 0;
         int process = -1;
