Review case 7: after one crash, hundreds of jobs wait in front of an empty fleet

900 jobs with one small task each start at the same time on one worker, which crashes at that moment. The steward takes all of the tasks for suspects and tests them one at a time on each worker: 27 starts a second with 10 of 512 cores in use. The cases are renumbered, the gravest first: TWICE 6, LOST 7, UNASKED 8, QUOTA 9, BUDGET 10.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -4,89 +4,78 @@
 
 using namespace stand;
 
-constexpr std::size_t Attempts = 3;
-constexpr auto JobPath = "/queue/00000000000000c1";
+constexpr auto StepCount = 8;
+constexpr Milliseconds StepTime{1'000};
+constexpr Milliseconds CancelTime{3'000}; // `cancel_ms`
+constexpr Milliseconds ContactTime{3'000}; // `contact_ms`
+constexpr auto JobPath = "/queue/00000000000000d1";
 constexpr auto Key = "key-of-tenant";
-constexpr auto Task = "00000000000000c1.0.0.0";
 
-auto configuration(int version, bool hasQueue) -> Json
+auto configuration() -> Json
 {
-    auto value = Json::parse(R"({
-        "routes": [{"name": "r-other", "host": "jobs.example", "prefix": "/other/",
+    return Json::parse(R"({"version": 1,
+        "routes": [{"name": "r-queue", "host": "jobs.example", "prefix": "/queue/",
                     "route_type": "non_idempotent", "timeout_ms": 3000, "slo_ms": 600,
-                    "priority": 0, "service": "pool", "attempts": 3, "stretch": 1.6,
+                    "priority": 0, "service": "pool", "attempts": 2, "stretch": 1.6,
                     "public": false}],
         "services": [{"name": "pool", "admission_check": true}],
         "tenants": [{"name": "tenant", "api_keys": ["key-of-tenant"], "weight": 1,
                      "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}],
         "limits": []})");
-    value["version"] = version;
-    if (hasQueue) {
-        auto route = value["routes"][0];
-        route["name"] = "r-queue";
-        route["prefix"] = "/queue/";
-        route["attempts"] = Attempts;
-        value["routes"].push_back(route);
-    }
-    return value;
 }
 
-/// Returns the number of starts after `Attempts` runs had ended `failed`, if these ends were taken
-/// note of.
-auto countBeyondBudget(Record &record, const std::vector<Run> &runs) -> std::size_t
+/// A job whose steps run one after the other.
+auto job() -> Json
 {
-    auto failures = std::vector<Clock::time_point>();
-    for (const auto &it : runs) {
-        if (it.how == "failed" && it.endedAt && it.notedAt)
-            failures.push_back(*it.endedAt);
+    auto steps = Json::array();
+    for (auto n = 0; n < StepCount; ++n) {
+        steps.push_back(
+            {{"count", 1}, {"cpu", 1'000}, {"mem_mb", 64}, {"estimated_ms", StepTime.count()}});
+        if (n > 0)
+            steps.back()["after"] = Json::array({n - 1});
     }
-    std::ranges::sort(failures);
-    if (failures.size() < Attempts)
-        return 0;
-    auto count = std::size_t{0};
-    for (const auto &it : runs) {
-        if (it.startedAt <= failures[Attempts - 1])
-            continue;
-        ++count;
-        record.line("broken: run " + std::to_string(it.number) + " of " + it.task
-                    + " started after " + std::to_string(Attempts) + " runs had failed");
-    }
-    return count;
+    return {{"spec", "text"}, {"steps", steps}};
 }
 
 auto scenario(Record &record, Deployment &deployment) -> std::optional<bool>
 {
-    deployment.configure(configuration(1, true));
-    auto executors = std::vector<Executor *>();
-    for (auto n = 1; n <= 2; ++n) {
-        executors.push_back(&deployment.addExecutor(
-            "i-00000000000" + std::to_string(n), "pool", 64'000, [](const auto &) {
-                return TaskPlan{1'000, Milliseconds(700), "failed"};
-            }));
-    }
-    const auto runs = [&executors] {
-        auto all = std::vector<Run>();
-        for (auto *executor : executors) {
-            const auto some = executor->runs();
-            all.insert(all.end(), some.begin(), some.end());
-        }
-        return all;
-    };
+    deployment.configure(configuration());
+    auto &executor = deployment.addExecutor("i-000000000001", "pool", 64'000, [](const auto &) {
+        return TaskPlan{1'000, StepTime, "done"};
+    });
     if (!deployment.start())
         return std::nullopt;
     sleepFor(Milliseconds(4'000));
-    const auto step = Json{{"count", 1}, {"cpu", 1'000}, {"mem_mb", 64}, {"estimated_ms", 700}};
-    const auto job = Json{{"spec", "text"}, {"steps", Json::array({step})}};
-    if (deployment.client("POST", JobPath, Key, job.dump()).status / 100 != 2)
+    const auto leader = deployment.leader();
+    if (!leader)
         return std::nullopt;
-    if (!waitFor(Milliseconds(3'000), [&] { return !runs().empty(); }))
+    const auto taker = (*leader + 1) % 3;
+    const auto other = (*leader + 2) % 3;
+    if (!isCalm())
+        deployment.setCutOffFromStore(taker, true);
+    // The client leaves after a tenth of its deadline and cancels what it has sent.
+    deployment.clientOf(taker, "POST", JobPath, Key, job().dump(), Milliseconds(300));
+    const auto cancelled = deployment.clientOf(other, "DELETE", JobPath, Key);
+    if (cancelled.status / 100 != 2 && cancelled.status != 410)
         return std::nullopt;
+    const auto cancelledAt = Clock::now();
+    sleepFor(Milliseconds(500));
     if (!isCalm())
-        deployment.configure(configuration(2, false));
-    sleepFor(Milliseconds(20'000));
-    deployment.client("GET", JobPath, Key);
-    record.line("starts of " + std::string(Task) + ": " + std::to_string(runs().size()));
-    return countBeyondBudget(record, runs()) == 0;
+        deployment.setCutOffFromStore(taker, false);
+    const auto healedAt = Clock::now();
+    sleepFor(Milliseconds(StepCount * StepTime + Milliseconds(4'000)));
+    deployment.clientOf(other, "GET", JobPath, Key);
+    auto count = 0;
+    for (const auto &it : executor.runs()) {
+        if (it.startedAt <= cancelledAt + CancelTime || it.startedAt <= healedAt + ContactTime)
+            continue;
+        ++count;
+        const auto after =
+            std::chrono::duration_cast<Milliseconds>(it.startedAt - cancelledAt).count();
+        record.line("broken: " + it.task + " started " + std::to_string(after)
+                    + " ms after the cancelling was acknowledged");
+    }
+    return count == 0;
 }
 
 } // namespace
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -4,16 +4,16 @@
 
 using namespace stand;
 
-constexpr auto StepCount = 8;
-constexpr Milliseconds StepTime{1'000};
-constexpr Milliseconds CancelTime{3'000}; // `cancel_ms`
-constexpr Milliseconds ContactTime{3'000}; // `contact_ms`
-constexpr auto JobPath = "/queue/00000000000000d1";
+constexpr std::int64_t TaskCores = 1'000;
+constexpr std::int64_t Cap = 8'000;
+// The limit of the rule: `cap` x (1 + `quota_overage`) and one task more.
+constexpr std::int64_t AllowedCores = Cap + Cap / 10 + TaskCores;
+constexpr Milliseconds CutTime{5'000};
 constexpr auto Key = "key-of-tenant";
 
 auto configuration() -> Json
 {
-    return Json::parse(R"({"version": 1,
+    auto value = Json::parse(R"({"version": 1,
         "routes": [{"name": "r-queue", "host": "jobs.example", "prefix": "/queue/",
                     "route_type": "non_idempotent", "timeout_ms": 3000, "slo_ms": 600,
                     "priority": 0, "service": "pool", "attempts": 2, "stretch": 1.6,
@@ -22,60 +22,91 @@
         "tenants": [{"name": "tenant", "api_keys": ["key-of-tenant"], "weight": 1,
                      "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}],
         "limits": []})");
+    value["tenants"][0]["cap"]["cpu"] = Cap;
+    return value;
 }
 
-/// A job whose steps run one after the other.
-auto job() -> Json
+auto submit(Deployment &deployment, unsigned number, int tasks, std::size_t member = 0) -> bool
 {
-    auto steps = Json::array();
-    for (auto n = 0; n < StepCount; ++n) {
-        steps.push_back(
-            {{"count", 1}, {"cpu", 1'000}, {"mem_mb", 64}, {"estimated_ms", StepTime.count()}});
-        if (n > 0)
-            steps.back()["after"] = Json::array({n - 1});
+    const auto step =
+        Json{{"count", tasks}, {"cpu", TaskCores}, {"mem_mb", 64}, {"estimated_ms", 20'000}};
+    const auto job = Json{{"spec", "text"}, {"steps", Json::array({step})}};
+    const auto path = "/queue/00000000000000" + std::to_string(10 + number);
+    return deployment.clientOf(member, "POST", path, Key, job.dump()).status / 100 == 2;
+}
+
+/// Returns whether some start brought what the tenant has running above the limit.
+auto isCapExceeded(Record &record, const std::vector<Run> &runs) -> bool
+{
+    auto isExceeded = false;
+    for (const auto &start : runs) {
+        auto running = std::int64_t{0};
+        for (const auto &it : runs) {
+            const auto isRunning =
+                it.startedAt <= start.startedAt && (!it.endedAt || *it.endedAt > start.startedAt);
+            running += isRunning ? it.cpu : 0;
+        }
+        if (running <= AllowedCores)
+            continue;
+        isExceeded = true;
+        record.line("broken: the start of " + start.task + " run " + std::to_string(start.number)
+                    + " brings the tenant to " + std::to_string(running) + ", allowed are "
+                    + std::to_string(AllowedCores));
     }
-    return {{"spec", "text"}, {"steps", steps}};
+    return isExceeded;
 }
 
 auto scenario(Record &record, Deployment &deployment) -> std::optional<bool>
 {
     deployment.configure(configuration());
-    auto &executor = deployment.addExecutor("i-000000000001", "pool", 64'000, [](const auto &) {
-        return TaskPlan{1'000, StepTime, "done"};
-    });
+    const auto planner = [](const auto &) {
+        return TaskPlan{TaskCores, Milliseconds(20'000), "done"};
+    };
     if (!deployment.start())
         return std::nullopt;
-    sleepFor(Milliseconds(4'000));
-    const auto leader = deployment.leader();
-    if (!leader)
+    if (!waitFor(Milliseconds(5'000), [&] { return deployment.leader().has_value(); }))
         return std::nullopt;
-    const auto taker = (*leader + 1) % 3;
-    const auto other = (*leader + 2) % 3;
-    if (!isCalm())
-        deployment.setCutOffFromStore(taker, true);
-    // The client leaves after a tenth of its deadline and cancels what it has sent.
-    deployment.clientOf(taker, "POST", JobPath, Key, job().dump(), Milliseconds(300));
-    const auto cancelled = deployment.clientOf(other, "DELETE", JobPath, Key);
-    if (cancelled.status / 100 != 2 && cancelled.status != 410)
+    const auto leader = *deployment.leader();
+    // The first worker is in the steward's zone, and gets the tenant's first tasks.
+    auto executors = std::vector<Executor *>();
+    for (std::size_t n = 0; n < 4; ++n) {
+        const auto zone = Deployment::zoneOf((leader + n) % 3);
+        executors.push_back(
+            &deployment.addExecutor("i-00000000000" + std::to_string(n), "pool", 64'000, planner,
+                                    n == 3 ? Deployment::zoneOf((leader + 1) % 3) : zone));
+        sleepFor(Milliseconds(300));
+    }
+    const auto allRuns = [&executors] {
+        auto runs = std::vector<Run>();
+        for (auto *executor : executors) {
+            const auto some = executor->runs();
+            runs.insert(runs.end(), some.begin(), some.end());
+        }
+        return runs;
+    };
+    sleepFor(Milliseconds(3'000));
+    if (!submit(deployment, 0, 8))
         return std::nullopt;
-    const auto cancelledAt = Clock::now();
-    sleepFor(Milliseconds(500));
-    if (!isCalm())
-        deployment.setCutOffFromStore(taker, false);
-    const auto healedAt = Clock::now();
-    sleepFor(Milliseconds(StepCount * StepTime + Milliseconds(4'000)));
-    deployment.clientOf(other, "GET", JobPath, Key);
-    auto count = 0;
-    for (const auto &it : executor.runs()) {
-        if (it.startedAt <= cancelledAt + CancelTime || it.startedAt <= healedAt + ContactTime)
-            continue;
-        ++count;
-        const auto after =
-            std::chrono::duration_cast<Milliseconds>(it.startedAt - cancelledAt).count();
-        record.line("broken: " + it.task + " started " + std::to_string(after)
-                    + " ms after the cancelling was acknowledged");
+    const auto areTasksInZone = [&] { return executors.front()->runs().size() == 8; };
+    if (!waitFor(Milliseconds(3'000), areTasksInZone) || deployment.leader() != leader)
+        return std::nullopt;
+    sleepFor(Milliseconds(1'000));
+    const auto setZoneCutOff = [&](bool isCutOff) {
+        if (isCalm())
+            return;
+        deployment.setCutOffFromStore(leader, isCutOff);
+        executors.front()->setZoneCutOff(isCutOff);
+    };
+    setZoneCutOff(true);
+    // The tenant goes on handing in small jobs, at the machines of the other zones.
+    const auto cutAt = Clock::now();
+    for (auto n = 1U; Clock::now() < cutAt + CutTime; ++n) {
+        submit(deployment, n, 2, (leader + 1 + n % 2) % 3);
+        sleepFor(Milliseconds(250));
     }
-    return count == 0;
+    setZoneCutOff(false);
+    sleepFor(Milliseconds(3'000));
+    return !isCapExceeded(record, allRuns());
 }
 
 } // namespace
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -256,6 +256,8 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     auto buffer = std::string();
     while (auto message = receive(descriptor, buffer)) {
+        if (m_isDown)
+            break;
         if (m_isCutOff)
             continue;
         auto request = Request();
@@ -264,6 +266,8 @@
         request.body = std::move(message->body);
         request.expectedInstance = message->fields["x-expected-instance"];
         const auto response = m_handler(request);
+        if (m_isDown)
+            break;
         if (m_isCutOff || response.isLost)
             continue;
         const auto head = "HTTP/1.1 " + std::to_string(response.status)
@@ -540,17 +544,13 @@
     , m_store(store)
     , m_record(record)
     , m_planner(std::move(planner))
-    , m_bornAt(Clock::now())
-    , m_born(std::chrono::duration_cast<Milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count())
-    , m_leaseEndsAt(m_bornAt)
     , m_server([this](const Request &request) { return handle(request); })
 {
+    begin();
     std::thread([this] {
         auto missed = 0;
         while (true) {
-            missed = m_isCutOff ? missed + 1 : 0;
+            missed = m_isCutOff || m_isDown ? missed + 1 : 0;
             if (missed == 0) {
                 beat();
             } else if (missed == BeatsUntilRemoved) {
@@ -568,6 +568,48 @@
     }).detach();
 }
 
+/// Begins a life that knows nothing of before.
+auto Executor::begin() -> void
+{
+    m_bornAt = Clock::now();
+    m_born = std::chrono::duration_cast<Milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count();
+    m_closedRuns.clear();
+    m_token = 0;
+    m_lastSequence = 0;
+    m_acknowledged = 0;
+    m_leaseEndsAt = m_bornAt;
+    m_beats = 0;
+}
+
+auto Executor::crash(Milliseconds downTime) -> void
+{
+    {
+        const auto lock = std::scoped_lock(m_mutex);
+        advance();
+        m_isDown = true;
+        m_server.setDown(true);
+        m_record.line("trouble: " + m_id + " crashes");
+        for (auto &it : m_runs) {
+            if (!it.endedAt) {
+                it.endedAt = Clock::now();
+                it.how = "lost";
+            }
+            it.isOfEarlierLife = true;
+        }
+    }
+    sleepFor(downTime);
+    {
+        const auto lock = std::scoped_lock(m_mutex);
+        begin();
+        m_isDown = false;
+        m_server.setDown(false);
+        m_record.line("trouble: " + m_id + " is back");
+    }
+    beat();
+}
+
 auto Executor::setZoneCutOff(bool isCutOff) -> void
 {
     const auto lock = std::scoped_lock(m_mutex);
@@ -604,7 +646,7 @@
 {
     return {{"machine", "m-" + m_id},
             {"pool", m_service},
-            {"state", "up"},
+            {"state", m_isDown ? "down" : "up"},
             {"zone", m_zone},
             {"labels", {"a", "r1"}},
             {"capacity", {{"cpu", m_cpu}, {"mem_mb", 131'072}, {"gpu", 0}}},
@@ -722,8 +764,8 @@
         m_acknowledged = acknowledged;
         m_record.line(m_id + ": ends up to " + std::to_string(acknowledged) + " are taken note of");
         for (auto &it : m_runs) {
-            const auto isNoted =
-                it.endedAt && it.sequence <= acknowledged && !it.notedAt && it.mayBeNoted;
+            const auto isNoted = !it.isOfEarlierLife && it.endedAt && it.sequence <= acknowledged
+                && !it.notedAt && it.mayBeNoted;
             if (isNoted)
                 it.notedAt = Clock::now();
         }
@@ -731,7 +773,7 @@
     const auto listed = [this] {
         auto rows = std::vector<Run>();
         std::ranges::copy_if(m_runs, std::back_inserter(rows), [this](const Run &it) {
-            return it.endedAt && it.sequence > m_acknowledged;
+            return !it.isOfEarlierLife && it.endedAt && it.sequence > m_acknowledged;
         });
         std::ranges::sort(rows, {}, &Run::sequence);
         return rows;
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -76,12 +76,15 @@
     [[nodiscard]] auto address() const -> std::string;
     /// A server that is cut off receives no requests and answers none.
     auto setCutOff(bool isCutOff) -> void { m_isCutOff = isCutOff; }
+    /// A server that is down closes all connections.
+    auto setDown(bool isDown) -> void { m_isDown = isDown; }
 
 private:
     auto serve(int descriptor) -> void;
 
     Handler m_handler;
     std::atomic<bool> m_isCutOff = false;
+    std::atomic<bool> m_isDown = false;
     unsigned m_port = 0;
 };
 
@@ -155,6 +158,7 @@
     Clock::time_point startedAt;
     Clock::time_point dueAt;
     std::string how; // the planned end, then the real one
+    bool isOfEarlierLife = false;
     std::optional<Clock::time_point> stopsAt;
     std::optional<Clock::time_point> endedAt;
     std::uint64_t sequence = 0;
@@ -172,11 +176,14 @@
     /// Cuts the zone of the executor off: only calls of the steward that has called it so far still
     /// arrive, as that is in the same zone. What runs goes on.
     auto setZoneCutOff(bool isCutOff) -> void;
+    /// Crashes, and starts again under its id after `downTime`. Nothing of before is left.
+    auto crash(Milliseconds downTime) -> void;
     [[nodiscard]] auto id() const -> const std::string & { return m_id; }
     [[nodiscard]] auto runs() -> std::vector<Run>;
     [[nodiscard]] auto listing() const -> Json;
 
 private:
+    auto begin() -> void;
     auto handle(const Request &request) -> Response;
     auto start(const Json &body) -> Response;
     auto stop(const Json &body) -> Response;
@@ -208,6 +215,7 @@
     std::uint64_t m_acknowledged = 0;
     Clock::time_point m_leaseEndsAt;
     std::atomic<bool> m_isCutOff = false;
+    std::atomic<bool> m_isDown = false;
     /// The token of the steward in the zone that is cut off.
     std::uint64_t m_tokenInZone = 0;
     std::uint64_t m_beats = 0;
