Put resources and run-time forecasts in a library of their own

Cause: order, admission and pool sizes are to use expected run times, which only the job library could name, as the submitter's estimate. Change: packages/demand holds Resources and RunTimeForecast; the steward asks forecastRun() everywhere, which returns the estimate for now. No decision changes.

--- /dev/null
+++ b/packages/demand/include/shallotproxy/demand.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+// Public header of the demand library: how much work is coming, how long it takes, and how much of
+// it can be done in time. Shared by the jobs of the platform and the tasks of the product's
+// interface.
+
+#include "demand/resources.hpp"
+#include "demand/run_time_forecast.hpp"
--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <concepts>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -7,35 +9,13 @@
 
 #include <msgpack.hpp>
 
+#include "shallotproxy/demand.hpp"
+#include "shallotproxy/process/base/boot_clock.hpp"
 #include "shallotproxy/process/base/error.hpp"
 #include "shallotproxy/process/base/names.hpp"
 
 namespace shallotproxy {
 
-/// Resources that a task needs on its worker, or that a worker offers.
-struct Resources
-{
-    std::int64_t milliCores = 0;
-    std::int64_t memoryMegabytes = 0;
-    std::int64_t accelerators = 0;
-
-    /// Whether `other` fits into these resources.
-    [[nodiscard]] auto covers(const Resources &other) const -> bool
-    {
-        return other.milliCores <= milliCores && other.memoryMegabytes <= memoryMegabytes
-            && other.accelerators <= accelerators;
-    }
-    auto operator+=(const Resources &other) -> Resources &;
-    auto operator-=(const Resources &other) -> Resources &;
-    auto operator==(const Resources &) const -> bool = default;
-
-    MSGPACK_DEFINE(milliCores, memoryMegabytes, accelerators)
-};
-
-auto operator+(Resources left, const Resources &right) -> Resources;
-auto operator-(Resources left, const Resources &right) -> Resources;
-auto operator*(const Resources &resources, std::int64_t count) -> Resources;
-
 /// One step of a job: a number of identical tasks.
 struct StepSpec
 {
@@ -100,8 +80,22 @@
     std::int64_t submittedMilliseconds = 0;
 
     [[nodiscard]] auto isScheduled() const -> bool { return firstDueMilliseconds > 0; }
-    /// Returns the estimated duration of the longest chain of dependent steps.
-    [[nodiscard]] auto criticalPathMilliseconds() const -> std::int64_t;
+    /// Returns the duration of the longest chain of dependent steps. `durationOf` returns the
+    /// duration of a step, given by its index.
+    template <std::invocable<std::size_t> DurationOf>
+    [[nodiscard]] auto criticalPath(DurationOf durationOf) const -> Duration
+    {
+        auto ends = std::vector<Duration>();
+        auto longest = Duration();
+        for (std::size_t n = 0; n < steps.size(); ++n) {
+            auto begin = Duration();
+            for (const auto earlier : steps[n].after)
+                begin = std::max(begin, ends.at(earlier));
+            ends.push_back(begin + durationOf(n));
+            longest = std::max(longest, ends.back());
+        }
+        return longest;
+    }
 
     MSGPACK_DEFINE(id, queue, pool, team, payload, steps, occurrences, firstDueMilliseconds,
                    intervalMilliseconds, submittedMilliseconds)
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -255,6 +255,9 @@
                                      std::uint32_t step) const -> bool;
 
     // Jobs: steward_jobs.cpp
+    [[nodiscard]] auto forecastRun(const Job &job, const StepSpec &step) const -> RunTimeForecast;
+    [[nodiscard]] auto remainingWork(const Job &job, const Occurrence *occurrence) const
+        -> Duration;
     auto countAcceptedWork(const Job &job) -> void;
     auto openOccurrence(Job &job, std::uint32_t number) -> Occurrence &;
     auto restore(Job &job, const JobProgress &progress) -> void;
--- a/packages/job/src/job_spec.cpp
+++ b/packages/job/src/job_spec.cpp
@@ -26,38 +26,6 @@
 
 } // namespace
 
-auto Resources::operator+=(const Resources &other) -> Resources &
-{
-    milliCores += other.milliCores;
-    memoryMegabytes += other.memoryMegabytes;
-    accelerators += other.accelerators;
-    return *this;
-}
-
-auto Resources::operator-=(const Resources &other) -> Resources &
-{
-    milliCores -= other.milliCores;
-    memoryMegabytes -= other.memoryMegabytes;
-    accelerators -= other.accelerators;
-    return *this;
-}
-
-auto operator+(Resources left, const Resources &right) -> Resources
-{
-    return left += right;
-}
-
-auto operator-(Resources left, const Resources &right) -> Resources
-{
-    return left -= right;
-}
-
-auto operator*(const Resources &resources, std::int64_t count) -> Resources
-{
-    return {resources.milliCores * count, resources.memoryMegabytes * count,
-            resources.accelerators * count};
-}
-
 auto StepSpec::reservedResources() const -> Resources
 {
     auto reserved = resources;
@@ -66,18 +34,6 @@
     return reserved;
 }
 
-auto JobSpec::criticalPathMilliseconds() const -> std::int64_t
-{
-    auto ends = std::vector<std::int64_t>();
-    for (const auto &step : steps) {
-        auto begin = std::int64_t{0};
-        for (const auto earlier : step.after)
-            begin = std::max(begin, ends.at(earlier));
-        ends.push_back(begin + step.estimatedMilliseconds);
-    }
-    return ends.empty() ? 0 : *std::ranges::max_element(ends);
-}
-
 auto JobError::name() const -> std::string_view
 {
     switch (kind) {
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -8,8 +8,8 @@
 
 using std::chrono::milliseconds;
 
-// Bounds a task's estimate in the forecast of demand; longer tasks show in the load of their pool.
-constexpr std::int64_t MaxForecastMilliseconds = 10'000;
+// Bounds a task's run time in the forecast of demand; longer tasks show in the load of their pool.
+constexpr milliseconds MaxForecastTime{10'000};
 // Bounds the computed age of a job, so that a wrong wall clock can't make a job older than this.
 constexpr std::int64_t MaxJobAgeMilliseconds = 3'600'000;
 
@@ -50,6 +50,23 @@
                                [&resources](const Resources &it) { return it.covers(resources); });
 }
 
+/// Returns how long the runs of a step are expected to take.
+auto Steward::forecastRun(const Job & /*job*/, const StepSpec &step) const -> RunTimeForecast
+{
+    const auto stated = Duration(milliseconds(step.estimatedMilliseconds));
+    return {stated, stated};
+}
+
+/// Returns the critical path of the steps that aren't done; no occurrence stands for a job that has
+/// none open.
+auto Steward::remainingWork(const Job &job, const Occurrence *occurrence) const -> Duration
+{
+    return job.spec.criticalPath([this, &job, occurrence](std::size_t step) {
+        const auto isDone = occurrence != nullptr && occurrence->remainingTasks[step] == 0;
+        return isDone ? Duration() : forecastRun(job, job.spec.steps[step]).expected;
+    });
+}
+
 auto Steward::countAcceptedWork(const Job &job) -> void
 {
     const auto isForecast = [this](const StepSpec &it) {
@@ -62,9 +79,10 @@
     for (const auto &step : job.spec.steps) {
         if (!isForecast(step))
             continue;
-        const auto estimate =
-            std::clamp(step.estimatedMilliseconds, std::int64_t{0}, MaxForecastMilliseconds);
-        const auto time = estimate * step.taskCount;
+        const auto runTime =
+            std::clamp(forecastRun(job, step).expected, Duration(), Duration(MaxForecastTime));
+        const auto time =
+            std::chrono::duration_cast<milliseconds>(runTime).count() * step.taskCount;
         const auto task = step.reservedResources();
         accepted.work += task * time;
     }
@@ -122,7 +140,7 @@
     auto &job = *owned;
     job.spec = event.spec;
     job.mayRunAlready = event.mayRunAlready && m_isRecovering;
-    job.remainingWork = milliseconds(job.spec.criticalPathMilliseconds());
+    job.remainingWork = remainingWork(job, nullptr);
     // The clock of the member that accepted the job may differ from this one: the age of a job that
     // arrives now is known without them.
     const auto isNew = !event.mayRunAlready || m_wallMilliseconds == 0;
@@ -212,13 +230,7 @@
     auto &occurrence = job.occurrences.at(task.occurrence);
     if (--occurrence.remainingTasks[task.step] > 0)
         return;
-    // The remaining work is the critical path of the steps that aren't done.
-    auto remaining = job.spec;
-    for (std::size_t n = 0; n < remaining.steps.size(); ++n) {
-        if (occurrence.remainingTasks[n] == 0)
-            remaining.steps[n].estimatedMilliseconds = 0;
-    }
-    job.remainingWork = milliseconds(remaining.criticalPathMilliseconds());
+    job.remainingWork = remainingWork(job, &occurrence);
     updateBacklog(job);
     markDirty(poolOf(job));
     if (--occurrence.remainingSteps > 0)
--- a/tests/unit/unit-platform-wire.cpp
+++ b/tests/unit/unit-platform-wire.cpp
@@ -167,7 +167,10 @@
     EXPECT_EQ(job->steps[1].maxUnavailable, 1U);
     EXPECT_EQ(job->occurrences, 3U);
     EXPECT_TRUE(job->isScheduled());
-    EXPECT_EQ(job->criticalPathMilliseconds(), 900);
+    EXPECT_EQ(job->criticalPath([&job](std::size_t step) {
+        return Duration(std::chrono::milliseconds(job->steps[step].estimatedMilliseconds));
+    }),
+              std::chrono::milliseconds(900));
 }
 
 TEST(PlatformWire, RejectsMalformedJobs)
