--- /dev/null
+++ b/packages/demand/src/run_times.cpp
@@ -0,0 +1,202 @@
+#include <algorithm>
+#include <cmath>
+
+#include "shallotproxy/demand/run_times.hpp"
+#include "shallotproxy/process/base/record_codec.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+// Newer runs outweigh older ones: a queue's runs count as at most this many.
+constexpr double MaxWeight = 100;
+constexpr double MaxTeamWeight = 30;
+// The stated time counts as this many runs that took exactly as long, with this variance of the
+// logarithms. Few runs prove little about the others.
+constexpr double PriorWeight = 4;
+constexpr double PriorVariance = 0.25;
+// Tasks of a step are alike: the prior for their variance, and the least that is assumed.
+constexpr double PriorStepVariance = 0.04;
+constexpr double MinVariance = 0.0025;
+// An offset of a team is believed by half after this many steps of it.
+constexpr double TeamPriorWeight = 4;
+// A prediction differs from the stated time by no more than this factor.
+constexpr double MaxRatio = 16;
+// One run in ten of a normal distribution lies above its mean by this many standard deviations.
+constexpr double UpperDeviations = 1.2816;
+constexpr std::size_t MaxQueues = 10'000;
+
+using Seconds = std::chrono::duration<double>;
+
+auto logOf(Duration time) -> double
+{
+    constexpr auto Shortest = Duration(std::chrono::milliseconds(1));
+    return std::log(Seconds(std::max(time, Shortest)).count());
+}
+
+auto durationOf(double logSeconds) -> Duration
+{
+    constexpr double MaxSeconds = 1e8; // about three years
+    return std::chrono::duration_cast<Duration>(
+        Seconds(std::min(std::exp(logSeconds), MaxSeconds)));
+}
+
+auto statedLog(const RunShape &shape) -> std::optional<double>
+{
+    return shape.stated > Duration() ? std::optional(logOf(shape.stated)) : std::nullopt;
+}
+
+auto areFinite(std::initializer_list<double> values) -> bool
+{
+    return std::ranges::all_of(values, [](double it) { return std::isfinite(it); });
+}
+
+} // namespace
+
+auto StepWitness::add(Duration actual) -> void
+{
+    ++m_count;
+    m_sum += logOf(actual);
+}
+
+auto RunTimes::Line::add(double x, double y) -> void
+{
+    weight = std::min(weight + 1, MaxWeight);
+    const auto part = 1 / weight;
+    const auto dx = x - meanX;
+    const auto dy = y - meanY;
+    meanX += part * dx;
+    meanY += part * dy;
+    varianceX = (1 - part) * (varianceX + part * dx * dx);
+    varianceY = (1 - part) * (varianceY + part * dy * dy);
+    covariance = (1 - part) * (covariance + part * dx * dy);
+}
+
+auto RunTimes::Line::slope() const -> double
+{
+    const auto prior = PriorWeight * PriorVariance;
+    return std::clamp((weight * covariance + prior) / (weight * varianceX + prior), 0.0, 1.0);
+}
+
+auto RunTimes::Line::at(std::optional<double> x) const -> double
+{
+    if (weight == 0)
+        return x.value_or(logOf({}));
+    const auto trust = weight / (weight + PriorWeight);
+    const auto atMean = meanX + trust * (meanY - meanX);
+    if (!x)
+        return atMean;
+    const auto y = atMean + slope() * (*x - meanX);
+    return std::clamp(y, *x - std::log(MaxRatio), *x + std::log(MaxRatio));
+}
+
+auto RunTimes::Line::residualVariance() const -> double
+{
+    const auto gradient = slope();
+    const auto left = varianceY - 2 * gradient * covariance + gradient * gradient * varianceX;
+    const auto sum = weight * std::max(left, 0.0) + PriorWeight * PriorVariance;
+    return std::max(sum / (weight + PriorWeight), MinVariance);
+}
+
+auto RunTimes::Offset::add(double residual) -> void
+{
+    weight = std::min(weight + 1, MaxTeamWeight);
+    mean += (residual - mean) / weight;
+}
+
+auto RunTimes::Offset::shrunk() const -> double
+{
+    return mean * weight / (weight + TeamPriorWeight);
+}
+
+auto RunTimes::predict(const Queue &queue, const RunShape &shape, const StepWitness &finished)
+    -> LogTime
+{
+    const auto team = queue.teams.find(shape.team);
+    const auto offset = team == queue.teams.end() ? 0 : team->second.shrunk();
+    const auto mean = queue.line.at(statedLog(shape)) + offset;
+    const auto variance = queue.line.residualVariance();
+    const auto within =
+        std::max((queue.stepWeight * queue.stepVariance + PriorWeight * PriorStepVariance)
+                     / (queue.stepWeight + PriorWeight),
+                 MinVariance);
+    if (finished.count() == 0)
+        return {mean, variance + within};
+    const auto precision = finished.count() / within;
+    const auto total = 1 / variance + precision;
+    return {(mean / variance + finished.meanLog() * precision) / total, 1 / total + within};
+}
+
+auto RunTimes::observe(const RunShape &shape, const StepWitness &before, Duration actual) -> void
+{
+    if (!m_queues.contains(shape.queue) && m_queues.size() >= MaxQueues)
+        return;
+    auto &queue = m_queues[shape.queue];
+    const auto y = logOf(actual);
+    if (before.count() > 0) {
+        // Tasks of a step are alike, so that only the first one tells anything of other steps.
+        const auto distance = y - before.meanLog();
+        const auto count = static_cast<double>(before.count());
+        const auto squared = distance * distance * count / (count + 1);
+        queue.stepWeight = std::min(queue.stepWeight + 1, MaxWeight);
+        queue.stepVariance += (squared - queue.stepVariance) / queue.stepWeight;
+        return;
+    }
+    const auto x = statedLog(shape).value_or(queue.line.weight > 0 ? queue.line.meanX : y);
+    if (queue.line.weight > 0)
+        queue.teams[shape.team].add(y - queue.line.at(x));
+    queue.line.add(x, y);
+}
+
+auto RunTimes::observeAtLeast(const RunShape &shape, const StepWitness &before, Duration elapsed)
+    -> void
+{
+    if (elapsed > forecast(shape, before).expected)
+        observe(shape, before, elapsed);
+}
+
+auto RunTimes::forecast(const RunShape &shape, const StepWitness &finished) const -> RunTimeForecast
+{
+    const auto it = m_queues.find(shape.queue);
+    const auto isUnknown = it == m_queues.end() || it->second.line.weight == 0;
+    if (isUnknown && finished.count() == 0)
+        return {shape.stated, shape.stated};
+    const auto time = predict(isUnknown ? Queue() : it->second, shape, finished);
+    return {durationOf(time.mean + time.variance / 2),
+            durationOf(time.mean + UpperDeviations * std::sqrt(time.variance))};
+}
+
+auto RunTimes::sampleCount(const QueueName &queue) const -> double
+{
+    const auto it = m_queues.find(queue);
+    return it == m_queues.end() ? 0 : it->second.line.weight;
+}
+
+auto RunTimes::encode() const -> std::string
+{
+    return packRecord(m_queues);
+}
+
+auto RunTimes::decode(std::string_view bytes) -> std::optional<RunTimes>
+{
+    auto queues = unpackRecord<std::map<QueueName, Queue>>(bytes);
+    if (!queues || queues->size() > MaxQueues)
+        return std::nullopt;
+    for (const auto &[name, queue] : *queues) {
+        const auto &[line, stepVariance, stepWeight, teams] = queue;
+        const auto isValid =
+            areFinite({line.weight, line.meanX, line.meanY, line.varianceX, line.varianceY,
+                       line.covariance, stepVariance, stepWeight})
+            && line.weight >= 0 && line.varianceX >= 0 && line.varianceY >= 0 && stepVariance >= 0
+            && stepWeight >= 0 && std::ranges::all_of(teams, [](const auto &it) {
+                   return areFinite({it.second.weight, it.second.mean}) && it.second.weight >= 0;
+               });
+        if (!isValid)
+            return std::nullopt;
+    }
+    auto result = RunTimes();
+    result.m_queues = std::move(*queues);
+    return result;
+}
+
+} // namespace shallotproxy
--- /dev/null
+++ b/tests/unit/unit-run-times.cpp
@@ -0,0 +1,198 @@
+#include <cmath>
+#include <functional>
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "shallotproxy/demand.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Seconds = std::chrono::duration<double>;
+
+const auto Queue = QueueName("queue");
+const auto Honest = TeamName("honest");
+const auto Liar = TeamName("liar");
+
+auto scaled(Duration time, double factor) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(Seconds(time) * factor);
+}
+
+/// Runs of a queue whose actual times vary around a mean, and what submitters state of them.
+class Workload
+{
+public:
+    explicit Workload(double spread, double misstatement)
+        : m_actual(0, spread)
+        , m_error(0, misstatement)
+    { }
+
+    auto nextActual(Duration mean = 1s) -> Duration { return scaled(mean, draw(m_actual)); }
+    auto stated(Duration actual) -> Duration { return scaled(actual, draw(m_error)); }
+
+private:
+    auto draw(std::normal_distribution<double> &distribution) -> double
+    {
+        return std::exp(distribution(m_random));
+    }
+
+    std::mt19937 m_random{7};
+    std::normal_distribution<double> m_actual;
+    std::normal_distribution<double> m_error;
+};
+
+auto errorOf(Duration predicted, Duration actual) -> double
+{
+    return std::abs(std::log(Seconds(predicted) / Seconds(actual)));
+}
+
+/// Returns the mean error of the forecasts of 300 runs after 100, and that of what was stated.
+auto errorsOf(Workload workload, const std::function<Duration(Duration)> &bias = std::identity())
+    -> std::pair<double, double>
+{
+    constexpr auto Warmup = 100;
+    constexpr auto Runs = 300;
+    auto times = RunTimes();
+    auto learned = 0.0;
+    auto stated = 0.0;
+    for (auto n = 0; n < Warmup + Runs; ++n) {
+        const auto actual = workload.nextActual();
+        const auto shape = RunShape{Queue, Honest, bias(workload.stated(actual))};
+        if (n >= Warmup) {
+            learned += errorOf(times.forecast(shape).expected, actual) / Runs;
+            stated += errorOf(shape.stated, actual) / Runs;
+        }
+        times.observe(shape, {}, actual);
+    }
+    return {learned, stated};
+}
+
+TEST(RunTimes, ExpectsWhatIsStatedUntilSomethingWasSeen)
+{
+    const auto times = RunTimes();
+    const auto shape = RunShape{Queue, Honest, 700ms};
+    EXPECT_EQ(times.forecast(shape).expected, 700ms);
+    EXPECT_EQ(times.forecast(shape).upper, 700ms);
+    EXPECT_EQ(times.forecast({Queue, Honest, {}}).expected, 0ms);
+}
+
+TEST(RunTimes, KeepsExactStatements)
+{
+    const auto [learned, stated] = errorsOf(Workload(0.5, 0));
+    EXPECT_LE(stated, 1e-6);
+    EXPECT_LE(learned, 0.1);
+}
+
+TEST(RunTimes, CorrectsStatementsThatAreOffByAFactor)
+{
+    const auto [learned, stated] =
+        errorsOf(Workload(0.5, 0.1), [](Duration time) { return 3 * time; });
+    EXPECT_LE(learned, stated / 4);
+}
+
+// Random statements are believed as little as they deserve.
+TEST(RunTimes, HalvesTheErrorOfRandomStatements)
+{
+    const auto [learned, stated] = errorsOf(Workload(0.3, 1.2));
+    EXPECT_LE(learned, stated / 2);
+}
+
+TEST(RunTimes, ExpectsTheTasksOfAStepToBeAlike)
+{
+    auto times = RunTimes();
+    auto workload = Workload(0.8, 1);
+    for (auto n = 0; n < 50; ++n) {
+        const auto level = workload.nextActual();
+        auto finished = StepWitness();
+        for (auto task = 0; task < 8; ++task) {
+            const auto actual = scaled(level, 1 + 0.02 * task);
+            times.observe({Queue, Honest, 1s}, finished, actual);
+            finished.add(actual);
+        }
+    }
+    auto finished = StepWitness();
+    finished.add(5s);
+    const auto forecast = times.forecast({Queue, Honest, 200ms}, finished);
+    EXPECT_LE(errorOf(forecast.expected, 5s), 0.2);
+    EXPECT_GE(forecast.upper, forecast.expected);
+}
+
+TEST(RunTimes, FollowsWorkThatChanges)
+{
+    auto times = RunTimes();
+    const auto shape = RunShape{Queue, Honest, 1s};
+    for (auto n = 0; n < 500; ++n)
+        times.observe(shape, {}, 1s);
+    for (auto n = 0; n < 200; ++n)
+        times.observe(shape, {}, 4s);
+    EXPECT_LE(errorOf(times.forecast(shape).expected, 4s), 0.35);
+}
+
+// A run that was stopped early says that others take at least as long, and never that they are
+// short.
+TEST(RunTimes, TakesRunsThatWereEndedEarlyAsALowerBound)
+{
+    auto times = RunTimes();
+    const auto shape = RunShape{Queue, Honest, 1s};
+    for (auto n = 0; n < 50; ++n)
+        times.observe(shape, {}, 1s);
+    const auto before = times.forecast(shape).expected;
+    times.observeAtLeast(shape, {}, 50ms);
+    EXPECT_EQ(times.forecast(shape).expected, before);
+    for (auto n = 0; n < 50; ++n)
+        times.observeAtLeast(shape, {}, 6s);
+    EXPECT_GE(times.forecast(shape).expected, 3 * before);
+}
+
+// Two teams with the same work: what one states lower, or higher, gains it nothing for long.
+TEST(RunTimes, GivesATeamThatMisstatesNoAdvantage)
+{
+    for (const auto factor : {0.25, 4.0}) {
+        auto times = RunTimes();
+        auto workload = Workload(0.4, 0.2);
+        for (auto n = 0; n < 60; ++n) {
+            const auto honest = workload.nextActual();
+            times.observe({Queue, Honest, workload.stated(honest)}, {}, honest);
+            const auto lied = workload.nextActual();
+            times.observe({Queue, Liar, scaled(workload.stated(lied), factor)}, {}, lied);
+        }
+        const auto honest = times.forecast({Queue, Honest, 1s}).expected;
+        const auto lied = times.forecast({Queue, Liar, scaled(1s, factor)}).expected;
+        EXPECT_LE(errorOf(lied, honest), 0.35) << factor;
+    }
+}
+
+TEST(RunTimes, SurviveTheirEncoding)
+{
+    auto times = RunTimes();
+    auto workload = Workload(0.5, 0.5);
+    for (auto n = 0; n < 40; ++n) {
+        const auto actual = workload.nextActual();
+        times.observe({Queue, n % 2 == 0 ? Honest : Liar, workload.stated(actual)}, {}, actual);
+    }
+    const auto decoded = RunTimes::decode(times.encode());
+    ASSERT_TRUE(decoded);
+    const auto shape = RunShape{Queue, Liar, 2s};
+    EXPECT_EQ(decoded->forecast(shape).expected, times.forecast(shape).expected);
+    EXPECT_EQ(decoded->forecast(shape).upper, times.forecast(shape).upper);
+    EXPECT_FALSE(RunTimes::decode("no run times"));
+}
+
+TEST(RunTimes, ForgetQueuesAndTeamsThatAreGone)
+{
+    auto times = RunTimes();
+    for (auto n = 0; n < 10; ++n)
+        times.observe({Queue, Honest, 1s}, {}, 3s);
+    const auto isAny = [](const auto &) { return true; };
+    times.retain([](const QueueName &) { return false; }, isAny);
+    EXPECT_EQ(times.sampleCount(Queue), 0);
+    EXPECT_EQ(times.forecast({Queue, Honest, 1s}).expected, 1s);
+}
+
+} // namespace
+
+} // namespace shallotproxy
