Place surplus work after entitled work, and useless work last

Cause: work beyond a team's rate and jobs that nobody waits for any more took room from jobs in time. Change: WaitingSteps has bands for both.

--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -35,9 +35,13 @@
     /// Priority of the queue; lower values are placed first.
     std::uint32_t priority = 0;
     bool isLongRunning = false;
+    /// The team had used up its rate when the job was submitted.
+    bool isSurplus = false;
     /// Estimated remaining work on the critical path of the job.
     Duration remainingWork{};
     BootTime deadline;
+    /// After this time the result of the job is of no use to its caller.
+    BootTime usefulUntil = BootTime::max();
     BootTime submittedAt;
     TeamName team;
     /// Label that the worker must have; empty if any worker will do.
@@ -45,8 +49,16 @@
 
     /// After this time the job can't meet its deadline any more.
     [[nodiscard]] auto lateAfter() const -> BootTime { return deadline - remainingWork; }
+    /// After this time its result comes too late to be of use.
+    [[nodiscard]] auto uselessAfter() const -> BootTime
+    {
+        return std::max(deadline, usefulUntil) - remainingWork;
+    }
 };
 
+/// Whether a waiting step can still meet its deadline, or at least be of use.
+enum class Timeliness : std::uint8_t { InTime, Late, Useless };
+
 /// What became of a step in a visit: its tasks were placed, they don't fit, or nothing more can be
 /// placed now.
 enum class StepVisit : std::uint8_t { Placed, Missed, Stop };
@@ -56,13 +68,20 @@
 /// Number of finite steps of a team and label that may be found not to fit in one visit before the
 /// visit goes on where the last one ended, and again before it leaves the others to the next visit.
 inline constexpr std::size_t MaxMissesPerVisit = 32;
+/// A step this long after its submission counts as overdue once its result is of no use.
+inline constexpr std::chrono::milliseconds OverdueAge{15'000};
+/// The oldest overdue step comes first in one visit in each such interval, which bounds both how
+/// long it waits and how much room it takes from work that is in time.
+inline constexpr std::chrono::milliseconds OverdueInterval{250};
 
 /// The waiting steps of a pool, in the order in which their tasks are placed.
 ///
-/// Long-running work comes first: there is little of it, and it must run at any load. Jobs that can
-/// still meet their deadline come before late ones, with the least remaining work first; the work
-/// of a team above its share counts as up to twice as much, and that of a team below its share as
-/// down to half. Late jobs are sorted by age, the oldest first, so that each ends eventually.
+/// Long-running work comes first: there is little of it, and it must run at any load. Jobs of teams
+/// within their rate come before those beyond it, and jobs that can still meet their deadline
+/// before late ones, with the least remaining work first; the work of a team above its share counts
+/// as up to twice as much, and that of a team below its share as down to half. Jobs whose result is
+/// of no use any more come last, the oldest first; one of them is placed before all others from
+/// time to time, so that each ends eventually.
 ///
 /// Load pattern: a queue that requests many times what its pool holds for half a minute, so that
 /// tens of thousands of steps wait, while some hundred runs end each second. The cost of a visit
@@ -75,9 +94,8 @@
     auto add(const WaitingStep &step, Value value) -> void
     {
         remove(step.id);
-        m_lateTimes.emplace(step.lateAfter(), step.id);
-        m_entries.emplace(step.id, Entry{step, value, false});
-        queueOf(step, false).steps.emplace(orderOf(step, false), step.id);
+        m_entries.emplace(step.id, Entry{step, value, Timeliness::InTime});
+        insert(step, Timeliness::InTime);
     }
 
     auto remove(const WaitingStepId &id) -> void
@@ -85,14 +103,21 @@
         const auto it = m_entries.find(id);
         if (it == m_entries.end())
             return;
-        const auto &[step, value, isLate] = it->second;
-        queueOf(step, isLate).steps.erase({orderOf(step, isLate), id});
-        m_lateTimes.erase({step.lateAfter(), id});
+        erase(it->second.step, it->second.timeliness);
         m_entries.erase(it);
     }
 
     [[nodiscard]] auto isEmpty() const -> bool { return m_entries.empty(); }
 
+    /// Calls `function` for each step with its value and its timeliness as of the last visit, in
+    /// the order of their ids.
+    template <std::invocable<const WaitingStep &, const Value &, Timeliness> Function>
+    auto forEachStep(Function function) const -> void
+    {
+        for (const auto &[id, entry] : m_entries)
+            function(entry.step, entry.value, entry.timeliness);
+    }
+
     /// Calls `function` for the value of each step, in the order of their ids.
     template <std::invocable<const Value &> Function>
     auto forEach(Function function) const -> void
@@ -111,7 +136,7 @@
     auto visit(BootTime now, Usage relativeUsage, Place place) -> void
     {
         moveLateSteps(now);
-        auto goesOn = true;
+        auto goesOn = placeOverdueStep(now, place);
         for (auto &[band, queues] : m_bands) {
             goesOn = goesOn && visitBand(band, queues, relativeUsage, place);
             std::erase_if(queues, [](const auto &it) { return it.second.steps.empty(); });
@@ -124,7 +149,7 @@
     {
         WaitingStep step;
         Value value;
-        bool isLate = false;
+        Timeliness timeliness = Timeliness::InTime;
     };
     /// A key of the order within a queue.
     using Key = std::pair<Duration::rep, WaitingStepId>;
@@ -137,6 +162,8 @@
     struct Band
     {
         bool isFinite = false;
+        bool isUseless = false;
+        bool isSurplus = false;
         std::uint32_t priority = 0;
         bool isLate = false;
 
@@ -161,26 +188,94 @@
         auto operator<(const Cursor &other) const -> bool { return other.order() < order(); }
     };
 
-    static auto orderOf(const WaitingStep &step, bool isLate) -> Duration::rep
+    static auto bandOf(const WaitingStep &step, Timeliness timeliness) -> Band
+    {
+        const auto isUseless = timeliness == Timeliness::Useless;
+        return {!step.isLongRunning, isUseless, !isUseless && step.isSurplus,
+                isUseless ? 0 : step.priority, timeliness != Timeliness::InTime};
+    }
+
+    static auto keyOf(const WaitingStep &step, Timeliness timeliness) -> Key
+    {
+        const auto order = timeliness == Timeliness::Useless
+            ? step.submittedAt.time_since_epoch().count()
+            : step.remainingWork.count();
+        return {order, step.id};
+    }
+
+    /// Returns when the timeliness changes next, if it does.
+    static auto nextChange(const WaitingStep &step, Timeliness timeliness)
+        -> std::optional<BootTime>
     {
-        return isLate ? step.submittedAt.time_since_epoch().count() : step.remainingWork.count();
+        switch (timeliness) {
+        case Timeliness::InTime:
+            return step.lateAfter();
+        case Timeliness::Late:
+            return step.uselessAfter();
+        case Timeliness::Useless:
+            break;
+        }
+        return std::nullopt;
+    }
+
+    auto insert(const WaitingStep &step, Timeliness timeliness) -> void
+    {
+        auto &queue = m_bands[bandOf(step, timeliness)][{step.team, step.requiredLabel}];
+        queue.steps.insert(keyOf(step, timeliness));
+        if (const auto at = nextChange(step, timeliness))
+            m_changes.emplace(*at, step.id);
     }
 
-    auto queueOf(const WaitingStep &step, bool isLate) -> Queue &
+    auto erase(const WaitingStep &step, Timeliness timeliness) -> void
     {
-        const auto band = Band{!step.isLongRunning, step.priority, isLate};
-        return m_bands[band][{step.team, step.requiredLabel}];
+        auto &queue = m_bands[bandOf(step, timeliness)][{step.team, step.requiredLabel}];
+        queue.steps.erase(keyOf(step, timeliness));
+        if (const auto at = nextChange(step, timeliness))
+            m_changes.erase({*at, step.id});
     }
 
     auto moveLateSteps(BootTime now) -> void
     {
-        while (!m_lateTimes.empty() && m_lateTimes.begin()->first < now) {
-            const auto id = m_lateTimes.extract(m_lateTimes.begin()).value().second;
-            auto &[step, value, isLate] = m_entries.at(id);
-            queueOf(step, false).steps.erase({orderOf(step, false), id});
-            isLate = true;
-            queueOf(step, true).steps.emplace(orderOf(step, true), id);
+        while (!m_changes.empty() && m_changes.begin()->first < now) {
+            auto &entry = m_entries.at(m_changes.begin()->second);
+            erase(entry.step, entry.timeliness);
+            entry.timeliness =
+                entry.timeliness == Timeliness::InTime ? Timeliness::Late : Timeliness::Useless;
+            insert(entry.step, entry.timeliness);
+        }
+    }
+
+    /// Returns the useless step that was submitted first, null if there is none.
+    [[nodiscard]] auto oldestUselessStep() const -> const Entry *
+    {
+        const Entry *oldest = nullptr;
+        for (const auto &[band, queues] : m_bands) {
+            if (!band.isFinite || !band.isUseless)
+                continue;
+            for (const auto &[group, queue] : queues) {
+                if (queue.steps.empty())
+                    continue;
+                const auto &first = m_entries.at(queue.steps.begin()->second);
+                const auto isOlder =
+                    oldest == nullptr || first.step.submittedAt < oldest->step.submittedAt;
+                oldest = isOlder ? &first : oldest;
+            }
         }
+        return oldest;
+    }
+
+    /// Returns whether the visit goes on.
+    template <typename Place>
+    auto placeOverdueStep(BootTime now, Place &place) -> bool
+    {
+        if (now < m_nextOverdueAt)
+            return true;
+        const auto *oldest = oldestUselessStep();
+        if (oldest == nullptr || now < oldest->step.submittedAt + OverdueAge)
+            return true;
+        m_nextOverdueAt = now + OverdueInterval;
+        const auto value = oldest->value; // the step may be removed
+        return place(value) != StepVisit::Stop;
     }
 
     /// Returns whether the visit goes on with the next band.
@@ -192,7 +287,7 @@
             const auto usage = std::clamp(relativeUsage(group.first), 1 / MaxRelativeTeamUsage,
                                           MaxRelativeTeamUsage);
             if (!queue.steps.empty())
-                cursors.push({&queue, queue.steps.begin(), band.isLate ? 1 : usage});
+                cursors.push({&queue, queue.steps.begin(), band.isUseless ? 1 : usage});
         }
         while (!cursors.empty()) {
             auto cursor = cursors.top();
@@ -232,8 +327,10 @@
 
     std::map<WaitingStepId, Entry> m_entries;
     std::map<Band, Queues> m_bands;
-    /// When steps become late.
-    std::set<std::pair<BootTime, WaitingStepId>> m_lateTimes;
+    /// When the timeliness of steps changes next.
+    std::set<std::pair<BootTime, WaitingStepId>> m_changes;
+    /// When an overdue step may come first again.
+    BootTime m_nextOverdueAt;
 };
 
 } // namespace shallotproxy
