--- a/bench/steward_cost.cpp
+++ b/bench/steward_cost.cpp
@@ -44,7 +44,7 @@
         auto rules = SchedulingRules();
         for (auto n = 0; n < Pools; ++n) {
             rules.pools[pool(n)] = {};
-            rules.queues[QueueName(pool(n).value())] = {pool(n), 3, 0, 1.6, 600};
+            rules.queues[QueueName(pool(n).value())] = {{3, 0, 1.6, 600}, pool(n)};
         }
         step(steward_event::Ticked{1'000'000});
         step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)});
--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -60,6 +60,36 @@
                    maxUnavailable)
 };
 
+/// What the configuration of a queue says of its jobs.
+///
+/// The deadline of a job is its submission plus `deadlineFactor` times its critical path plus
+/// `deadlineSlackMilliseconds`.
+struct JobRules
+{
+    /// A job fails when one of its tasks has this many failed runs; 0 if it is unknown.
+    std::uint32_t attempts = 1;
+    /// Lower values are placed first.
+    std::uint32_t priority = 0;
+    double deadlineFactor = 1;
+    std::int64_t deadlineSlackMilliseconds = 0;
+    /// A result that comes later than this many times the deadline is of no use to the caller.
+    double usefulFactor = 3;
+
+    /// Returns how long after its submission a job with this critical path should be done.
+    [[nodiscard]] auto deadlineOf(Duration criticalPath) const -> Duration
+    {
+        return std::chrono::milliseconds(deadlineSlackMilliseconds)
+            + std::chrono::duration_cast<Duration>(criticalPath * deadlineFactor);
+    }
+    /// Returns how long after its submission the result of such a job is of use.
+    [[nodiscard]] auto usefulTimeOf(Duration criticalPath) const -> Duration
+    {
+        return std::chrono::duration_cast<Duration>(deadlineOf(criticalPath) * usefulFactor);
+    }
+
+    MSGPACK_DEFINE(attempts, priority, deadlineFactor, deadlineSlackMilliseconds, usefulFactor)
+};
+
 /// A submitted job. It is immutable.
 struct JobSpec
 {
@@ -78,6 +108,8 @@
     std::int64_t intervalMilliseconds = 0;
     /// Unix time of the submission.
     std::int64_t submittedMilliseconds = 0;
+    /// The rules of the queue when the job was submitted; they hold on if the queue is removed.
+    JobRules rules = {0};
 
     [[nodiscard]] auto isScheduled() const -> bool { return firstDueMilliseconds > 0; }
     /// Returns the duration of the longest chain of dependent steps. `durationOf` returns the
@@ -98,7 +130,7 @@
     }
 
     MSGPACK_DEFINE(id, queue, pool, team, payload, steps, occurrences, firstDueMilliseconds,
-                   intervalMilliseconds, submittedMilliseconds)
+                   intervalMilliseconds, submittedMilliseconds, rules)
 };
 
 /// The reason why a job is refused or a job record can't be read.
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -7,7 +7,9 @@
 #include <unordered_map>
 
 #include "quarantine.hpp"
+#include "shallotproxy/demand.hpp"
 #include "steward_events.hpp"
+#include "waiting_order.hpp"
 
 namespace shallotproxy {
 
@@ -162,8 +164,17 @@
     /// Returns the loads of all pools; no value during recovery, as tasks of an earlier steward
     /// count as waiting until their workers have been polled.
     [[nodiscard]] auto poolLoads() const -> std::optional<std::map<PoolName, PoolLoad>>;
+    /// Returns how long new work waits in the pools that are short of room; nothing during
+    /// recovery. `arriving` is the capacity of hosts on their way to a pool.
+    [[nodiscard]] auto admissionOutlook(const std::map<PoolName, Resources> &arriving)
+        -> AdmissionOutlook;
     /// Returns the load of a worker; no value if the worker is unknown.
     [[nodiscard]] auto workerLoad(const WorkerName &name) const -> std::optional<WorkerLoad>;
+    /// Returns what has been learned of run times, and how many runs this steward has learned from.
+    [[nodiscard]] auto runTimes() const -> const RunTimes & { return m_runTimes; }
+    [[nodiscard]] auto observedRuns() const -> std::uint64_t { return m_observedRuns; }
+    /// Sets what earlier stewards have learned; to be called before jobs are accepted.
+    auto restoreRunTimes(RunTimes runTimes) -> void { m_runTimes = std::move(runTimes); }
     /// Whether runs of an earlier steward may still be unknown.
     [[nodiscard]] auto isRecovering() const -> bool { return m_isRecovering; }
     /// Evicts up to `maxCount` jobs that ended before `endedBefore`, whose end is persisted and
@@ -255,10 +266,12 @@
                                      std::uint32_t step) const -> bool;
 
     // Jobs: steward_jobs.cpp
-    [[nodiscard]] auto forecastRun(const Job &job, const StepSpec &step) const -> RunTimeForecast;
-    [[nodiscard]] auto remainingWork(const Job &job, const Occurrence *occurrence) const
-        -> Duration;
+    [[nodiscard]] auto forecastRun(const Job &job, const Occurrence *occurrence,
+                                   std::size_t step) const -> RunTimeForecast;
+    auto updateForecast(Job &job, const Occurrence *occurrence) -> void;
+    auto observeRunTime(const Task &task, const Worker &worker, const EndedRun &end) -> void;
     auto countAcceptedWork(const Job &job) -> void;
+    auto isWithinTeamRate(const Job &job) -> bool;
     auto openOccurrence(Job &job, std::uint32_t number) -> Occurrence &;
     auto restore(Job &job, const JobProgress &progress) -> void;
     auto openDueOccurrences(Job &job) -> void;
@@ -267,7 +280,8 @@
     auto endJob(Job &job, JobOutcome outcome) -> void;
     auto markChanged(Job &job, WriteUrgency urgency) -> void;
     auto findTask(const JobTaskId &id) -> Task *;
-    [[nodiscard]] auto rulesOf(const Job &job) const -> const QueueRules *;
+    [[nodiscard]] auto declaredRules(const Job &job) const -> const QueueRules *;
+    [[nodiscard]] auto rulesOf(const Job &job) const -> const JobRules &;
     [[nodiscard]] auto poolOf(const Job &job) const -> const PoolName &;
     [[nodiscard]] auto mayFitAnyHost(const StepSpec &step) const -> bool;
     [[nodiscard]] auto isReady(const Job &job, const Occurrence &occurrence,
@@ -390,6 +404,12 @@
     [[nodiscard]] auto waitReason(const Task &task) const -> WaitReason;
     [[nodiscard]] auto suspectWaitReason(const Task &task) const -> WaitReason;
 
+    // Admission: steward_admission.cpp
+    [[nodiscard]] auto roomForFiniteTasks(const PoolName &pool) const -> Resources;
+    [[nodiscard]] auto shapeOf(const Job &job, std::size_t step) const -> RunShape;
+    auto addToBacklog(PoolBacklog &sum, const WaitingStep &step, const Candidate &candidate,
+                      Timeliness timeliness) const -> void;
+
     auto markDirty(const PoolName &pool) -> void { m_dirtyPools.insert(pool); }
 
     std::uint64_t m_token;
@@ -414,6 +434,9 @@
     /// Registrations of incarnations that have ended; the platform removes them some seconds later.
     std::map<WorkerName, EndedWorker> m_endedWorkers;
     std::map<TeamName, Resources> m_teamUsage;
+    TeamEntitlement m_entitlement;
+    RunTimes m_runTimes;
+    std::uint64_t m_observedRuns = 0;
     /// When runs of a pool may be preempted next.
     std::map<PoolName, BootTime> m_nextPreemptions;
     std::map<PoolName, AcceptedWork> m_acceptedWork;
--- a/packages/job/include/shallotproxy/job/steward_events.hpp
+++ b/packages/job/include/shallotproxy/job/steward_events.hpp
@@ -15,24 +15,18 @@
 using WorkerName = Name<struct WorkerTag>;
 
 /// The configured rules of a queue of jobs.
-///
-/// The deadline of a job is its submission plus `deadlineFactor` times its critical path plus
-/// `deadlineSlackMilliseconds`.
-struct QueueRules
+struct QueueRules : JobRules
 {
     PoolName pool;
-    /// A job fails when one of its tasks has this many failed runs.
-    std::uint32_t attempts = 1;
-    /// Lower values are placed first.
-    std::uint32_t priority = 0;
-    double deadlineFactor = 1;
-    std::int64_t deadlineSlackMilliseconds = 0;
 };
 
 /// The configured share and limit of a team.
 struct TeamRules
 {
     double weight = 1;
+    /// Jobs that the team submits beyond this rate come after those of teams within theirs; 0 is
+    /// unlimited.
+    double jobsPerSecond = 0;
     /// Maximum of the team's running tasks over all pools. A component of 0 is unlimited.
     Resources limit;
 };
--- /dev/null
+++ b/packages/job/src/steward_admission.cpp
@@ -0,0 +1,78 @@
+#include <algorithm>
+
+#include "steward_state.hpp"
+
+namespace shallotproxy {
+
+/// Returns what the workers of a pool that take new work offer beside its long-running tasks.
+auto Steward::roomForFiniteTasks(const PoolName &pool) const -> Resources
+{
+    auto room = Resources();
+    const auto workers = m_poolWorkers.find(pool);
+    if (workers == m_poolWorkers.end())
+        return room;
+    for (const auto *worker : workers->second) {
+        if (!takesNewWork(*worker))
+            continue;
+        room += worker->report.capacity;
+        for (const auto *task : worker->runs) {
+            if (task->spec().isLongRunning)
+                room -= task->spec().reservedResources();
+        }
+    }
+    return room;
+}
+
+/// Adds the tasks of a ready step, and those of later steps of its job, which need the same room
+/// soon.
+auto Steward::addToBacklog(PoolBacklog &sum, const WaitingStep &step, const Candidate &candidate,
+                           Timeliness timeliness) const -> void
+{
+    const auto &job = *candidate.job;
+    if (candidate.spec().isLongRunning || timeliness == Timeliness::Useless)
+        return;
+    auto kind = PoolBacklog::Kind::Entitled;
+    if (step.isSurplus) {
+        kind = PoolBacklog::Kind::Surplus;
+    } else if (timeliness == Timeliness::Late) {
+        kind = PoolBacklog::Kind::Late;
+    }
+    const auto &occurrence = *candidate.occurrence;
+    const auto add = [&](std::uint32_t number, std::uint32_t count) {
+        const auto &spec = job.spec.steps[number];
+        if (mayFitAnyHost(spec))
+            sum.add(step.priority, kind, spec.reservedResources(), count,
+                    forecastRun(job, &occurrence, number).expected);
+    };
+    add(candidate.step, occurrence.waitingTasks[candidate.step]);
+    for (auto n = candidate.step + 1; n < job.spec.steps.size(); ++n) {
+        const auto &after = job.spec.steps[n].after;
+        if (std::ranges::find(after, n - 1) != after.end())
+            add(n, occurrence.remainingTasks[n]);
+    }
+}
+
+auto Steward::admissionOutlook(const std::map<PoolName, Resources> &arriving) -> AdmissionOutlook
+{
+    auto outlook = AdmissionOutlook();
+    if (m_isRecovering)
+        return outlook;
+    for (const auto &[pool, backlog] : m_backlogs) {
+        if (backlog->steps.isEmpty())
+            continue;
+        const auto hosts = arriving.find(pool);
+        auto sum = PoolBacklog(roomForFiniteTasks(pool)
+                               + (hosts == arriving.end() ? Resources() : hosts->second));
+        backlog->steps.forEachStep(
+            [&](const WaitingStep &step, const Candidate &candidate, Timeliness timeliness) {
+                addToBacklog(sum, step, candidate, timeliness);
+            });
+        if (auto waits = waitsIn(sum); !waits.empty())
+            outlook.pools.emplace(pool, std::move(waits));
+    }
+    if (!outlook.isEmpty())
+        outlook.exhaustedTeams = m_entitlement.exhaustedTeams(m_now);
+    return outlook;
+}
+
+} // namespace shallotproxy
--- a/packages/job/src/steward_backlog.cpp
+++ b/packages/job/src/steward_backlog.cpp
@@ -57,12 +57,13 @@
         steps.remove(waiting.id);
         return;
     }
-    const auto *rules = rulesOf(job);
     const auto &spec = job.spec.steps[step];
-    waiting.priority = rules == nullptr ? 0 : rules->priority;
+    waiting.priority = rulesOf(job).priority;
     waiting.isLongRunning = spec.isLongRunning;
+    waiting.isSurplus = job.isSurplus;
     waiting.remainingWork = job.remainingWork;
     waiting.deadline = job.deadline;
+    waiting.usefulUntil = job.usefulUntil;
     waiting.submittedAt = job.submittedAt;
     waiting.team = job.spec.team;
     waiting.requiredLabel = spec.requiredLabel;
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -50,23 +50,6 @@
                                [&resources](const Resources &it) { return it.covers(resources); });
 }
 
-/// Returns how long the runs of a step are expected to take.
-auto Steward::forecastRun(const Job & /*job*/, const StepSpec &step) const -> RunTimeForecast
-{
-    const auto stated = Duration(milliseconds(step.estimatedMilliseconds));
-    return {stated, stated};
-}
-
-/// Returns the critical path of the steps that aren't done; no occurrence stands for a job that has
-/// none open.
-auto Steward::remainingWork(const Job &job, const Occurrence *occurrence) const -> Duration
-{
-    return job.spec.criticalPath([this, &job, occurrence](std::size_t step) {
-        const auto isDone = occurrence != nullptr && occurrence->remainingTasks[step] == 0;
-        return isDone ? Duration() : forecastRun(job, job.spec.steps[step]).expected;
-    });
-}
-
 auto Steward::countAcceptedWork(const Job &job) -> void
 {
     const auto isForecast = [this](const StepSpec &it) {
@@ -76,11 +59,12 @@
         return;
     auto &accepted = m_acceptedWork[poolOf(job)];
     ++accepted.jobs;
-    for (const auto &step : job.spec.steps) {
+    for (std::size_t n = 0; n < job.spec.steps.size(); ++n) {
+        const auto &step = job.spec.steps[n];
         if (!isForecast(step))
             continue;
-        const auto runTime =
-            std::clamp(forecastRun(job, step).expected, Duration(), Duration(MaxForecastTime));
+        const auto runTime = std::clamp(forecastRun(job, nullptr, n).expected, Duration(),
+                                        Duration(MaxForecastTime));
         const auto time =
             std::chrono::duration_cast<milliseconds>(runTime).count() * step.taskCount;
         const auto task = step.reservedResources();
@@ -97,6 +81,7 @@
     occurrence.number = number;
     occurrence.remainingSteps = static_cast<std::uint32_t>(job.spec.steps.size());
     occurrence.steps.resize(job.spec.steps.size());
+    occurrence.finishedRuns.resize(job.spec.steps.size());
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
         const auto count = job.spec.steps[step].taskCount;
         occurrence.remainingTasks.push_back(count);
@@ -140,7 +125,6 @@
     auto &job = *owned;
     job.spec = event.spec;
     job.mayRunAlready = event.mayRunAlready && m_isRecovering;
-    job.remainingWork = remainingWork(job, nullptr);
     // The clock of the member that accepted the job may differ from this one: the age of a job that
     // arrives now is known without them.
     const auto isNew = !event.mayRunAlready || m_wallMilliseconds == 0;
@@ -149,11 +133,7 @@
                                         std::int64_t{0}, MaxJobAgeMilliseconds);
     job.submittedAt = m_now - milliseconds(age);
     m_jobs.emplace(job.spec.id, std::move(owned));
-    const auto *rules = rulesOf(job);
-    const auto deadlineFactor = rules == nullptr ? 1.0 : rules->deadlineFactor;
-    const auto slack = rules == nullptr ? 0 : rules->deadlineSlackMilliseconds;
-    job.deadline = job.submittedAt + milliseconds(slack)
-        + std::chrono::duration_cast<Duration>(job.remainingWork * deadlineFactor);
+    updateForecast(job, nullptr);
     job.outcome = event.progress.state();
     job.persistedOutcome = job.outcome;
     job.endedMilliseconds = event.progress.endedMilliseconds;
@@ -163,6 +143,7 @@
         return;
     }
     job.number = ++m_lastJobNumber;
+    job.isSurplus = !isWithinTeamRate(job);
     m_openJobs[poolOf(job)].emplace(job.number, &job);
     if (std::ranges::any_of(job.spec.steps, &StepSpec::isLongRunning))
         m_longRunningJobs.emplace(job.number, &job);
@@ -174,6 +155,19 @@
     markDirty(poolOf(job));
 }
 
+/// Whether the team hasn't used up its rate. Long-running and scheduled jobs don't compete for the
+/// room of a peak, and count for no rate.
+auto Steward::isWithinTeamRate(const Job &job) -> bool
+{
+    const auto isExempt =
+        job.spec.isScheduled() || std::ranges::any_of(job.spec.steps, &StepSpec::isLongRunning);
+    if (isExempt || !m_rules)
+        return true;
+    const auto team = m_rules->teams.find(job.spec.team);
+    return team == m_rules->teams.end()
+        || m_entitlement.admit(job.spec.team, team->second.jobsPerSecond, job.submittedAt);
+}
+
 /// Applies the progress that earlier stewards have persisted.
 auto Steward::restore(Job &job, const JobProgress &progress) -> void
 {
@@ -230,7 +224,7 @@
     auto &occurrence = job.occurrences.at(task.occurrence);
     if (--occurrence.remainingTasks[task.step] > 0)
         return;
-    job.remainingWork = remainingWork(job, &occurrence);
+    updateForecast(job, &occurrence);
     updateBacklog(job);
     markDirty(poolOf(job));
     if (--occurrence.remainingSteps > 0)
@@ -247,8 +241,8 @@
         return;
     task.failedRuns.push_back(run);
     markChanged(job, WriteUrgency::Relaxed);
-    const auto *rules = rulesOf(job);
-    if (rules != nullptr && task.failedRuns.size() >= rules->attempts)
+    const auto attempts = rulesOf(job).attempts;
+    if (attempts > 0 && task.failedRuns.size() >= attempts)
         endJob(job, JobOutcome::Failed);
 }
 
@@ -400,7 +394,7 @@
     return &occurrence->second.steps[id.step][id.index];
 }
 
-auto Steward::rulesOf(const Job &job) const -> const QueueRules *
+auto Steward::declaredRules(const Job &job) const -> const QueueRules *
 {
     if (!m_rules)
         return nullptr;
@@ -408,12 +402,19 @@
     return it == m_rules->queues.end() ? nullptr : &it->second;
 }
 
-/// Returns the pool of the job's queue. Jobs of a queue that is no longer declared stay in the pool
-/// that the queue had when they were submitted.
+/// Returns the rules of the job's queue. Jobs of a queue that is no longer declared keep the rules
+/// that it had when they were submitted: they end as their callers were told.
+auto Steward::rulesOf(const Job &job) const -> const JobRules &
+{
+    const auto *declared = declaredRules(job);
+    return declared == nullptr ? job.spec.rules : *declared;
+}
+
+/// Returns the pool of the job's queue, as rulesOf().
 auto Steward::poolOf(const Job &job) const -> const PoolName &
 {
-    const auto *rules = rulesOf(job);
-    return rules == nullptr ? job.spec.pool : rules->pool;
+    const auto *declared = declaredRules(job);
+    return declared == nullptr ? job.spec.pool : declared->pool;
 }
 
 auto Steward::isReady(const Job &job, const Occurrence &occurrence, std::uint32_t step) const
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -71,6 +71,8 @@
     // Open jobs are listed by pool, and the pool of a queue may have changed.
     const auto before = std::exchange(m_openJobs, {});
     m_rules = event.rules;
+    m_runTimes.retain([this](const QueueName &it) { return m_rules->queues.contains(it); },
+                      [this](const TeamName &it) { return m_rules->teams.contains(it); });
     for (const auto &[pool, jobs] : before) {
         for (const auto &[number, job] : jobs) {
             m_openJobs[poolOf(*job)].emplace(number, job);
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -143,6 +143,7 @@
     task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
     task->progressPercent = run.progressPercent;
     task->mayHaveUnknownRun = false; // this is the newest run
+    task->isPartialRun = true;
     clearPossibleCrash(*task);
     attach(*task, worker);
     task->activeAtMilliseconds = worker.latestClockMilliseconds;
@@ -183,6 +184,8 @@
     const auto host = HostName(worker.report.name.value());
     const auto taskId = TaskId(end.task.job + '.' + std::to_string(end.task.step) + '.'
                                + std::to_string(end.task.index));
+    if (isAssigned)
+        observeRunTime(task, worker, end);
     const auto isDone = end.end == RunEnd::Done && !task.spec().isLongRunning;
     if (isDone && (isAssigned || task.phase == TaskPhase::Waiting)) {
         quarantineOf(worker).runSucceeded(host, taskId);
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -30,6 +30,8 @@
     /// The change of the job that contains the last crash.
     std::uint64_t crashChange = 0;
     std::string checkpoint;
+    /// The present run goes on from a checkpoint, or an earlier steward started it.
+    bool isPartialRun = false;
     /// The worker of the last run that failed or whose start timed out; the next run prefers
     /// another one.
     WorkerName failedOn;
@@ -89,6 +91,8 @@
     std::uint32_t remainingSteps = 0;
     /// Number of waiting tasks of each step.
     std::vector<std::uint32_t> waitingTasks;
+    /// Run times of the finished tasks of each step.
+    std::vector<StepWitness> finishedRuns;
     /// No task of the step with a lower index waits.
     std::vector<std::uint32_t> firstWaiting;
 };
@@ -119,6 +123,10 @@
     Duration remainingWork{};
     BootTime submittedAt;
     BootTime deadline;
+    /// After this time the result is of no use to the caller.
+    BootTime usefulUntil;
+    /// The team had used up its rate when the job was submitted.
+    bool isSurplus = false;
 };
 
 /// A step with waiting tasks: its suspects, or its other tasks.
--- a/packages/member/include/shallotproxy/member/caller_duty.hpp
+++ b/packages/member/include/shallotproxy/member/caller_duty.hpp
@@ -48,7 +48,14 @@
     auto countPending(const CallPointer &call) -> void;
     auto answerJobState(const CallPointer &call, const JobView &view) -> void;
     auto answer(const CallPointer &call, HttpResponse response, std::string_view reason) -> void;
-    auto refuse(const CallPointer &call, unsigned status, std::string_view reason) -> void;
+    /// Most outages and changes of the steward are over after the default time.
+    auto refuse(const CallPointer &call, unsigned status, std::string_view reason,
+                std::chrono::seconds retryAfter = std::chrono::seconds(1)) -> void;
+    [[nodiscard]] auto decideAdmission(const Call &call, const JobSpec &spec)
+        -> std::optional<AdmissionRefusal>;
+    auto refuseUnlessStored(const CallPointer &call, const AdmissionRefusal &refusal) -> void;
+    auto refuseForLoad(const CallPointer &call, const AdmissionRefusal &refusal) -> void;
+    auto beginSubmission(const CallPointer &call) -> void;
     /// Answers other members' requests about the jobs of this member's steward.
     auto receivePeerRequest(const HttpRequest &request, HttpResponder responder) -> void;
     [[nodiscard]] auto isReady() const -> bool;
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -37,6 +37,8 @@
     /// member holds it.
     [[nodiscard]] auto fencedCommit() const -> StoreCommit;
     [[nodiscard]] auto workerReport(const WorkerName &name) const -> const WorkerReport *;
+    /// Decides on the admission of jobs by what the steward has published.
+    [[nodiscard]] auto admissionGate() -> AdmissionGate & { return m_admissionGate; }
     /// Sends the steward's orders, in part through other members.
     [[nodiscard]] auto workers() -> DelegatedWorkers & { return m_workers; }
 
@@ -55,7 +57,11 @@
         };
     }
 
+    auto watchStewardRecords() -> void;
     auto holderChanged(const VersionedRecord *record) -> void;
+    auto outlookChanged(const VersionedRecord *record) -> void;
+    auto publishOutlook(BootTime now) -> void;
+    auto reportOutlook(const AdmissionOutlook &outlook) -> void;
     auto campaign() -> void;
     auto campaignLater() -> void;
     auto claim(StoreLease lease, BootTime grantedAt) -> void;
@@ -66,6 +72,8 @@
     auto load() -> void;
     auto startSteward(const LoadedRecords &loaded) -> void;
     auto loadJobs(const LoadedRecords &loaded) -> void;
+    auto readRunTimes(const std::shared_ptr<LoadedRecords> &loaded) -> void;
+    auto saveRunTimes(BootTime now) -> void;
     auto acceptJob(const VersionedRecord &record, const JobProgress &progress) -> void;
     auto jobChanged(const VersionedRecord &record) -> void;
     auto workerChanged(const VersionedRecord &record) -> void;
@@ -106,6 +114,11 @@
     std::unique_ptr<RecordWatch> m_workerWatch;
     std::set<std::string> m_unreadableWorkerKeys; // so that each record is logged only once
     ProgressWriter m_writer;
+    AdmissionGate m_admissionGate;
+    OutlookPublisher m_outlookPublisher;
+    /// The pools with a wait in the last outlook.
+    std::vector<PoolName> m_shortPools;
+    bool m_isPublishing = false;
     QTimer m_renewTimer;
     QTimer m_tickTimer;
     QTimer m_writeTimer;
@@ -113,6 +126,8 @@
     QTimer m_placeTimer;
     std::vector<StewardEvent> m_events;
     BootTime m_nextCleanupAt;
+    BootTime m_nextRunTimesAt;
+    std::uint64_t m_savedRuns = 0; // of the steward's observed runs
     BootTime m_tickDueAt;
     ProcessorLoad m_processorLoad;
     BootTime m_nextLoadReportAt;
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t MaxOpenSubmissions = 300; // each may hold a body of 256 KB
 constexpr int RelayTimeoutMilliseconds = 1'000; // the other member's write takes up to 900 ms
 constexpr std::chrono::milliseconds WriteRetryDelay{100}; // enough to reconnect to the store
-constexpr int RetryAfterSeconds = 1; // an outage or a steward change usually lasts this long
 
 auto peerBounds() -> HttpBounds
 {
@@ -103,7 +102,7 @@
     CallerOperation operation;
     TeamName team;
     QueueName queue;
-    PoolName pool;
+    QueueRules rules;
     std::string body;
     std::string record; // the encoded job of a submission
     Submission submission;
@@ -188,7 +187,7 @@
     }
     call->team = admitted->team;
     call->queue = admitted->queue->name;
-    call->pool = admitted->queue->rules.pool;
+    call->rules = admitted->queue->rules;
     const auto operation = m_context.callerCodec.decodeOperation(request, admitted->subpath);
     if (!operation) {
         refuse(call, 404, "no-such-call");
@@ -230,14 +229,79 @@
     }
     spec->id = call->operation.job;
     spec->queue = call->queue;
-    spec->pool = call->pool;
+    spec->pool = call->rules.pool;
+    spec->rules = call->rules;
     spec->team = call->team;
     spec->submittedMilliseconds = wallMilliseconds();
     call->record = encodeJob(*spec);
+    if (const auto refusal = decideAdmission(*call, *spec)) {
+        refuseUnlessStored(call, *refusal);
+    } else {
+        beginSubmission(call);
+    }
+}
+
+auto CallerDuty::beginSubmission(const CallPointer &call) -> void
+{
     ++m_openSubmissions;
     performSubmissionAction(call, call->submission.start(submissionView(*call)));
 }
 
+/// Returns why the job is refused, if it is. Work that is due later or that lasts isn't refused for
+/// a load that has passed by then.
+auto CallerDuty::decideAdmission(const Call &call, const JobSpec &spec)
+    -> std::optional<AdmissionRefusal>
+{
+    if (spec.isScheduled() || std::ranges::any_of(spec.steps, &StepSpec::isLongRunning))
+        return std::nullopt;
+    auto request = AdmissionRequest();
+    request.pool = spec.pool;
+    request.priority = call.rules.priority;
+    request.team = spec.team;
+    request.chain = spec.criticalPath([&spec](std::size_t step) {
+        return std::chrono::milliseconds(spec.steps[step].estimatedMilliseconds);
+    });
+    request.deadline = call.rules.deadlineOf(request.chain);
+    request.usefulTime = call.rules.usefulTimeOf(request.chain);
+    return m_steward.admissionGate().decide(request, call.receivedAt);
+}
+
+/// Refuses a job that isn't stored. A submission may be repeated after it has been accepted, and is
+/// then accepted again; the same if the store doesn't tell.
+auto CallerDuty::refuseUnlessStored(const CallPointer &call, const AdmissionRefusal &refusal)
+    -> void
+{
+    const auto readNext = [this, call](const std::string &key, std::function<void()> ifAbsent) {
+        m_context.store.read(
+            key, [self = QPointer(this), call, ifAbsent = std::move(ifAbsent)](const auto &reply) {
+                if (!self)
+                    return;
+                if (reply && reply->records.empty()) {
+                    ifAbsent();
+                } else {
+                    self->beginSubmission(call);
+                }
+            });
+    };
+    const auto &job = call->operation.job;
+    readNext(store_keys::job(job), [this, call, job, refusal, readNext] {
+        readNext(store_keys::progress(job),
+                 [this, call, refusal] { refuseForLoad(call, refusal); });
+    });
+}
+
+auto CallerDuty::refuseForLoad(const CallPointer &call, const AdmissionRefusal &refusal) -> void
+{
+    const auto isAboveRate = refusal.reason == AdmissionRefusalReason::TeamAboveRate;
+    const auto reason =
+        isAboveRate ? std::string_view("team-above-rate") : std::string_view("no-room-in-time");
+    m_context.metrics.count("shallotproxy_refused_for_load_total",
+                            fmt::format(R"(queue="{}",reason="{}")", call->queue.value(), reason));
+    m_context.log.info("event=refused-for-load job={} too-late-by-ms={} retry-after-s={}",
+                       call->operation.job, refusal.excess.count(), refusal.retryAfter.count());
+    refuse(call, isAboveRate ? 429 : 503, reason, refusal.retryAfter);
+}
+
 auto CallerDuty::hasPeerSteward() const -> bool
 {
     const auto &holder = m_steward.holderAddress();
@@ -518,13 +582,14 @@
     querySteward(call, [this, call] { refuse(call, 503, "no-steward"); });
 }
 
-auto CallerDuty::refuse(const CallPointer &call, unsigned status, std::string_view reason) -> void
+auto CallerDuty::refuse(const CallPointer &call, unsigned status, std::string_view reason,
+                        std::chrono::seconds retryAfter) -> void
 {
     auto response =
         HttpResponse{status, {}, errorBody(static_cast<int>(status), reason, "not-run")};
     response.headers.push_back({"Content-Type", "application/json"});
-    if (status == 503)
-        response.headers.push_back({"Retry-After", std::to_string(RetryAfterSeconds)});
+    if (status == 503 || status == 429)
+        response.headers.push_back({"Retry-After", std::to_string(retryAfter.count())});
     answer(call, std::move(response), reason);
 }
 
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -287,6 +287,16 @@
         move(it);
 }
 
+auto HostDuty::arrivingCapacity() const -> std::map<PoolName, Resources>
+{
+    auto capacity = std::map<PoolName, Resources>();
+    for (const auto &it : m_hosts) {
+        if (it.state == HostState::Moving)
+            capacity[it.pool] += it.capacity;
+    }
+    return capacity;
+}
+
 auto HostDuty::setDraining(const HostName &host, bool isDraining) -> void
 {
     const auto it = std::ranges::find(m_hosts, host, &HostReport::host);
--- a/packages/member/src/host_duty.hpp
+++ b/packages/member/src/host_duty.hpp
@@ -17,6 +17,8 @@
 
     auto start() -> void;
     auto declarationsChanged() -> void;
+    /// Returns the capacity of the hosts that are on their way to each pool.
+    [[nodiscard]] auto arrivingCapacity() const -> std::map<PoolName, Resources>;
 
 private:
     auto step() -> void;
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -57,13 +57,28 @@
 StewardDuty::~StewardDuty() = default;
 
 auto StewardDuty::start() -> void
+{
+    watchStewardRecords();
+}
+
+auto StewardDuty::watchStewardRecords() -> void
 {
     auto handlers = RecordWatch::Handlers();
     handlers.reset = [this](const auto &records) {
-        holderChanged(records.empty() ? nullptr : &records.front());
+        const auto find = [&records](std::string_view key) -> const VersionedRecord * {
+            const auto it = std::ranges::find(records, key, &VersionedRecord::key);
+            return it == records.end() ? nullptr : &*it;
+        };
+        outlookChanged(find(store_keys::Outlook));
+        holderChanged(find(store_keys::Steward));
     };
     handlers.changed = [this](const auto &record) {
-        holderChanged(record.isDeleted ? nullptr : &record);
+        const auto *current = record.isDeleted ? nullptr : &record;
+        if (record.key == store_keys::Steward) {
+            holderChanged(current);
+        } else if (record.key == store_keys::Outlook) {
+            outlookChanged(current);
+        }
     };
     m_holderWatch = std::make_unique<RecordWatch>(
         m_context.store, std::string(store_keys::StewardPrefix), HolderWatchWait, handlers, this);
@@ -235,6 +250,8 @@
     m_openStarts = 0;
     m_openPolls = 0;
     m_writer = {};
+    m_outlookPublisher = {};
+    m_isPublishing = false;
     // Destroyed from the event loop, because one of their functions may be on the call stack.
     for (auto *watch : {m_jobWatch.release(), m_workerWatch.release()}) {
         if (watch != nullptr)
@@ -290,6 +307,8 @@
     dispatch(steward_event::Ticked{wallMilliseconds()});
     if (!m_steward)
         return;
+    publishOutlook(now);
+    saveRunTimes(now);
     m_workers.closeIdle(now);
     if (now >= m_nextCleanupAt) {
         m_nextCleanupAt = now + CleanupInterval;
--- a/packages/member/src/steward_records.cpp
+++ b/packages/member/src/steward_records.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds RecordWatchWait{2'000}; // for the watches on jobs and workers
 constexpr milliseconds LoadRetryDelay{250};
 constexpr std::size_t MaxJobsPerCleanup = 30; // a write of the store has at most 32 entries
+// A lost steward costs what was learned in this time at most.
+constexpr milliseconds RunTimesInterval{2'000};
 constexpr int RetentionFactor = 2; // ended jobs stay twice as long as the settings promise
 
 } // namespace
@@ -19,6 +21,7 @@
 {
     std::vector<VersionedRecord> jobs;
     std::vector<VersionedRecord> progress;
+    std::optional<RunTimes> runTimes;
 };
 
 auto StewardDuty::load() -> void
@@ -33,7 +36,7 @@
             return;
         }
         loaded->progress = std::move(progress->records);
-        startSteward(*loaded);
+        readRunTimes(loaded);
     });
     // Jobs are read first: if one ends between the two reads, its progress record shows the
     // outcome.
@@ -49,6 +52,43 @@
                             }));
 }
 
+/// Run times that can't be read are learned anew.
+auto StewardDuty::readRunTimes(const std::shared_ptr<LoadedRecords> &loaded) -> void
+{
+    m_context.store.read(
+        std::string(store_keys::RunTimes), ifSameTerm([this, loaded](const auto &reply) {
+            if (reply && !reply->records.empty()) {
+                loaded->runTimes = RunTimes::decode(reply->records.front().value);
+                if (!loaded->runTimes)
+                    m_context.log.warning(
+                        "event=record-unreadable key={} error=\"expected run times\"",
+                        store_keys::RunTimes);
+            }
+            startSteward(*loaded);
+        }));
+}
+
+/// Writes what was learned of run times from time to time: a successor may lose the last part of
+/// it.
+auto StewardDuty::saveRunTimes(BootTime now) -> void
+{
+    const auto observed = m_steward->observedRuns();
+    if (now < m_nextRunTimesAt || observed == m_savedRuns)
+        return;
+    m_nextRunTimesAt = now + RunTimesInterval;
+    auto commit = fencedCommit();
+    commit.puts.push_back(
+        {std::string(store_keys::RunTimes), m_steward->runTimes().encode(), StoreLease(0)});
+    m_context.store.commit(commit, ifSameTerm([this, observed](const auto &reply) {
+                               if (reply) {
+                                   m_savedRuns = observed;
+                               } else {
+                                   m_context.log.info("event=run-times-not-kept reason={}",
+                                                      reply.error().name());
+                               }
+                           }));
+}
+
 auto StewardDuty::startSteward(const LoadedRecords &loaded) -> void
 {
     auto settings = StewardSettings();
@@ -56,6 +96,9 @@
     settings.stopTimeout = m_context.settings.runStopTimeout;
     const auto now = BootClock::now();
     m_steward = std::make_unique<Steward>(*m_stewardship.token(), settings, now);
+    if (loaded.runTimes)
+        m_steward->restoreRunTimes(*loaded.runTimes);
+    m_savedRuns = 0;
     dispatch(steward_event::Ticked{wallMilliseconds()});
     declarationsChanged();
     loadJobs(loaded);
@@ -114,11 +157,16 @@
         }
         progress.emplace(id, std::move(*decoded));
     }
+    // In the order of their creation, by which the rates of teams are measured.
+    auto jobs = std::vector<const VersionedRecord *>();
     for (const auto &record : loaded.jobs) {
-        if (record.key.ends_with(store_keys::CancelSuffix))
-            continue;
-        const auto known = progress.find(record.key.substr(store_keys::JobPrefix.size()));
-        acceptJob(record, known == progress.end() ? JobProgress() : known->second);
+        if (!record.key.ends_with(store_keys::CancelSuffix))
+            jobs.push_back(&record);
+    }
+    std::ranges::sort(jobs, {}, &VersionedRecord::creationRevision);
+    for (const auto *record : jobs) {
+        const auto known = progress.find(record->key.substr(store_keys::JobPrefix.size()));
+        acceptJob(*record, known == progress.end() ? JobProgress() : known->second);
     }
     for (const auto &record : loaded.jobs) {
         if (record.key.ends_with(store_keys::CancelSuffix))
--- a/packages/member/src/store_keys.hpp
+++ b/packages/member/src/store_keys.hpp
@@ -9,6 +9,10 @@
 // holder's peer address; the revision at which the key was created is the fencing token.
 inline constexpr std::string_view Steward = "steward/holder";
 inline constexpr std::string_view StewardPrefix = "steward/";
+// What members have to know to refuse work that can't be done in time, on the same lease.
+inline constexpr std::string_view Outlook = "steward/outlook";
+// What stewards have learned of run times. No member watches it.
+inline constexpr std::string_view RunTimes = "run-times";
 // jobs/ID: the job as submitted, until it ends.
 inline constexpr std::string_view JobPrefix = "jobs/";
 // jobs/ID/cancel: present once the job has been cancelled.
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -77,7 +77,7 @@
 auto testRules(std::uint32_t attempts) -> std::shared_ptr<const SchedulingRules>
 {
     auto rules = SchedulingRules();
-    rules.queues[QueueName("quotes")] = {PoolName(TestPool), attempts, 0, 1.6, 600};
+    rules.queues[QueueName("quotes")] = {{attempts, 0, 1.6, 600}, PoolName(TestPool)};
     rules.pools[PoolName(TestPool)] = {};
     return std::make_shared<const SchedulingRules>(std::move(rules));
 }
--- a/tests/unit/unit-busy-steward.cpp
+++ b/tests/unit/unit-busy-steward.cpp
@@ -25,7 +25,7 @@
         m_steward.step(steward_event::Ticked{1'000'000}, m_now);
         auto rules = *test::testRules(2);
         rules.pools[otherPool] = {};
-        rules.queues[otherQueue] = {otherPool, 2, 0, 1.6, 600};
+        rules.queues[otherQueue] = {{2, 0, 1.6, 600}, otherPool};
         m_steward.step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)},
                        m_now);
         for (auto n = 0; n < workers + otherWorkers; ++n) {
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -59,6 +59,28 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// A queue that is removed while a task of it fails kept the task failing for ever; a successor
+// knows no more than the record.
+TEST(Steward, FailsAJobAfterItsLastAttemptAlsoWithoutItsQueue)
+{
+    auto fleet = FakeFleet(3, 2);
+    fleet.fails = [](const JobTaskId &) { return true; };
+    const auto first = fleet.addSteward();
+    auto job = test::oneStepJob("a", test::shortStep(1));
+    job.rules.attempts = 3;
+    auto rules = *test::testRules(2);
+    rules.queues.clear();
+    const auto withoutQueue = std::make_shared<const SchedulingRules>(rules);
+    fleet.send(first, steward_event::RulesChanged{withoutQueue});
+    fleet.addJob(job);
+    fleet.run(600ms);
+    fleet.killSteward(first);
+    fleet.send(fleet.addSteward(), steward_event::RulesChanged{withoutQueue});
+    fleet.run(10s);
+    EXPECT_EQ(fleet.outcome("a"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.starts, 3U);
+}
+
 // Without a recorded lease, an adopted run would be treated as ended by the next tick.
 TEST(Steward, DoesNotRestartAdoptedRuns)
 {
