Take hosts from late work for a pool whose work can still be in time

Change: HostReclaim drains hosts of late work and moves them once they are idle; PoolLoad tells the late part.

--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -14,6 +14,11 @@
     PoolName to;
 };
 
+/// Returns how many hosts provide these resources, by the scarcest kind.
+auto hostsFor(const Resources &resources, const Resources &host) -> double;
+/// Returns the largest amount of each kind of resource.
+auto largestOf(const Resources &left, const Resources &right) -> Resources;
+
 /// Hosts that a pool has, and those that its demand needs.
 struct PoolSize
 {
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -40,6 +40,9 @@
     Resources used;
     /// Requested by waiting tasks whose earlier steps are done.
     Resources waiting;
+    /// The parts of them that belong to jobs that can't be in time any more.
+    Resources lateUsed;
+    Resources lateWaiting;
     /// The part of `used` and `waiting` that belongs to long-running tasks.
     Resources longRunning;
     /// Jobs with finite tasks that this steward has accepted.
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -9,7 +9,16 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Returns how many hosts provide these resources, by the scarcest kind.
+/// Returns which part of the hosts that the pool needs it doesn't have.
+auto lackingPart(const PoolSize &pool) -> double
+{
+    if (pool.hosts >= pool.needed)
+        return 0;
+    return static_cast<double>(pool.needed - pool.hosts) / static_cast<double>(pool.needed);
+}
+
+} // namespace
+
 auto hostsFor(const Resources &resources, const Resources &host) -> double
 {
     const auto part = [](std::int64_t requested, std::int64_t provided) {
@@ -20,7 +29,6 @@
                      part(resources.accelerators, host.accelerators)});
 }
 
-/// Returns the largest amount of each kind of resource.
 auto largestOf(const Resources &left, const Resources &right) -> Resources
 {
     return {std::max(left.milliCores, right.milliCores),
@@ -28,16 +36,6 @@
             std::max(left.accelerators, right.accelerators)};
 }
 
-/// Returns which part of the hosts that the pool needs it doesn't have.
-auto lackingPart(const PoolSize &pool) -> double
-{
-    if (pool.hosts >= pool.needed)
-        return 0;
-    return static_cast<double>(pool.needed - pool.hosts) / static_cast<double>(pool.needed);
-}
-
-} // namespace
-
 /// Returns the resources that the arriving work occupies, by the window with the higher rate.
 ///
 /// A few large jobs in a window show no rate: each window counts one standard deviation of the
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -531,8 +531,11 @@
         for (const auto *worker : workers) {
             loads[pool].used += worker->used;
             for (const auto *task : worker->runs) {
-                if (task->spec().isLongRunning)
+                if (task->spec().isLongRunning) {
                     loads[pool].longRunning += task->spec().reservedResources();
+                } else if (task->job->deadline < m_now) {
+                    loads[pool].lateUsed += task->spec().reservedResources();
+                }
             }
         }
     }
@@ -549,7 +552,8 @@
     for (const auto &[pool, backlog] : m_backlogs) {
         auto &load = loads[pool];
         const auto &suspects = backlog->suspects;
-        backlog->steps.forEach([this, &load, &suspects](const Candidate &it) {
+        const auto add = [this, &load, &suspects](const WaitingStep &, const Candidate &it,
+                                                  Timeliness timeliness) {
             const auto &spec = it.spec();
             if (!mayFitAnyHost(spec))
                 return;
@@ -561,9 +565,13 @@
             }
             const auto waiting = spec.reservedResources() * count;
             load.waiting += waiting;
-            if (spec.isLongRunning)
+            if (spec.isLongRunning) {
                 load.longRunning += waiting;
-        });
+            } else if (timeliness != Timeliness::InTime) {
+                load.lateWaiting += waiting;
+            }
+        };
+        backlog->steps.forEachStep(add);
     }
     return loads;
 }
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -283,7 +283,29 @@
                                size.hosts, size.needed);
         }
     }
-    for (const auto &it : moves)
+    for (const auto &it : moves) {
+        blocked.insert(it.host);
+        move(it);
+    }
+    if (m_steward.steward() != nullptr)
+        reclaimHosts(hosts, *loads, blocked);
+}
+
+auto HostDuty::reclaimHosts(std::span<const HostView> hosts,
+                            const std::map<PoolName, PoolLoad> &loads,
+                            const std::set<HostName> &blocked) -> void
+{
+    const auto &declaration = m_context.fleet.declarationCache.current();
+    const auto orders = m_reclaim.step(hosts, loads, declaration->rules, blocked, BootClock::now());
+    if (!orders.drain.empty() || !orders.moves.empty()) {
+        m_context.log.info("event=hosts-reclaimed drained={} moved={} given-back={}",
+                           orders.drain.size(), orders.moves.size(), orders.release.size());
+    }
+    for (const auto &it : orders.drain)
+        setDraining(it, true);
+    for (const auto &it : orders.release)
+        setDraining(it, false);
+    for (const auto &it : orders.moves)
         move(it);
 }
 
--- a/packages/member/src/host_duty.hpp
+++ b/packages/member/src/host_duty.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <span>
+
 #include <QObject>
 #include <QTimer>
 
@@ -30,6 +32,8 @@
     auto plan() -> void;
     auto planUpkeep(const std::vector<HostView> &hosts) -> void;
     auto planMoves(const std::vector<HostView> &hosts) -> void;
+    auto reclaimHosts(std::span<const HostView> hosts, const std::map<PoolName, PoolLoad> &loads,
+                      const std::set<HostName> &blocked) -> void;
     struct UpkeepOrder;
     auto startUpkeep(const UpkeepOrder &order) -> void;
     auto upkeepAnswered(const UpkeepOrder &order, HostOutcome outcome) -> void;
@@ -47,6 +51,7 @@
     StewardDuty &m_steward;
     UpkeepPlanner m_upkeep;
     PoolSizer m_sizer;
+    HostReclaim m_reclaim;
     QTimer m_timer;
     std::vector<HostReport> m_hosts;
     ListedWorkers m_listedWorkers;
