Read all ends of a worker before a new steward's recovery ends

Cause: the recovery ended once each worker had answered one poll.

Change: a worker counts as read once a poll came back with fewer ends than a page holds; only then is the recovery over. The next page is polled for as soon as the ends of the one before are kept, also if the worker's registration was removed. Each page but the last begins the recovery's time limit anew. Same cause elsewhere: a host counted as having no unkept ends, and could be moved, after the first page of its worker was acknowledged.

The fake fleet now pages its ends as workers do.

--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -105,6 +105,8 @@
     worker.acknowledged = 0;
     worker.unpersistedEnds.clear();
     worker.isPolled = false;
+    worker.hasUnreadEnds = false;
+    worker.isRead = false;
     worker.hasClock = false;
     worker.latestClockMilliseconds = 0;
 }
@@ -161,19 +163,20 @@
         registerWorker(it);
 }
 
-/// Ends the recovery once every expected worker has been polled or the timeout is over. Until then,
-/// tasks that an earlier steward started may be running on a worker that hasn't been polled.
+/// Ends the recovery once all ends of every expected worker have been read, or the timeout is over.
+/// Until then, tasks that an earlier steward started may be running on a worker that hasn't been
+/// polled, or have ended there.
 auto Steward::endRecoveryIfDone() -> void
 {
     if (!m_isRecovering)
         return;
-    const auto isPolled = [this](const WorkerName &name) {
+    const auto isRead = [this](const WorkerName &name) {
         const auto it = m_workers.find(name);
-        return it != m_workers.end() && it->second->isPolled;
+        return it != m_workers.end() && it->second->isRead;
     };
     // A registered worker that belongs to no host any more has ended.
-    const auto isAllPolled = m_hasHostList && std::ranges::all_of(m_expectedWorkers, isPolled);
-    if (!isAllPolled && m_now < m_recoveryDeadline)
+    const auto isAllRead = m_hasHostList && std::ranges::all_of(m_expectedWorkers, isRead);
+    if (!isAllRead && m_now < m_recoveryDeadline)
         return;
     m_isRecovering = false;
     for (const auto &[pool, jobs] : m_openJobs) {
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -285,6 +285,12 @@
     job.persistedChange = std::max(job.persistedChange, event.change);
     if (job.persistedChange == job.change)
         job.persistedOutcome = job.outcome;
+    if (!m_isRecovering)
+        return;
+    for (const auto &[name, worker] : m_workers) {
+        if (worker->hasUnreadEnds)
+            pollIfDue(*worker);
+    }
 }
 
 auto Steward::record(const std::string &job) const -> std::optional<JobRecord>
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -53,10 +53,16 @@
         worker->isPolled = true;
         markDirty(worker->report.pool);
     }
+    worker->hasUnreadEnds = event.ended.size() >= EndedRunsPerPoll;
+    worker->isRead = worker->isRead || !worker->hasUnreadEnds;
+    const auto lastEndBefore = worker->lastReceivedEnd;
     for (const auto &end : event.ended)
         applyEndedRun(*worker, end);
+    // The next page follows once these ends are persisted.
+    if (!worker->isRead && worker->lastReceivedEnd > lastEndBefore)
+        m_recoveryDeadline = m_now + m_settings.recoveryTimeout;
     applyActiveRuns(*worker, event);
-    if (event.ended.size() < EndedRunsPerPoll)
+    if (!worker->hasUnreadEnds)
         requeueMissingRuns(*worker, event);
     adjustRunSpeeds(*worker);
     auto interval = pollInterval();
@@ -299,17 +305,17 @@
 }
 
 /// Polls the worker if it is time. A worker with runs is polled continually, an idle one only until
-/// its last ends are acknowledged and its registered incarnation has answered.
+/// all its ends are acknowledged and its registered incarnation has answered.
 auto Steward::pollIfDue(Worker &worker) -> void
 {
     if (worker.isPolling || m_now < worker.nextPoll)
         return;
     const auto acknowledged = highestAcknowledgeable(worker);
     const auto isNeeded = !worker.isPolled || !worker.runs.empty() || worker.hasDetachedRuns()
-        || acknowledged > worker.acknowledged || worker.failedPolls > 0
-        || !worker.isReportCurrent();
-    const auto mayHaveRuns =
-        worker.isRegistered || !worker.runs.empty() || worker.hasDetachedRuns();
+        || acknowledged > worker.acknowledged || worker.failedPolls > 0 || !worker.isReportCurrent()
+        || (worker.hasUnreadEnds && worker.unpersistedEnds.empty());
+    const auto mayHaveRuns = worker.isRegistered || !worker.runs.empty() || worker.hasDetachedRuns()
+        || worker.hasUnreadEnds;
     if (!isNeeded || !mayHaveRuns)
         return;
     worker.isPolling = true;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -190,6 +190,10 @@
     BootTime firstSeenAt;
     /// This steward has polled the worker successfully, so that the worker knows its token.
     bool isPolled = false;
+    /// The last poll may not have returned all ends.
+    bool hasUnreadEnds = false;
+    /// A poll of this incarnation has returned all ends that there were.
+    bool isRead = false;
     Resources used;
     std::vector<Task *> runs;
     /// Runs of the last poll that are being stopped; `used` includes them.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -504,7 +504,7 @@
         return std::nullopt;
     const auto &worker = *it->second;
     auto load = WorkerLoad();
-    load.hasUnpersistedEnds = worker.acknowledged < worker.lastReceivedEnd;
+    load.hasUnpersistedEnds = worker.hasUnreadEnds || worker.acknowledged < worker.lastReceivedEnd;
     load.isPolled = worker.isPolled;
     load.isDraining = worker.isDraining;
     load.isUsable = isUsable(worker);
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -22,6 +22,8 @@
 constexpr auto MaxLease = 10s;
 constexpr std::int64_t WorkerCores = 8'000;
 constexpr std::int64_t WorkerMemory = 16'000;
+// Workers list at most this many ends at once.
+constexpr std::size_t EndsPerPoll = 500;
 
 auto describe(const JobTaskId &task) -> std::string
 {
@@ -495,7 +497,9 @@
     poll.startedMilliseconds = worker.incarnation;
     for (const auto &run : worker.active)
         poll.active.push_back({run.task, run.number, {}, 100, 0});
-    poll.ended = worker.ended;
+    const auto count = std::min(worker.ended.size(), EndsPerPoll);
+    std::ranges::copy_n(worker.ended.begin(), static_cast<std::ptrdiff_t>(count),
+                        std::back_inserter(poll.ended));
     return poll;
 }
 
