Count what unasked workers may run for the limit of a team

Runs of jobs that had ended before the term counted for no team at all, as their steps weren't known.

Change: while a steward recovers, UnknownRuns bounds what runs of each team it can't know of: the smaller of what the tasks from before the term need and the capacity of the workers that haven't answered. The steps of jobs that were cancelled or failed lately are taken over, so that their runs count when they are listed.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -9,6 +9,7 @@
 #include "quarantine.hpp"
 #include "shallotproxy/demand.hpp"
 #include "steward_events.hpp"
+#include "unknown_runs.hpp"
 #include "waiting_order.hpp"
 
 namespace shallotproxy {
@@ -291,7 +292,7 @@
     auto applyActiveRuns(Worker &worker, const steward_event::WorkerPolled &event) -> void;
     auto adjustRunSpeeds(Worker &worker) -> void;
     auto adopt(Worker &worker, const ActiveRun &run) -> void;
-    auto addDetachedRun(Worker &worker, const Task *task) -> void;
+    auto addDetachedRun(Worker &worker, const JobTaskId &task) -> void;
     auto clearDetachedRuns(Worker &worker) -> void;
     auto applyEndedRun(Worker &worker, const EndedRun &end) -> void;
     auto applyRunEnd(Task &task, Worker &worker, const EndedRun &end, bool isAssigned) -> void;
@@ -302,6 +303,11 @@
     [[nodiscard]] auto pollInterval() const -> Duration;
     [[nodiscard]] auto isUnlisted(const Worker &worker) const -> bool;
 
+    // Runs of earlier stewards: steward_recovery.cpp
+    auto learnSteps(Job &job, const steward_event::JobAccepted &event) -> void;
+    auto settleUnknownRun(Task &task) -> void;
+    [[nodiscard]] auto roomOfUnaskedWorkers() const -> std::optional<Resources>;
+
     // Runs and workers: steward_workers.cpp
     auto attach(Task &task, Worker &worker) -> void;
     auto detach(Task &task) -> void;
@@ -434,6 +440,9 @@
     /// Registrations of incarnations that have ended; the platform removes them some seconds later.
     std::map<WorkerName, EndedWorker> m_endedWorkers;
     std::map<TeamName, Resources> m_teamUsage;
+    UnknownRuns m_unknownRuns;
+    /// As of the last placement.
+    std::optional<Resources> m_unaskedRoom;
     TeamEntitlement m_entitlement;
     RunTimes m_runTimes;
     std::uint64_t m_observedRuns = 0;
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -97,6 +97,8 @@
             task.phaseSince = m_now;
             task.mayHaveUnknownRun = job.mayRunAlready;
         }
+        if (job.mayRunAlready)
+            m_unknownRuns.add(job.spec.team, job.spec.steps[step], count);
     }
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step)
         updateBacklog(job, number, step);
@@ -119,8 +121,10 @@
 
 auto Steward::handle(const steward_event::JobAccepted &event) -> void
 {
-    if (m_jobs.contains(event.spec.id))
+    if (const auto known = m_jobs.find(event.spec.id); known != m_jobs.end()) {
+        learnSteps(*known->second, event);
         return;
+    }
     auto owned = std::make_unique<Job>();
     auto &job = *owned;
     job.spec = event.spec;
@@ -216,6 +220,7 @@
     auto &job = *task.job;
     const auto wasWaiting = task.phase == TaskPhase::Waiting;
     detach(task);
+    settleUnknownRun(task);
     task.phase = TaskPhase::Done;
     if (wasWaiting)
         removeWaiting(task);
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -118,6 +118,7 @@
 auto Steward::placeDirtyPools() -> void
 {
     auto dirty = std::exchange(m_dirtyPools, {});
+    m_unaskedRoom = roomOfUnaskedWorkers();
     const auto inFlight = startsInFlight();
     m_startBudget = m_settings.maxStartsInFlight - std::min(inFlight, m_settings.maxStartsInFlight);
     // The pools that have waited for answers go first, and those of them that have had starts last
@@ -272,7 +273,9 @@
     if (team == m_rules->teams.end())
         return true;
     const auto running = m_teamUsage.find(job.spec.team);
-    const auto used = running == m_teamUsage.end() ? resources : running->second + resources;
+    auto used = running == m_teamUsage.end() ? resources : running->second + resources;
+    if (m_isRecovering)
+        used += m_unknownRuns.upperBound(job.spec.team, m_unaskedRoom);
     const auto &limit = team->second.limit;
     return (limit.milliCores == 0 || used.milliCores <= limit.milliCores)
         && (limit.memoryMegabytes == 0 || used.memoryMegabytes <= limit.memoryMegabytes)
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -135,7 +135,7 @@
         && task->phase == TaskPhase::Waiting && run.run >= task->run && task->worker == nullptr;
     if (!isNeeded) {
         m_actions.emplace_back(steward_action::StopRun{worker.report.name, run.task, run.run});
-        addDetachedRun(worker, task);
+        addDetachedRun(worker, run.task);
         // An earlier steward may have renewed the lease up to now.
         worker.detachedRunsEndAt = latestLeaseEnd(m_settings.maxRunLease, {});
         return;
@@ -148,7 +148,7 @@
     task->confirmedAt = m_now;
     task->checkpoint = run.checkpoint.empty() ? task->checkpoint : run.checkpoint;
     task->progressPercent = run.progressPercent;
-    task->mayHaveUnknownRun = false; // this is the newest run
+    settleUnknownRun(*task); // this is the newest run
     task->isPartialRun = true;
     clearPossibleCrash(*task);
     attach(*task, worker);
@@ -266,16 +266,18 @@
 }
 
 /// Counts the resources of a listed run that is being stopped and that no task is attached to.
-auto Steward::addDetachedRun(Worker &worker, const Task *task) -> void
+auto Steward::addDetachedRun(Worker &worker, const JobTaskId &task) -> void
 {
-    if (task == nullptr) {
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || task.step >= job->second->spec.steps.size()) {
         ++worker.unknownRuns;
         return;
     }
-    const auto &team = task->job->spec.team;
-    worker.detachedRuns.push_back({team, task->spec().reservedResources(), task->spec().resources});
-    worker.used += task->spec().reservedResources();
-    m_teamUsage[team] += task->spec().resources;
+    const auto &team = job->second->spec.team;
+    const auto &step = job->second->spec.steps[task.step];
+    worker.detachedRuns.push_back({team, step.reservedResources(), step.resources});
+    worker.used += step.reservedResources();
+    m_teamUsage[team] += step.resources;
 }
 
 auto Steward::clearDetachedRuns(Worker &worker) -> void
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -328,7 +328,7 @@
     task.phaseSince = m_now;
     task.progressPercent = 0;
     task.speedPercent = FullSpeedPercent;
-    task.mayHaveUnknownRun = false;
+    settleUnknownRun(task);
     task.wasStartResent = false;
     task.isStartInDoubt = false;
     task.isPartialRun = !task.checkpoint.empty();
--- a/tests/unit/unit-recovery.cpp
+++ b/tests/unit/unit-recovery.cpp
@@ -12,6 +12,7 @@
 using test::shortStep;
 using test::SingleWorker;
 using test::workerName;
+using test::workerReport;
 
 auto countStarts(const Steward::Actions &actions) -> std::ptrdiff_t
 {
@@ -84,6 +85,136 @@
     EXPECT_FALSE(worker.steward.isRecovering());
 }
 
+/// A steward that has taken over two workers of eight cores each, of which it reaches the second.
+class HalfRead : public testing::Test
+{
+protected:
+    explicit HalfRead(std::int64_t limit = 8'000)
+        : steward(7, StewardSettings(), now)
+    {
+        auto rules = *test::testRules(2);
+        rules.teams[TeamName("blue")].limit = {limit, 0, 0};
+        step(steward_event::Ticked{1'000'000});
+        step(steward_event::RulesChanged{std::make_shared<const SchedulingRules>(rules)});
+    }
+
+    auto step(const StewardEvent &event) -> std::ptrdiff_t
+    {
+        auto starts = countStarts(steward.step(event, now));
+        starts += countStarts(steward.step(steward_event::PlacementDue(), now));
+        return starts;
+    }
+
+    auto poll(int worker, std::vector<ActiveRun> active) -> std::ptrdiff_t
+    {
+        auto event = steward_event::WorkerPolled();
+        event.worker = workerName(worker);
+        event.sentAt = now;
+        event.clockMilliseconds = 5'000;
+        event.startedMilliseconds = 1;
+        event.active = std::move(active);
+        now += 2ms;
+        return step(event);
+    }
+
+    auto takeOver() -> void
+    {
+        for (const auto n : {0, 1})
+            step(steward_event::WorkerReported{workerReport(n)});
+        steward.expectWorkers({workerName(0), workerName(1)});
+        EXPECT_EQ(poll(1, {}), 0);
+    }
+
+    static auto runsOf(const std::string &job, std::uint32_t count) -> std::vector<ActiveRun>
+    {
+        auto runs = std::vector<ActiveRun>();
+        for (std::uint32_t n = 0; n < count; ++n)
+            runs.push_back({{job, 0, 0, n}, 1, {}, 0, 0});
+        return runs;
+    }
+
+    auto accept(const std::string &id, std::uint32_t tasks, bool isOld) -> std::ptrdiff_t
+    {
+        return step(steward_event::JobAccepted{oneStepJob(id, shortStep(tasks)), {}, isOld});
+    }
+
+    BootTime now{1h};
+    Steward steward;
+};
+
+class WideHalfRead : public HalfRead
+{
+protected:
+    WideHalfRead()
+        : HalfRead(12'000)
+    { }
+};
+
+TEST_F(HalfRead, CountsRunsOfAnEarlierStewardOnWorkersItCannotAsk)
+{
+    accept("old", 8, true);
+    takeOver();
+    EXPECT_EQ(accept("new", 2, false), 0);
+    EXPECT_EQ(poll(0, runsOf("old", 8)), 0);
+}
+
+TEST_F(HalfRead, StartsTheRestOfATeamOnceAWorkerHasTold)
+{
+    accept("old", 8, true);
+    takeOver();
+    EXPECT_EQ(accept("new", 2, false), 0);
+    // All tasks of the old job wait, and have been accepted earlier.
+    EXPECT_EQ(poll(0, runsOf("old", 3)), 5);
+}
+
+TEST_F(HalfRead, StartsTheRestOfATeamOnceRunsThatItCannotAskForHaveEnded)
+{
+    accept("old", 8, true);
+    takeOver();
+    EXPECT_EQ(accept("new", 2, false), 0);
+    now += StewardSettings().recoveryTimeout;
+    EXPECT_EQ(step(steward_event::Ticked{1'000'000}), 8);
+}
+
+TEST_F(WideHalfRead, HoldsBackNoMoreThanTheUnaskedWorkerHasRoomFor)
+{
+    accept("old", 100, true);
+    takeOver();
+    EXPECT_EQ(accept("new", 8, false), 4);
+}
+
+TEST_F(WideHalfRead, HoldsBackNoMoreThanTheOldTasksNeed)
+{
+    accept("old", 2, true);
+    takeOver();
+    EXPECT_EQ(accept("new", 8, false), 8);
+}
+
+TEST_F(HalfRead, CountsRunsOfAJobThatIsCancelledMeanwhile)
+{
+    accept("old", 8, true);
+    takeOver();
+    step(steward_event::JobCancelled{"old"});
+    EXPECT_EQ(accept("new", 2, false), 0);
+}
+
+TEST_F(HalfRead, CountsRunsOfAJobThatWasCancelledBefore)
+{
+    auto ended = JobSpec();
+    ended.id = "old";
+    ended.queue = QueueName("quotes");
+    ended.team = TeamName("blue");
+    auto progress = JobProgress();
+    progress.outcome = static_cast<std::uint8_t>(JobOutcome::Cancelled);
+    progress.endedMilliseconds = 999'000;
+    step(steward_event::JobAccepted{ended, progress, false});
+    step(steward_event::JobAccepted{oneStepJob("old", shortStep(8)), progress, true});
+    takeOver();
+    EXPECT_EQ(accept("new", 2, false), 0);
+    EXPECT_EQ(poll(0, runsOf("old", 8)), 0);
+    EXPECT_EQ(poll(0, runsOf("old", 7)), 1);
+}
+
 } // namespace
 
 } // namespace shallotproxy
