--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -328,7 +328,7 @@
     task.phaseSince = m_now;
     task.progressPercent = 0;
     task.speedPercent = FullSpeedPercent;
-    task.mayHaveUnknownRun = false;
+    settleUnknownRun(task);
     task.wasStartResent = false;
     task.isStartInDoubt = false;
     task.isPartialRun = !task.checkpoint.empty();
@@ -504,7 +504,7 @@
         return std::nullopt;
     const auto &worker = *it->second;
     auto load = WorkerLoad();
-    load.hasUnpersistedEnds = worker.acknowledged < worker.lastReceivedEnd;
+    load.hasUnpersistedEnds = worker.hasUnreadEnds || worker.acknowledged < worker.lastReceivedEnd;
     load.isPolled = worker.isPolled;
     load.isDraining = worker.isDraining;
     load.isUsable = isUsable(worker);
