Let a job's cancelling and its creation meet in one key

Cause: the cancelling of a job that wasn't stored was answered 410 and left no trace, while another member, cut off from the store, still repeated the write of its submission. Class of fault: an acknowledgement that leaves nothing behind which a concurrent write would meet.

Change: the cancelling of an unknown job writes jobs/ID/cancel under a lease, on condition that neither jobs/ID nor progress/ID exists, and answers 410 once it is stored. The creation of a job, also of a relayed one, is conditional on its absence; the records of the conflict tell a cancelled job from a stored one, and the submission is refused (409 cancelled-before). The fake store returns the compared records with a conflict, as the platform's does.

The property of Submission now draws cancelled outcomes as well.

--- a/packages/member/include/shallotproxy/member/caller_duty.hpp
+++ b/packages/member/include/shallotproxy/member/caller_duty.hpp
@@ -2,6 +2,7 @@
 
 #include <QObject>
 
+#include "job_creation.hpp"
 #include "runtime_context.hpp"
 #include "steward_duty.hpp"
 #include "submission.hpp"
@@ -44,7 +45,8 @@
     auto readStoredJob(const CallPointer &call) -> void;
     auto cancelJob(const CallPointer &call) -> void;
     auto writeCancellation(const CallPointer &call, const VersionedRecord &job) -> void;
-    auto cancelEndedJob(const CallPointer &call) -> void;
+    auto cancelUnstoredJob(const CallPointer &call) -> void;
+    auto markCancelled(const CallPointer &call) -> void;
     auto countPending(const CallPointer &call) -> void;
     auto answerJobState(const CallPointer &call, const JobView &view) -> void;
     auto answer(const CallPointer &call, HttpResponse response, std::string_view reason) -> void;
@@ -63,6 +65,7 @@
     RuntimeContext &m_context;
     StewardDuty &m_steward;
     HttpClient m_peerClient;
+    CancellationMarkers m_markers;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_peerServer;
--- a/packages/member/include/shallotproxy/member/submission.hpp
+++ b/packages/member/include/shallotproxy/member/submission.hpp
@@ -4,14 +4,20 @@
 
 namespace shallotproxy {
 
-/// Outcome of one attempt to store a job, made by this member or by another.
-enum class WriteOutcome { Stored, AlreadyStored, NotApplied, Unknown };
-
-/// Returns the outcome of a write that creates a job's record.
-auto writeOutcomeOf(const Expected<std::uint64_t, StoreFailure> &reply) -> WriteOutcome;
+/// Outcome of one attempt to store a job, made by this member or by another. `Cancelled`: the job
+/// isn't stored, and no earlier attempt can be applied any more.
+enum class WriteOutcome { Stored, AlreadyStored, Cancelled, NotApplied, Unknown };
 
 /// What the caller of a Submission does next.
-enum class SubmissionAction { Write, RetryWrite, Relay, Accept, Refuse, ReportUnknown };
+enum class SubmissionAction {
+    Write,
+    RetryWrite,
+    Relay,
+    Accept,
+    Refuse,
+    RefuseCancelled,
+    ReportUnknown
+};
 
 /// What the submitting member knows about the store, the steward and the call.
 struct SubmissionView
@@ -24,7 +30,7 @@
 /// Decides how one job is written to the store, without I/O of its own. Handles outages of the
 /// store, for all members or only for this one, and lost replies. Attempts are idempotent, as all
 /// use the same key, so an unanswered attempt is repeated. The job is only refused if no attempt
-/// can have been applied.
+/// can have been applied, or if it was cancelled before one was.
 class Submission
 {
 public:
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -2,8 +2,8 @@
 #include <QTimer>
 
 #include "delegate_messages.hpp"
+#include "peer_messages.hpp"
 #include "shallotproxy/member/caller_duty.hpp"
-#include "shallotproxy/process/base/record_codec.hpp"
 #include "store_keys.hpp"
 
 namespace shallotproxy {
@@ -15,6 +15,7 @@
 constexpr std::size_t MaxOpenCalls = 1'500; // the process has about 4,000 file descriptors
 constexpr std::size_t MaxOpenSubmissions = 300; // each may hold a body of 256 KB
 constexpr int RelayTimeoutMilliseconds = 1'000; // the other member's write takes up to 900 ms
+constexpr int MaxCancelAttempts = 3; // a job is stored, and ends, once between two reads
 constexpr std::chrono::milliseconds WriteRetryDelay{100}; // enough to reconnect to the store
 
 auto peerBounds() -> HttpBounds
@@ -24,76 +25,10 @@
     return bounds;
 }
 
-/// Reply of one member to another about a job or a queue of its steward.
-struct PeerReply
-{
-    bool isSteward = false;
-    std::uint8_t state = 0; // JobState
-    TeamName team;
-    std::uint64_t pending = 0;
-
-    MSGPACK_DEFINE(isSteward, state, team, pending)
-};
-
 constexpr std::string_view PeerJobPath = "/jobs/";
 constexpr std::string_view PeerQueuePath = "/queues/";
 constexpr std::string_view PeerSubmissionPath = "/submissions";
 
-/// Returns a commit that creates the job's record unless the job is already stored or has ended.
-auto jobCreationCommit(const std::string &job, std::string record) -> StoreCommit
-{
-    auto commit = StoreCommit();
-    commit.compares.push_back({store_keys::job(job), 0});
-    commit.compares.push_back({store_keys::progress(job), 0});
-    commit.puts.push_back({store_keys::job(job), std::move(record), 0});
-    return commit;
-}
-
-auto encodeOutcome(WriteOutcome outcome) -> HttpResponse
-{
-    switch (outcome) {
-    case WriteOutcome::Stored:
-        return {201, {}, {}};
-    case WriteOutcome::AlreadyStored:
-        return {200, {}, {}};
-    case WriteOutcome::NotApplied:
-        return {503, {}, {}};
-    case WriteOutcome::Unknown:
-        break;
-    }
-    return {504, {}, {}};
-}
-
-auto decodeOutcome(const TargetReply &reply) -> WriteOutcome
-{
-    if (!reply)
-        return reply.error().isNotSent() ? WriteOutcome::NotApplied : WriteOutcome::Unknown;
-    switch (reply->status) {
-    case 201:
-        return WriteOutcome::Stored;
-    case 200:
-        return WriteOutcome::AlreadyStored;
-    case 400:
-    case 503:
-        return WriteOutcome::NotApplied;
-    default:
-        return WriteOutcome::Unknown;
-    }
-}
-
-auto encodePeerReply(const PeerReply &answer) -> HttpResponse
-{
-    return {200, {}, packRecord(answer)};
-}
-
-auto decodePeerReply(const TargetReply &reply) -> PeerReply
-{
-    if (!reply || reply->status != 200)
-        return {};
-    // An unreadable reply counts as one of a member that isn't the steward: the store is read then.
-    return unpackRecord<PeerReply>(reply->body).value_or(PeerReply());
-}
-
 } // namespace
 
 struct CallerDuty::Call
@@ -110,6 +45,7 @@
     ConfigurationVersion version = 0;
     Duration configurationAge{};
     std::string_view kind;
+    int cancelAttempts = 0;
 };
 
 CallerDuty::CallerDuty(RuntimeContext &context, StewardDuty &steward, QObject *parent)
@@ -117,6 +53,7 @@
     , m_context(context)
     , m_steward(steward)
     , m_peerClient(peerBounds())
+    , m_markers(context.store)
 {
     auto bounds = HttpBounds();
     bounds.connections = MaxOpenCalls;
@@ -334,6 +271,10 @@
         --m_openSubmissions;
         refuse(call, 503, "store-away");
         return;
+    case SubmissionAction::RefuseCancelled:
+        --m_openSubmissions;
+        refuse(call, 409, "cancelled-before");
+        return;
     case SubmissionAction::ReportUnknown:
         --m_openSubmissions;
         answer(call, {504, {}, "{}"}, "submission-unknown");
@@ -346,7 +287,8 @@
     m_context.store.commit(jobCreationCommit(call->operation.job, call->record),
                            [self = QPointer(this), call](const auto &reply) {
                                if (self)
-                                   self->submissionAttempted(call, writeOutcomeOf(reply));
+                                   self->submissionAttempted(
+                                       call, creationOutcome(call->operation.job, reply));
                            });
 }
 
@@ -387,11 +329,11 @@
         responder.answer(encodeOutcome(WriteOutcome::NotApplied));
         return;
     }
-    m_context.store.commit(
-        jobCreationCommit(spec->id, request.body),
-        [responder = std::make_shared<HttpResponder>(std::move(responder))](const auto &reply) {
-            responder->answer(encodeOutcome(writeOutcomeOf(reply)));
-        });
+    m_context.store.commit(jobCreationCommit(spec->id, request.body),
+                           [responder = std::make_shared<HttpResponder>(std::move(responder)),
+                            job = spec->id](const auto &reply) {
+                               responder->answer(encodeOutcome(creationOutcome(job, reply)));
+                           });
 }
 
 auto CallerDuty::answerJobState(const CallPointer &call, const JobView &view) -> void
@@ -525,7 +467,7 @@
     readRecord(call, store_keys::job(call->operation.job),
                [this, call](const VersionedRecord *job) {
                    if (job == nullptr) {
-                       cancelEndedJob(call);
+                       cancelUnstoredJob(call);
                    } else {
                        writeCancellation(call, *job);
                    }
@@ -559,19 +501,39 @@
     });
 }
 
-auto CallerDuty::cancelEndedJob(const CallPointer &call) -> void
+auto CallerDuty::cancelUnstoredJob(const CallPointer &call) -> void
 {
     readRecord(call, store_keys::progress(call->operation.job),
                [this, call](const VersionedRecord *progress) {
                    if (progress != nullptr) {
                        answer(call, {200, {}, "{}"}, "ended-before");
                    } else {
-                       answer(call, m_context.callerCodec.encodeState(JobState::Unknown),
-                              "no-such-job");
+                       markCancelled(call);
                    }
                });
 }
 
+/// The job may still be written: by a member that repeats its submission, or by the store itself,
+/// which may carry out an unanswered write late.
+auto CallerDuty::markCancelled(const CallPointer &call) -> void
+{
+    m_markers.write(call->operation.job, [self = QPointer(this), call](const auto &reply) {
+        if (!self)
+            return;
+        if (reply) {
+            self->answer(call, self->m_context.callerCodec.encodeState(JobState::Unknown),
+                         "no-such-job");
+        } else if (reply.error().kind == StoreFailure::Kind::Conflict
+                   && ++call->cancelAttempts < MaxCancelAttempts) {
+            self->cancelJob(call); // it has been stored meanwhile
+        } else if (reply.error().kind == StoreFailure::Kind::Unknown) {
+            self->answer(call, {504, {}, "{}"}, "cancellation-unknown");
+        } else {
+            self->refuse(call, 503, reply.error().name());
+        }
+    });
+}
+
 auto CallerDuty::countPending(const CallPointer &call) -> void
 {
     if (const auto *steward = m_steward.steward()) {
--- a/packages/member/src/submission.cpp
+++ b/packages/member/src/submission.cpp
@@ -2,23 +2,6 @@
 
 namespace shallotproxy {
 
-auto writeOutcomeOf(const Expected<std::uint64_t, StoreFailure> &reply) -> WriteOutcome
-{
-    if (reply)
-        return WriteOutcome::Stored;
-    switch (reply.error().kind) {
-    case StoreFailure::Kind::Conflict:
-        return WriteOutcome::AlreadyStored;
-    case StoreFailure::Kind::NotApplied:
-    case StoreFailure::Kind::LeaseExpired:
-    case StoreFailure::Kind::HistoryCompacted:
-        return WriteOutcome::NotApplied;
-    case StoreFailure::Kind::Unknown:
-        break;
-    }
-    return WriteOutcome::Unknown;
-}
-
 auto Submission::start(const SubmissionView &view) -> SubmissionAction
 {
     if (!view.isStoreUnavailable) {
@@ -35,6 +18,8 @@
 {
     if (outcome == WriteOutcome::Stored || outcome == WriteOutcome::AlreadyStored)
         return SubmissionAction::Accept;
+    if (outcome == WriteOutcome::Cancelled)
+        return SubmissionAction::RefuseCancelled;
     m_mayBeStored = m_mayBeStored || outcome == WriteOutcome::Unknown;
     if (view.elapsed > WriteDeadline)
         return giveUp();
--- a/tests/unit/fake_ports.cpp
+++ b/tests/unit/fake_ports.cpp
@@ -73,9 +73,12 @@
         const auto revision =
             known == m_records.end() ? 0 : static_cast<StoreRevision>(known->second.revision);
         if (revision != it.revision) {
-            later([reply] {
-                reply(tl::unexpected(StoreFailure{StoreFailure::Kind::Conflict, "revision", {}}));
-            });
+            auto failure = StoreFailure{StoreFailure::Kind::Conflict, "revision", {}};
+            for (const auto &compared : commit.compares) {
+                if (const auto record = m_records.find(compared.key); record != m_records.end())
+                    failure.records.push_back(record->second);
+            }
+            later([reply, failure] { reply(tl::unexpected(failure)); });
             return;
         }
     }
--- a/tests/unit/unit-submission.cpp
+++ b/tests/unit/unit-submission.cpp
@@ -74,13 +74,16 @@
         RC_ASSERT(++attempts <= Submission::MaxWrites + 1);
         RC_ASSERT(view.elapsed <= Submission::WriteDeadline);
         outcome = *rc::gen::element(WriteOutcome::Stored, WriteOutcome::AlreadyStored,
-                                    WriteOutcome::NotApplied, WriteOutcome::Unknown);
+                                    WriteOutcome::Cancelled, WriteOutcome::NotApplied,
+                                    WriteOutcome::Unknown);
         mayBeStored = mayBeStored || outcome == WriteOutcome::Unknown;
         changeView();
         action = submission.step(outcome, view);
     }
     const auto isStored = outcome == WriteOutcome::Stored || outcome == WriteOutcome::AlreadyStored;
     RC_ASSERT((action == SubmissionAction::Accept) == isStored);
+    RC_ASSERT((action == SubmissionAction::RefuseCancelled)
+              == (outcome == WriteOutcome::Cancelled));
     RC_ASSERT(action != SubmissionAction::Refuse || !mayBeStored);
     RC_ASSERT(action != SubmissionAction::ReportUnknown || mayBeStored);
 }
