Test many suspects of one crash in groups

Class of fault: a precaution whose cost grows with the number of those it is taken against.

Change: of more than eight suspects a worker, groups of the square root of their number start together under test (SuspectGroups), within the window of starts in flight. A crash under a group is held against each of it as Grouped, which makes none the cause, isolates none and is withdrawn with a lost data centre; each is then tested alone, once that crash is stored. Groups shrink while they crash.

--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -15,7 +15,7 @@
 /// `Beside`: it was one of the runs there. `Likely`: the run had just started, or its task was a
 /// suspect. `Isolated`: the run was under test, and had been active for a while. `Sole`: it was
 /// under test, and had just started. The last two prove less on a worker that is new itself, since
-/// it may fail repeatedly.
+/// it may fail repeatedly. `Grouped`: it was under test and had just started, together with others.
 enum class CrashEvidence : std::uint8_t {
     Beside = 0,
     Likely = 1,
@@ -23,6 +23,7 @@
     Sole = 3,
     SoleOnNewWorker = 4,
     IsolatedOnNewWorker = 5,
+    Grouped = 6,
 };
 
 /// A run under which its worker crashed.
@@ -63,7 +64,9 @@
 /// hosts that fail by themselves. A crash makes the likely tasks suspects. A suspect starts on a
 /// worker where nothing else has just started, and nothing else starts there until its run is
 /// established; if it crashes its worker again, then it is the cause. A run that its worker never
-/// confirmed makes its task a suspect, but proves less: the worker may have crashed before.
+/// confirmed makes its task a suspect, but proves less: the worker may have crashed before. Where
+/// many are suspects of one crash, each starts in a group once, and alone if its group crashed a
+/// worker.
 ///
 /// Load pattern: a tenth of the jobs of a busy queue has a task that crashes its worker at its
 /// start, so that each crash takes ten other runs along.
@@ -91,6 +94,10 @@
     /// Whether nothing is started beside the task for a while after its run is established: it may
     /// crash its worker late.
     [[nodiscard]] auto needsIsolation() const -> bool;
+    /// Whether the task may start under test together with other suspects: at most once.
+    [[nodiscard]] auto mayBeGrouped() const -> bool;
+    /// Whether another crash could decide, so that what is known of the others has to be complete.
+    [[nodiscard]] auto isNearVerdict() const -> bool;
     /// Whether the task is the cause of the crashes.
     [[nodiscard]] auto isCause() const -> bool;
 
@@ -107,10 +114,12 @@
     bool isEstablished = false;
     /// Nothing was started beside the run of a suspect.
     bool isUnderTest = false;
+    /// The run started under test together with others.
+    bool isGrouped = false;
 };
 
 /// Returns the evidence against each of the runs of a worker that crashed; no value for a run
-/// beside one that had just started under test.
+/// beside one or a group that had just started under test.
 auto attributeCrash(std::span<const RunAtCrash> runs) -> std::vector<std::optional<CrashEvidence>>;
 
 } // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -9,6 +9,7 @@
 #include "quarantine.hpp"
 #include "shallotproxy/demand.hpp"
 #include "steward_events.hpp"
+#include "suspect_groups.hpp"
 #include "waiting_order.hpp"
 
 namespace shallotproxy {
@@ -344,7 +345,12 @@
     auto withdrawCrashes(const DataCentreName &dataCentre, BootTime lostAt) -> void;
     auto applyVerdicts() -> void;
     auto exonerate(Task &task) -> void;
-    auto placeSuspects(const PoolName &pool, const Candidate &candidate) -> void;
+    struct SuspectGroup;
+    auto placeSuspects(const PoolName &pool, const Candidate &candidate, SuspectGroup &group)
+        -> void;
+    auto joinsGroup(Task &task, SuspectGroup &group) -> bool;
+    [[nodiscard]] auto newSuspectGroup(const PoolName &pool,
+                                       std::span<const Candidate> suspects) const -> SuspectGroup;
     auto chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *;
     [[nodiscard]] auto weighEvidence(CrashEvidence evidence, const Task &task, bool wasCutOff) const
         -> CrashEvidence;
@@ -452,6 +458,7 @@
     std::map<DataCentreName, BootTime> m_lostDataCentres;
     /// When a task was last found to crash its workers.
     std::map<PoolName, BootTime> m_crashingTasksSeenAt;
+    std::map<PoolName, SuspectGroups> m_suspectGroups;
     std::vector<Verdict> m_verdicts;
     /// Tasks with a possible crash that an earlier steward has recorded.
     std::vector<JobTaskId> m_inheritedCrashes;
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -44,6 +44,7 @@
     case CrashEvidence::Likely:
     case CrashEvidence::SoleOnNewWorker:
     case CrashEvidence::IsolatedOnNewWorker:
+    case CrashEvidence::Grouped:
         break;
     }
     return evidence;
@@ -66,9 +67,9 @@
 auto CrashHistory::withdraw(std::uint64_t run) -> bool
 {
     const auto isWithdrawn = [run](const CrashedRun &it) {
-        const auto wasTested =
-            !isOfKind(CrashEvidence::Beside)(it) && !isOfKind(CrashEvidence::Likely)(it);
-        return it.run == run && !wasTested;
+        const auto wasTestedAlone = !isOfKind(CrashEvidence::Beside)(it)
+            && !isOfKind(CrashEvidence::Likely)(it) && !isOfKind(CrashEvidence::Grouped)(it);
+        return it.run == run && !wasTestedAlone;
     };
     return std::erase_if(m_runs, isWithdrawn) > 0;
 }
@@ -81,7 +82,21 @@
 
 auto CrashHistory::needsIsolation() const -> bool
 {
-    return m_runs.size() >= CrashesBeforeIsolation;
+    // The crash of a group came right after its start, and is against one of many.
+    const auto others =
+        std::ranges::count_if(m_runs, std::not_fn(isOfKind(CrashEvidence::Grouped)));
+    return static_cast<std::size_t>(others) >= CrashesBeforeIsolation;
+}
+
+auto CrashHistory::mayBeGrouped() const -> bool
+{
+    return m_runs.size() < CrashesBeforeIsolation
+        && std::ranges::none_of(m_runs, isOfKind(CrashEvidence::Grouped));
+}
+
+auto CrashHistory::isNearVerdict() const -> bool
+{
+    return m_runs.size() >= CrashesOfSuspect;
 }
 
 auto CrashHistory::isCause() const -> bool
@@ -107,15 +122,22 @@
 
 auto attributeCrash(std::span<const RunAtCrash> runs) -> std::vector<std::optional<CrashEvidence>>
 {
-    const auto isOneTested = std::ranges::count_if(runs, &RunAtCrash::isUnderTest) == 1;
+    const auto isStartingInGroup = [](const RunAtCrash &it) {
+        return it.isGrouped && it.isUnderTest && !it.isEstablished;
+    };
+    const auto isGroupStarting = std::ranges::any_of(runs, isStartingInGroup);
+    const auto isOneTested =
+        !isGroupStarting && std::ranges::count_if(runs, &RunAtCrash::isUnderTest) == 1;
     const auto isOneStarting = isOneTested && std::ranges::any_of(runs, [](const RunAtCrash &it) {
                                    return it.isUnderTest && !it.isEstablished;
                                });
     auto evidence = std::vector<std::optional<CrashEvidence>>();
     for (const auto &it : runs) {
-        if (isOneTested && it.isUnderTest) {
+        if (isStartingInGroup(it)) {
+            evidence.emplace_back(CrashEvidence::Grouped);
+        } else if (isOneTested && it.isUnderTest) {
             evidence.emplace_back(isOneStarting ? CrashEvidence::Sole : CrashEvidence::Isolated);
-        } else if (isOneStarting) {
+        } else if (isOneStarting || isGroupStarting) {
             evidence.emplace_back();
         } else {
             const auto isLikely = it.isSuspect || !it.isEstablished;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -135,7 +135,8 @@
 {
     auto runs = std::vector<RunAtCrash>();
     for (const auto *task : tasks)
-        runs.push_back({task->crashes.isSuspect(), isEstablished(*task), isUnderTest(*task)});
+        runs.push_back(
+            {task->crashes.isSuspect(), isEstablished(*task), isUnderTest(*task), task->isGrouped});
     return attributeCrash(runs);
 }
 
@@ -150,6 +151,8 @@
     if (isLostWithDataCentre(worker))
         return;
     const auto evidence = evidenceIfCrashed(tasks);
+    if (std::ranges::find(evidence, CrashEvidence::Grouped) != evidence.end())
+        m_suspectGroups[worker.report.pool].crashed(m_now);
     for (std::size_t n = 0; n < tasks.size(); ++n) {
         auto &task = *tasks[n];
         if (!evidence[n])
@@ -361,17 +364,20 @@
     if (!task.crashes.isSuspect() || task.crashes.isCause() || !isWaitingToStart(task))
         return false;
     const auto isPersisted = task.job->persistedChange >= task.crashChange;
-    if (task.crashes.needsIsolation())
+    if (task.crashes.isNearVerdict())
         return isPersisted && m_now >= task.orderedAt + AnswerTime;
     return isPersisted || m_now >= task.phaseSince + MaxPersistTime;
 }
 
 /// Places waiting suspects, and keeps workers free for those that find none.
-auto Steward::placeSuspects(const PoolName &pool, const Candidate &candidate) -> void
+auto Steward::placeSuspects(const PoolName &pool, const Candidate &candidate, SuspectGroup &group)
+    -> void
 {
     for (auto &task : candidate.occurrence->steps[candidate.step]) {
         if (!mayPlaceSuspect(task) || !isWithinTeamLimit(*task.job, task.spec().resources))
             continue;
+        if (joinsGroup(task, group))
+            continue;
         auto *worker = chooseWorkerForSuspect(pool, task);
         if (worker == nullptr)
             continue;
@@ -381,7 +387,44 @@
             continue;
         worker->suspectReservedUntil = m_now;
         startTask(task, *worker);
+        if (group.maxSize > 1 && task.crashes.mayBeGrouped()) {
+            group.worker = worker;
+            group.first = &task;
+            group.size = 1;
+        }
+    }
+}
+
+/// Starts the suspect on the worker of the group if it may be one of them.
+auto Steward::joinsGroup(Task &task, SuspectGroup &group) -> bool
+{
+    if (group.worker == nullptr || group.size == group.maxSize || m_startBudget == 0
+        || !task.crashes.mayBeGrouped() || !isAllowedOn(*group.worker, task)
+        || !fits(*group.worker, task))
+        return false;
+    ++group.size;
+    --m_startBudget;
+    startTask(task, *group.worker);
+    task.isGrouped = true;
+    group.first->isGrouped = true;
+    return true;
+}
+
+auto Steward::newSuspectGroup(const PoolName &pool, std::span<const Candidate> suspects) const
+    -> SuspectGroup
+{
+    const auto it = m_suspectGroups.find(pool);
+    const auto groups = it == m_suspectGroups.end() ? SuspectGroups() : it->second;
+    auto waiting = std::size_t{0};
+    for (const auto &candidate : suspects) {
+        waiting += static_cast<std::size_t>(
+            std::ranges::count_if(candidate.tasks(), [this](const Task &task) {
+                return mayPlaceSuspect(task) && task.crashes.mayBeGrouped();
+            }));
     }
+    const auto workers = std::ranges::count_if(
+        m_poolWorkers.at(pool), [this](const Worker *worker) { return acceptsRuns(*worker); });
+    return {groups.size(waiting, static_cast<std::size_t>(workers), m_now), 0, nullptr, nullptr};
 }
 
 /// Returns the worker on which the suspect may start now: all runs there are established, and none
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -177,8 +177,9 @@
     auto suspects = waitingSuspects(pool);
     std::stable_partition(suspects.begin(), suspects.end(),
                           [](const Candidate &it) { return it.spec().isLongRunning; });
+    auto group = newSuspectGroup(pool, suspects);
     for (const auto &it : suspects)
-        placeSuspects(pool, it);
+        placeSuspects(pool, it, group);
     auto claims = RoomClaims();
     auto &nextPreemption = m_nextPreemptions[pool];
     const auto mayPreempt = m_now >= nextPreemption;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -27,6 +27,8 @@
     CrashHistory crashes;
     /// Set while the worker of the last run may have crashed.
     std::optional<PossibleCrash> possibleCrash;
+    /// The present run was started under test together with others.
+    bool isGrouped = false;
     /// The change of the job that contains the last crash.
     std::uint64_t crashChange = 0;
     std::string checkpoint;
@@ -141,6 +143,15 @@
     [[nodiscard]] auto tasks() const -> std::span<Task> { return occurrence->steps[step]; }
 };
 
+/// The suspects that start together on a worker in one placement.
+struct Steward::SuspectGroup
+{
+    std::size_t maxSize = 1;
+    std::size_t size = 0;
+    Worker *worker = nullptr;
+    Task *first = nullptr;
+};
+
 /// The ready steps of a pool with tasks that wait.
 struct Steward::Backlog
 {
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -331,6 +331,7 @@
     task.mayHaveUnknownRun = false;
     task.wasStartResent = false;
     task.isStartInDoubt = false;
+    task.isGrouped = false;
     task.isPartialRun = !task.checkpoint.empty();
     const auto usesReservation = task.spec().isLongRunning
         && task.spec().reservedResources().covers(worker.reservedResources);
