Give the dispatcher's run times a name of their own

Cause: packages/demand and packages/request each defined a class shallotproxy::RunTimes, and members link both: their implicit functions have the same symbols, of which the linker keeps one (one definition rule). Change: the dispatcher's is RecentRunTimes; nothing else changes.

--- a/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
+++ b/packages/request/include/shallotproxy/request/dispatch/dispatcher.hpp
@@ -13,7 +13,7 @@
 #include "../admission/key_index.hpp"
 #include "../admission/refusal.hpp"
 #include "../retry/retry_budget.hpp"
-#include "run_times.hpp"
+#include "recent_run_times.hpp"
 #include "shallotproxy/process/base/boot_clock.hpp"
 #include "shallotproxy/version/configuration/configuration.hpp"
 
@@ -259,7 +259,7 @@
     std::multimap<BootTime, PoolTeam> m_unconfirmed; // Attempts that may run until this time.
     std::set<TimedRequest> m_delayed; // When delayed requests return to their queue.
     RetryBudget m_retries;
-    RunTimes m_runTimes;
+    RecentRunTimes m_runTimes;
     std::uint64_t m_rotation = 0;
     std::map<PoolName, PoolState> m_pools;
     std::map<PoolName, std::vector<HostName>> m_targetsOfPool;
--- a/packages/request/include/shallotproxy/request/dispatch/run_times.hpp
+++ b/packages/request/include/shallotproxy/request/dispatch/recent_run_times.hpp
@@ -12,7 +12,7 @@
 /// Estimates how long requests of a queue and team run, from those that were answered last. This
 /// matters under overload, when the wait in a queue grows up to its deadline: a request that is
 /// started too late to be answered takes up a slot, and its caller gets no answer.
-class RunTimes
+class RecentRunTimes
 {
 public:
     /// Number of newest runs that are kept. A change in run times shows after this many runs.
--- a/packages/request/src/run_times.cpp
+++ b/packages/request/src/recent_run_times.cpp
@@ -1,10 +1,10 @@
 #include <algorithm>
 
-#include "shallotproxy/request/dispatch/run_times.hpp"
+#include "shallotproxy/request/dispatch/recent_run_times.hpp"
 
 namespace shallotproxy {
 
-auto RunTimes::add(const QueueName &queue, const TeamName &team, Duration time) -> void
+auto RecentRunTimes::add(const QueueName &queue, const TeamName &team, Duration time) -> void
 {
     auto &times = m_times[{queue, team}];
     times.push_back(time);
@@ -12,7 +12,7 @@
         times.pop_front();
 }
 
-auto RunTimes::longest(const QueueName &queue, const TeamName &team) const -> Duration
+auto RecentRunTimes::longest(const QueueName &queue, const TeamName &team) const -> Duration
 {
     const auto it = m_times.find({queue, team});
     if (it == m_times.end() || it->second.size() < SampleCount)
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -438,7 +438,7 @@
 {
     auto unlimited = UnlimitedDispatcher(makeConfiguration());
     constexpr auto RunTime = 400ms;
-    for (std::size_t i = 0; i < RunTimes::SampleCount; ++i) {
+    for (std::size_t i = 0; i < RecentRunTimes::SampleCount; ++i) {
         ASSERT_TRUE(startedOn(unlimited.arrive("orders", 8s)));
         unlimited.now += RunTime;
         unlimited.step(RequestFinished{unlimited.lastNumber, false});
