Bound run times that are learned, also by what a record holds

Cause: a record with finite but huge values was read, and gave forecasts that aren't numbers (infinity less infinity) and deadlines beyond the range of Duration; a queue's teams, and with them the record, grew with any names in jobs until the next change of the configuration; a team's offset went past the bound of a prediction; the mean of a wide distribution lay above its upper bound. Change: decode() takes only what observe() can have written; a prediction is bounded after the team's offset; run times lie between 1 ms and 1e6 s; at most 1000 queues, and 1000 teams of each.

--- a/packages/demand/include/shallotproxy/demand/run_times.hpp
+++ b/packages/demand/include/shallotproxy/demand/run_times.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <msgpack.hpp>
 
@@ -63,6 +64,10 @@
     /// Returns the number of runs that count for a queue, at most the memory of a queue.
     [[nodiscard]] auto sampleCount(const QueueName &queue) const -> double;
 
+    /// Returns how many times the stated run time a run of the queue is expected to take.
+    [[nodiscard]] auto misstatement(const QueueName &queue) const -> double;
+    [[nodiscard]] auto queues() const -> std::vector<QueueName>;
+
     [[nodiscard]] auto encode() const -> std::string;
     /// Returns no value if the bytes hold no run times, or some that are out of range.
     static auto decode(std::string_view bytes) -> std::optional<RunTimes>;
--- a/packages/demand/src/run_times.cpp
+++ b/packages/demand/src/run_times.cpp
@@ -24,19 +24,26 @@
 constexpr double MaxRatio = 16;
 // One run in ten of a normal distribution lies above its mean by this many standard deviations.
 constexpr double UpperDeviations = 1.2816;
-constexpr std::size_t MaxQueues = 10'000;
+// Bounds the memory, and the record, also when jobs name queues and teams that aren't declared.
+constexpr std::size_t MaxQueues = 1'000;
+constexpr std::size_t MaxTeamsOfQueue = 1'000;
+// No run is taken to last longer, so that sums over the steps of a job and multiples of them stay
+// far from the range of Duration.
+constexpr double MaxSeconds = 1e6;
+constexpr double MinSeconds = 1e-3;
+// Beyond the logarithms of both.
+constexpr double MinLog = -7;
+constexpr double MaxLog = 14;
 
 using Seconds = std::chrono::duration<double>;
 
 auto logOf(Duration time) -> double
 {
-    constexpr auto Shortest = Duration(std::chrono::milliseconds(1));
-    return std::log(Seconds(std::max(time, Shortest)).count());
+    return std::log(std::clamp(Seconds(time).count(), MinSeconds, MaxSeconds));
 }
 
 auto durationOf(double logSeconds) -> Duration
 {
-    constexpr double MaxSeconds = 1e8; // about three years
     return std::chrono::duration_cast<Duration>(
         Seconds(std::min(std::exp(logSeconds), MaxSeconds)));
 }
@@ -46,9 +53,36 @@
     return shape.stated > Duration() ? std::optional(logOf(shape.stated)) : std::nullopt;
 }
 
-auto areFinite(std::initializer_list<double> values) -> bool
+/// Returns a prediction that differs from the stated time by no more than MaxRatio.
+auto boundedBy(std::optional<double> stated, double predicted) -> double
 {
-    return std::ranges::all_of(values, [](double it) { return std::isfinite(it); });
+    return stated
+        ? std::clamp(predicted, *stated - std::log(MaxRatio), *stated + std::log(MaxRatio))
+        : predicted;
+}
+
+/// Whether the value lies between these, and is a number.
+auto isWithin(double value, double least, double most) -> bool
+{
+    return value >= least && value <= most;
+}
+
+/// Whether the value can be the mean of logarithms of run times.
+auto isLog(double value) -> bool
+{
+    return isWithin(value, MinLog, MaxLog);
+}
+
+/// The same for a difference of such logarithms, or the product of two such differences.
+auto isDifference(double value, int power) -> bool
+{
+    const auto most = std::pow(MaxLog - MinLog + std::log(MaxRatio), power);
+    return isWithin(value, -most, most);
+}
+
+auto isVariance(double value) -> bool
+{
+    return value >= 0 && isDifference(value, 2);
 }
 
 } // namespace
@@ -86,8 +120,7 @@
     const auto atMean = meanX + trust * (meanY - meanX);
     if (!x)
         return atMean;
-    const auto y = atMean + slope() * (*x - meanX);
-    return std::clamp(y, *x - std::log(MaxRatio), *x + std::log(MaxRatio));
+    return boundedBy(x, atMean + slope() * (*x - meanX));
 }
 
 auto RunTimes::Line::residualVariance() const -> double
@@ -114,7 +147,8 @@
 {
     const auto team = queue.teams.find(shape.team);
     const auto offset = team == queue.teams.end() ? 0 : team->second.shrunk();
-    const auto mean = queue.line.at(statedLog(shape)) + offset;
+    const auto stated = statedLog(shape);
+    const auto mean = boundedBy(stated, queue.line.at(stated) + offset);
     const auto variance = queue.line.residualVariance();
     const auto within =
         std::max((queue.stepWeight * queue.stepVariance + PriorWeight * PriorStepVariance)
@@ -143,7 +177,8 @@
         return;
     }
     const auto x = statedLog(shape).value_or(queue.line.weight > 0 ? queue.line.meanX : y);
-    if (queue.line.weight > 0)
+    const auto hasRoom = queue.teams.contains(shape.team) || queue.teams.size() < MaxTeamsOfQueue;
+    if (queue.line.weight > 0 && hasRoom)
         queue.teams[shape.team].add(y - queue.line.at(x));
     queue.line.add(x, y);
 }
@@ -162,8 +197,10 @@
     if (isUnknown && finished.count() == 0)
         return {shape.stated, shape.stated};
     const auto time = predict(isUnknown ? Queue() : it->second, shape, finished);
-    return {durationOf(time.mean + time.variance / 2),
-            durationOf(time.mean + UpperDeviations * std::sqrt(time.variance))};
+    // The mean of a wide distribution lies above its upper part.
+    const auto expected = durationOf(time.mean + time.variance / 2);
+    const auto upper = durationOf(time.mean + UpperDeviations * std::sqrt(time.variance));
+    return {expected, std::max(expected, upper)};
 }
 
 auto RunTimes::sampleCount(const QueueName &queue) const -> double
@@ -172,6 +209,23 @@
     return it == m_queues.end() ? 0 : it->second.line.weight;
 }
 
+auto RunTimes::misstatement(const QueueName &queue) const -> double
+{
+    const auto it = m_queues.find(queue);
+    if (it == m_queues.end())
+        return 1;
+    const auto &line = it->second.line;
+    return std::exp(line.at(line.meanX) - line.meanX);
+}
+
+auto RunTimes::queues() const -> std::vector<QueueName>
+{
+    auto names = std::vector<QueueName>();
+    for (const auto &[name, queue] : m_queues)
+        names.push_back(name);
+    return names;
+}
+
 auto RunTimes::encode() const -> std::string
 {
     return packRecord(m_queues);
@@ -184,13 +238,14 @@
         return std::nullopt;
     for (const auto &[name, queue] : *queues) {
         const auto &[line, stepVariance, stepWeight, teams] = queue;
-        const auto isValid =
-            areFinite({line.weight, line.meanX, line.meanY, line.varianceX, line.varianceY,
-                       line.covariance, stepVariance, stepWeight})
-            && line.weight >= 0 && line.varianceX >= 0 && line.varianceY >= 0 && stepVariance >= 0
-            && stepWeight >= 0 && std::ranges::all_of(teams, [](const auto &it) {
-                   return areFinite({it.second.weight, it.second.mean}) && it.second.weight >= 0;
-               });
+        const auto isValid = isWithin(line.weight, 0, MaxWeight) && isLog(line.meanX)
+            && isLog(line.meanY) && isVariance(line.varianceX) && isVariance(line.varianceY)
+            && isDifference(line.covariance, 2) && isVariance(stepVariance)
+            && isWithin(stepWeight, 0, MaxWeight) && teams.size() <= MaxTeamsOfQueue
+            && std::ranges::all_of(teams, [](const auto &it) {
+                                 return isWithin(it.second.weight, 0, MaxTeamWeight)
+                                     && isDifference(it.second.mean, 1);
+                             });
         if (!isValid)
             return std::nullopt;
     }
--- a/tests/unit/unit-run-times.cpp
+++ b/tests/unit/unit-run-times.cpp
@@ -1,5 +1,7 @@
+#include <array>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -182,6 +184,72 @@
     EXPECT_FALSE(RunTimes::decode("no run times"));
 }
 
+/// Returns a record of run times of one queue with one team, as another writer may have left it.
+auto recordOf(std::array<double, 6> line, std::array<double, 2> step, std::array<double, 2> team)
+    -> std::string
+{
+    auto buf = msgpack::sbuffer();
+    auto packer = msgpack::packer(buf);
+    packer.pack_map(1);
+    packer.pack_array(1);
+    packer.pack(Queue.value());
+    packer.pack_array(4);
+    packer.pack(line);
+    packer.pack(step[0]);
+    packer.pack(step[1]);
+    packer.pack_map(1);
+    packer.pack_array(1);
+    packer.pack(Honest.value());
+    packer.pack(team);
+    return {buf.data(), buf.size()};
+}
+
+// Huge values in a record led to forecasts that aren't numbers, and to deadlines beyond all clocks.
+TEST(RunTimes, RefuseRecordsThatAreOutOfRange)
+{
+    constexpr auto Huge = 1e300;
+    const auto valid = std::array<double, 6>{20, 0, 1, 0.5, 0.5, 0.2};
+    EXPECT_TRUE(RunTimes::decode(recordOf(valid, {0.1, 5}, {3, 0.5})));
+    for (const auto odd : {Huge, -Huge, std::numeric_limits<double>::infinity(),
+                           std::numeric_limits<double>::quiet_NaN(), 1e4, -1e4}) {
+        for (std::size_t n = 0; n < valid.size(); ++n) {
+            auto line = valid;
+            line.at(n) = odd;
+            EXPECT_FALSE(RunTimes::decode(recordOf(line, {0.1, 5}, {3, 0.5}))) << n << ' ' << odd;
+        }
+        EXPECT_FALSE(RunTimes::decode(recordOf(valid, {odd, 5}, {3, 0.5}))) << odd;
+        EXPECT_FALSE(RunTimes::decode(recordOf(valid, {0.1, odd}, {3, 0.5}))) << odd;
+        EXPECT_FALSE(RunTimes::decode(recordOf(valid, {0.1, 5}, {odd, 0.5}))) << odd;
+        EXPECT_FALSE(RunTimes::decode(recordOf(valid, {0.1, 5}, {3, odd}))) << odd;
+    }
+}
+
+// Whatever is observed, forecasts stay in a range of which deadlines can be computed, the upper
+// bound isn't below the mean, and the record can be read.
+TEST(RunTimes, StayWithinRange)
+{
+    auto times = RunTimes();
+    auto random = std::mt19937(3);
+    const auto extremes = std::array<Duration, 6>{
+        Duration::min(), Duration(-1), Duration(), 1ns, 1h, Duration::max()};
+    auto pick = std::uniform_int_distribution<std::size_t>(0, extremes.size() - 1);
+    for (auto n = 0; n < 2'000; ++n) {
+        auto witness = StepWitness();
+        if (n % 3 == 0)
+            witness.add(extremes.at(pick(random)));
+        const auto shape = RunShape{Queue, TeamName(std::to_string(n)), extremes.at(pick(random))};
+        times.observe(shape, witness, extremes.at(pick(random)));
+        times.observeAtLeast(shape, witness, extremes.at(pick(random)));
+        const auto forecast = times.forecast(shape, witness);
+        EXPECT_GE(forecast.expected, 0s);
+        EXPECT_LE(forecast.expected, 1'000'000s);
+        EXPECT_GE(forecast.upper, forecast.expected);
+        EXPECT_LE(forecast.upper, 1'000'000s);
+    }
+    EXPECT_TRUE(RunTimes::decode(times.encode()));
+    EXPECT_LE(times.encode().size(), 100'000U); // the teams of a queue are bounded
+}
+
 TEST(RunTimes, ForgetQueuesAndTeamsThatAreGone)
 {
     auto times = RunTimes();
