Keep slow workers, slowed runs and late polls from teaching run times

Cause: a slow worker's runs taught that its queue's tasks are long. A run counted from a poll that listed it, or from the answer to a repeated order, if these came first: too short by up to the wait of a poll. Runs slowed for others' latency counted; so did, with a negative time, those that a restarted worker ended. Change: RunPace compares a worker's runs with their forecasts and with those of all workers; slow ones teach nothing and get work last. runTimeOf() says when a run's time is known. RunTimeLearning switches it all off, and bounds how far a forecast goes from what is stated.

--- a/packages/demand/include/shallotproxy/demand.hpp
+++ b/packages/demand/include/shallotproxy/demand.hpp
@@ -7,6 +7,7 @@
 #include "demand/admission_gate.hpp"
 #include "demand/admission_outlook.hpp"
 #include "demand/resources.hpp"
+#include "demand/run_pace.hpp"
 #include "demand/run_time_forecast.hpp"
 #include "demand/run_times.hpp"
 #include "demand/team_entitlement.hpp"
--- a/packages/demand/include/shallotproxy/demand/run_time_forecast.hpp
+++ b/packages/demand/include/shallotproxy/demand/run_time_forecast.hpp
@@ -12,4 +12,13 @@
     Duration upper{};
 };
 
+/// How far finished runs teach how long others take.
+struct RunTimeLearning
+{
+    /// Otherwise runs are expected to take as long as stated.
+    bool isOn = true;
+    /// What was learned differs from a stated run time by no more than this factor; at least 1.
+    double maxRatio = 64;
+};
+
 } // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -134,6 +134,14 @@
     /// Runs that an earlier steward started on workers that can't be polled have ended after this
     /// time.
     Milliseconds recoveryTimeout{14'000};
+    RunTimeLearning runTimes;
+};
+
+/// How many times the forecast run time a run of the queue took.
+struct RunTimeRatio
+{
+    QueueName queue;
+    double ratio = 1;
 };
 
 /// Decides which task runs on which worker, for all pools. Each instance has its own fencing token.
@@ -173,6 +181,8 @@
     /// Returns what has been learned of run times, and how many runs this steward has learned from.
     [[nodiscard]] auto runTimes() const -> const RunTimes & { return m_runTimes; }
     [[nodiscard]] auto observedRuns() const -> std::uint64_t { return m_observedRuns; }
+    /// Returns the ratios of the runs that ended since the last call.
+    auto takeRunTimeRatios() -> std::vector<RunTimeRatio>;
     /// Sets what earlier stewards have learned; to be called before jobs are accepted.
     auto restoreRunTimes(RunTimes runTimes) -> void { m_runTimes = std::move(runTimes); }
     /// Whether runs of an earlier steward may still be unknown.
@@ -194,6 +204,8 @@
     [[nodiscard]] auto registeredWorkers() const -> std::set<WorkerName>;
 
 private:
+    static constexpr double MaxRunsOfFleetPace = 300;
+
     struct Job;
     struct Occurrence;
     struct Task;
@@ -269,7 +281,11 @@
     [[nodiscard]] auto forecastRun(const Job &job, const Occurrence *occurrence,
                                    std::size_t step) const -> RunTimeForecast;
     auto updateForecast(Job &job, const Occurrence *occurrence) -> void;
-    auto observeRunTime(const Task &task, const Worker &worker, const EndedRun &end) -> void;
+    auto noteEarliestEnd(Worker &worker, const steward_event::WorkerPolled &event) -> void;
+    [[nodiscard]] auto runTimeOf(const Task &task, const Worker &worker) const
+        -> std::optional<Duration>;
+    auto observeRunTime(const Task &task, Worker &worker, const EndedRun &end) -> void;
+    [[nodiscard]] auto isSlow(const Worker &worker) const -> bool;
     auto countAcceptedWork(const Job &job) -> void;
     auto isWithinTeamRate(const Job &job) -> bool;
     auto openOccurrence(Job &job, std::uint32_t number) -> Occurrence &;
@@ -437,6 +453,8 @@
     TeamEntitlement m_entitlement;
     RunTimes m_runTimes;
     std::uint64_t m_observedRuns = 0;
+    RunPace m_fleetPace{MaxRunsOfFleetPace};
+    std::vector<RunTimeRatio> m_runTimeRatios;
     /// When runs of a pool may be preempted next.
     std::map<PoolName, BootTime> m_nextPreemptions;
     std::map<PoolName, AcceptedWork> m_acceptedWork;
--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -107,6 +107,7 @@
     worker.isPolled = false;
     worker.hasClock = false;
     worker.latestClockMilliseconds = 0;
+    worker.pace = RunPace(MaxRunsOfWorkerPace);
 }
 
 auto Steward::expectWorkers(std::set<WorkerName> workers, std::vector<Resources> hostCapacities,
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -373,9 +373,9 @@
 /// Returns the worker that the task is placed on, or null if it fits on none.
 ///
 /// Avoids the worker of the last failed run, then prefers the preferred rack of the step, then
-/// keeps tasks on spare cores apart from tasks with a latency target, then takes the worker with
-/// the fewest free cores, so that other workers become idle and their hosts can move to other
-/// pools.
+/// keeps tasks on spare cores apart from tasks with a latency target, then avoids slow workers,
+/// then takes the worker with the fewest free cores, so that other workers become idle and their
+/// hosts can move to other pools.
 auto Steward::chooseWorker(std::span<Worker *const> workers, const Task &task) const -> Worker *
 {
     struct Score
@@ -383,6 +383,7 @@
         bool isAvoided = false;
         bool isOutsideRack = false;
         bool isInterfering = false;
+        bool isSlow = false;
         std::int64_t freeCores = 0;
 
         auto operator<=>(const Score &) const = default; // NOLINT(modernize-use-nullptr)
@@ -404,6 +405,7 @@
             ? std::ranges::any_of(worker->runs, hasLatencyTarget)
             : spec.latencyTargetMilliseconds > 0
                 && std::ranges::any_of(worker->runs, isOnSpareCores);
+        score.isSlow = isSlow(*worker);
         score.freeCores = worker->freeResources().milliCores;
         if (best == nullptr || score < bestScore) {
             best = worker;
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -42,6 +42,7 @@
     worker->isEndSuspected = false;
     if (event.startedMilliseconds != 0)
         worker->startedMilliseconds = event.startedMilliseconds;
+    noteEarliestEnd(*worker, event);
     worker->clockMilliseconds = event.clockMilliseconds;
     worker->clockReadAt = m_now;
     worker->hasClock = true;
@@ -84,8 +85,10 @@
         clearPossibleCrash(*task);
         if (!run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
-        if (!task->activeAtMilliseconds)
+        if (!task->activeAtMilliseconds) {
             task->activeAtMilliseconds = event.clockMilliseconds;
+            task->isPartialRun = true;
+        }
         task->progressPercent = run.progressPercent;
         task->latencyOrUsage = run.latencyOrUsage;
         // The worker lists a run whose start order has no answer yet.
@@ -116,6 +119,7 @@
         if (speed == task->speedPercent)
             continue;
         task->speedPercent = speed;
+        task->isPartialRun = true;
         m_actions.emplace_back(
             steward_action::SetRunSpeed{worker.report.name, task->id(), task->run, speed});
     }
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -8,6 +8,7 @@
 /// Number of failed polls in a row after which a worker counts as unresponsive.
 inline constexpr int MaxFailedPolls = 2;
 inline constexpr int FullSpeedPercent = 100;
+inline constexpr double MaxRunsOfWorkerPace = 20;
 
 enum class TaskPhase : std::uint8_t { Waiting, Starting, Running, Stopping, Done };
 
@@ -30,7 +31,8 @@
     /// The change of the job that contains the last crash.
     std::uint64_t crashChange = 0;
     std::string checkpoint;
-    /// The present run goes on from a checkpoint, or an earlier steward started it.
+    /// The present run goes on from a checkpoint, was slowed, or it isn't known when it began: its
+    /// time says nothing of others.
     bool isPartialRun = false;
     /// The worker of the last run that failed or whose start timed out; the next run prefers
     /// another one.
@@ -207,6 +209,13 @@
     /// The latest reading of the clock of this incarnation; answers may overtake each other.
     std::int64_t latestClockMilliseconds = 0;
     std::int64_t startedMilliseconds = 0;
+    /// Its clock in the last poll, and when the runs that this poll shows as ended did so at the
+    /// earliest.
+    std::int64_t polledMilliseconds = 0;
+    std::int64_t earliestEndMilliseconds = 0;
+    /// How far its clock is ahead of the steward's, at least.
+    std::int64_t clockAheadMilliseconds = 0;
+    RunPace pace{MaxRunsOfWorkerPace};
     /// A poll is in flight.
     bool isPolling = false;
     BootTime nextPoll;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -221,8 +221,11 @@
     case OrderOutcome::Accepted:
         task->job->hasStarted = true;
         task->confirmedAt = m_now;
-        if (!task->activeAtMilliseconds)
+        if (!task->activeAtMilliseconds) {
             task->activeAtMilliseconds = event.clockMilliseconds;
+            // An earlier order for this run may have begun it.
+            task->isPartialRun = task->isPartialRun || task->wasStartResent;
+        }
         if (wasStarting) {
             task->phase = TaskPhase::Running;
             task->phaseSince = m_now;
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -597,7 +597,8 @@
     run.number = order.run;
     run.startedAt = m_now;
     run.isLongRunning = spec.isLongRunning;
-    run.endsAt = m_now + runTime;
+    const auto slow = slowness.find(worker.report.name);
+    run.endsAt = m_now + runTime * (slow == slowness.end() ? 1 : slow->second);
     run.willFail = fails(order.task);
     worker.active.push_back(run);
     if (crashesWorker(order.task)) {
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -77,6 +77,8 @@
     Resources teamLimit;
     /// Duration of the runs of tasks that aren't long-running.
     Duration runTime = 400ms;
+    /// How many times as long runs take on a worker that is slow.
+    std::map<WorkerName, int> slowness;
     std::function<bool(const JobTaskId &)> fails = [](const auto &) { return false; };
     auto makeUnresponsive(int worker, Duration time) -> void;
     /// Leaves all orders to the worker unanswered. It answers polls. Starts are carried out after
--- a/tests/unit/single_worker.hpp
+++ b/tests/unit/single_worker.hpp
@@ -19,8 +19,9 @@
 class SingleWorker
 {
 public:
-    explicit SingleWorker(StepSpec step, std::uint32_t attempts = 2)
-        : steward(7, StewardSettings(), now)
+    explicit SingleWorker(StepSpec step, std::uint32_t attempts = 2,
+                          const StewardSettings &settings = {})
+        : steward(7, settings, now)
     {
         steward.step(steward_event::Ticked{1'000'000}, now);
         steward.step(steward_event::RulesChanged{testRules(attempts)}, now);
