Count all tasks of a step for the run times of its queue

Cause: only the first task of a step to end taught how long others of the queue take, and it is the shortest.

--- a/packages/demand/include/shallotproxy/demand/run_times.hpp
+++ b/packages/demand/include/shallotproxy/demand/run_times.hpp
@@ -21,6 +21,8 @@
     TeamName team;
     /// As stated by the submitter; 0 if nothing was stated.
     Duration stated{};
+    /// Of its step.
+    std::uint32_t taskCount = 1;
 };
 
 /// The finished runs of a step, whose other tasks are alike.
@@ -43,7 +45,9 @@
 ///
 /// The logarithm of a run time is taken to depend on that of the stated one by a line, which is
 /// fitted for each queue by least squares; old runs are forgotten. Each team has an offset from its
-/// queue's line. The finished tasks of a step outweigh all this for its other tasks.
+/// queue's line. The tasks of a step count together as one run, as they are alike, and the first
+/// ones to end are the shortest. The finished tasks of a step outweigh all this for its other
+/// tasks.
 class RunTimes
 {
 public:
@@ -61,7 +65,7 @@
         for (auto &[name, queue] : m_queues)
             std::erase_if(queue.teams, [&](const auto &it) { return !isTeam(it.first); });
     }
-    /// Returns the number of runs that count for a queue, at most the memory of a queue.
+    /// Returns the number of steps that count for a queue, at most the memory of a queue.
     [[nodiscard]] auto sampleCount(const QueueName &queue) const -> double;
 
     /// Returns how many times the stated run time a run of the queue is expected to take.
@@ -83,7 +87,7 @@
         double varianceY = 0;
         double covariance = 0;
 
-        auto add(double x, double y) -> void;
+        auto add(double x, double y, double count) -> void;
         [[nodiscard]] auto slope() const -> double;
         [[nodiscard]] auto at(std::optional<double> x) const -> double;
         [[nodiscard]] auto residualVariance() const -> double;
@@ -94,7 +98,7 @@
         double weight = 0;
         double mean = 0;
 
-        auto add(double residual) -> void;
+        auto add(double residual, double count) -> void;
         [[nodiscard]] auto shrunk() const -> double;
         MSGPACK_DEFINE(weight, mean)
     };
--- a/packages/demand/src/run_times.cpp
+++ b/packages/demand/src/run_times.cpp
@@ -93,10 +93,10 @@
     m_sum += logOf(actual);
 }
 
-auto RunTimes::Line::add(double x, double y) -> void
+auto RunTimes::Line::add(double x, double y, double count) -> void
 {
-    weight = std::min(weight + 1, MaxWeight);
-    const auto part = 1 / weight;
+    weight = std::min(weight + count, MaxWeight);
+    const auto part = count / weight;
     const auto dx = x - meanX;
     const auto dy = y - meanY;
     meanX += part * dx;
@@ -131,10 +131,10 @@
     return std::max(sum / (weight + PriorWeight), MinVariance);
 }
 
-auto RunTimes::Offset::add(double residual) -> void
+auto RunTimes::Offset::add(double residual, double count) -> void
 {
-    weight = std::min(weight + 1, MaxTeamWeight);
-    mean += (residual - mean) / weight;
+    weight = std::min(weight + count, MaxTeamWeight);
+    mean += count * (residual - mean) / weight;
 }
 
 auto RunTimes::Offset::shrunk() const -> double
@@ -149,11 +149,11 @@
     const auto offset = team == queue.teams.end() ? 0 : team->second.shrunk();
     const auto stated = statedLog(shape);
     const auto mean = boundedBy(stated, queue.line.at(stated) + offset);
-    const auto variance = queue.line.residualVariance();
     const auto within =
         std::max((queue.stepWeight * queue.stepVariance + PriorWeight * PriorStepVariance)
                      / (queue.stepWeight + PriorWeight),
                  MinVariance);
+    const auto variance = std::max(queue.line.residualVariance() - within, MinVariance);
     if (finished.count() == 0)
         return {mean, variance + within};
     const auto precision = finished.count() / within;
@@ -168,19 +168,18 @@
     auto &queue = m_queues[shape.queue];
     const auto y = logOf(actual);
     if (before.count() > 0) {
-        // Tasks of a step are alike, so that only the first one tells anything of other steps.
         const auto distance = y - before.meanLog();
         const auto count = static_cast<double>(before.count());
         const auto squared = distance * distance * count / (count + 1);
         queue.stepWeight = std::min(queue.stepWeight + 1, MaxWeight);
         queue.stepVariance += (squared - queue.stepVariance) / queue.stepWeight;
-        return;
     }
+    const auto part = 1.0 / std::max(shape.taskCount, 1U);
     const auto x = statedLog(shape).value_or(queue.line.weight > 0 ? queue.line.meanX : y);
     const auto hasRoom = queue.teams.contains(shape.team) || queue.teams.size() < MaxTeamsOfQueue;
     if (queue.line.weight > 0 && hasRoom)
-        queue.teams[shape.team].add(y - queue.line.at(x));
-    queue.line.add(x, y);
+        queue.teams[shape.team].add(y - queue.line.at(x), part);
+    queue.line.add(x, y, part);
 }
 
 auto RunTimes::observeAtLeast(const RunShape &shape, const StepWitness &before, Duration elapsed)
--- a/packages/job/src/steward_run_times.cpp
+++ b/packages/job/src/steward_run_times.cpp
@@ -19,8 +19,9 @@
 
 auto Steward::shapeOf(const Job &job, std::size_t step) const -> RunShape
 {
-    return {job.spec.queue, job.spec.team,
-            milliseconds(job.spec.steps[step].estimatedMilliseconds)};
+    const auto &spec = job.spec.steps[step];
+    return {job.spec.queue, job.spec.team, milliseconds(spec.estimatedMilliseconds),
+            spec.taskCount};
 }
 
 /// Returns how long the runs of a step are expected to take; no occurrence stands for a job that
--- a/tests/unit/unit-run-times.cpp
+++ b/tests/unit/unit-run-times.cpp
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <functional>
 #include <limits>
 #include <random>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -123,6 +125,33 @@
     EXPECT_GE(forecast.upper, forecast.expected);
 }
 
+// The first task of a step to end is the shortest: if it alone counted, all would be taken for
+// short.
+TEST(RunTimes, CountsAllTasksOfAStep)
+{
+    constexpr auto Tasks = 8;
+    auto times = RunTimes();
+    auto workload = Workload(0.5, 0);
+    auto sum = Seconds();
+    auto count = 0;
+    const auto shape = RunShape{Queue, Honest, 1s, Tasks};
+    for (auto n = 0; n < 100; ++n) {
+        auto tasks = std::vector<Duration>();
+        for (auto task = 0; task < Tasks; ++task)
+            tasks.push_back(workload.nextActual());
+        std::ranges::sort(tasks);
+        auto finished = StepWitness();
+        for (const auto actual : tasks) {
+            times.observe(shape, finished, actual);
+            finished.add(actual);
+            sum += actual;
+            ++count;
+        }
+    }
+    const auto mean = std::chrono::duration_cast<Duration>(sum / count);
+    EXPECT_LE(errorOf(times.forecast(shape).expected, mean), 0.1);
+}
+
 TEST(RunTimes, FollowsWorkThatChanges)
 {
     auto times = RunTimes();
