Read learned run times again when a read fails, report and switch them

Cause: a steward whose read of the record run-times failed began from nothing and wrote over it 2 s later. Nothing told how well runs are forecast, and nothing switched learning off.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,6 +1,8 @@
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -38,6 +40,8 @@
     std::string logLevel;
     bool isCheckOnly = false;
     bool isOnPlatform = false;
+    std::string runTimes;
+    double maxRunTimeRatio = RunTimeLearning().maxRatio;
 };
 
 constexpr auto Usage = R"(shallotproxyd - member of a fleet capacity and maintenance manager
@@ -45,6 +49,7 @@
 Usage: shallotproxyd --settings FILE [--log-level LEVEL]
        shallotproxyd --check-settings FILE
        shallotproxyd --on-platform [--check-settings FILE]
+                     [--run-times learned|stated] [--max-run-time-ratio FACTOR]
 
 With --on-platform the settings come from the file that the platform names.
 
@@ -203,12 +208,23 @@
     return ExitOk;
 }
 
+/// Returns no value if the arguments aren't valid.
+auto runTimeLearning(const Arguments &arguments) -> std::optional<RunTimeLearning>
+{
+    const auto isLearned = arguments.runTimes == "learned";
+    if ((!isLearned && arguments.runTimes != "stated") || !(arguments.maxRunTimeRatio >= 1)
+        || !std::isfinite(arguments.maxRunTimeRatio))
+        return std::nullopt;
+    return RunTimeLearning{isLearned, arguments.maxRunTimeRatio};
+}
+
 /// Checks `checkedFile` if it is not empty; otherwise runs a member with the settings file that the
 /// platform names.
-auto runOnPlatform(const std::string &checkedFile, int signals) -> int
+auto runOnPlatform(const std::string &checkedFile, const RunTimeLearning &runTimes, int signals)
+    -> int
 {
     if (checkedFile.empty())
-        return platform::runMember(platform::settingsFile(), signals);
+        return platform::runMember(platform::settingsFile(), runTimes, signals);
     const auto checked = platform::checkSettings(checkedFile);
     if (!checked) {
         std::cerr << checked.error().message() << '\n';
@@ -231,6 +247,10 @@
         "check a settings file and exit")("on-platform",
                                           options::bool_switch(&arguments.isOnPlatform),
                                           "run on the users' platform, with its settings file")(
+        "run-times", options::value(&arguments.runTimes)->default_value("learned"),
+        "on the platform: how long runs take, learned from others or as stated")(
+        "max-run-time-ratio", options::value(&arguments.maxRunTimeRatio),
+        "by which factor, at least 1, a learned run time differs from the stated one at most")(
         "log-level", options::value(&arguments.logLevel)->default_value("info"),
         "debug, info, warning or error");
     auto values = options::variables_map();
@@ -249,9 +269,10 @@
         std::cout << "shallotproxyd " << SHALLOTPROXY_VERSION << '\n';
         return ExitOk;
     }
-    if (arguments.isOnPlatform)
-        return runOnPlatform(arguments.settingsFile, signals);
-    if (arguments.settingsFile.empty() || !setLevel(arguments.logLevel)) {
+    const auto runTimes = runTimeLearning(arguments);
+    if (runTimes && arguments.isOnPlatform)
+        return runOnPlatform(arguments.settingsFile, *runTimes, signals);
+    if (!runTimes || arguments.settingsFile.empty() || !setLevel(arguments.logLevel)) {
         std::cerr << Usage << '\n' << description;
         return ExitUsage;
     }
--- a/packages/job/src/steward_run_times.cpp
+++ b/packages/job/src/steward_run_times.cpp
@@ -111,9 +111,10 @@
         const auto forecast = forecastRun(job, &occurrence, task.step).expected;
         worker.pace.add(*elapsed, forecast, m_now);
         m_fleetPace.add(*elapsed, forecast, m_now);
-        if (forecast > Duration() && m_runTimeRatios.size() < MaxRunTimeRatios)
+        if (forecast > Duration() && m_runTimeRatios.size() < MaxRunTimeRatios) {
             m_runTimeRatios.push_back(
                 {shape.queue, std::chrono::duration<double>(*elapsed) / forecast});
+        }
     }
     if (isSlow(worker))
         return;
--- a/packages/member/include/shallotproxy/member/runtime_context.hpp
+++ b/packages/member/include/shallotproxy/member/runtime_context.hpp
@@ -30,6 +30,7 @@
     std::chrono::milliseconds hostLeaseDuration{3'000};
     std::chrono::milliseconds hostUpkeepDuration{2'000}; // the platform's time for a host's upkeep
     std::chrono::milliseconds jobStateRetention{120'000}; // callers can read ended jobs this long
+    RunTimeLearning runTimes;
 };
 
 /// Objects that all parts of one member share.
--- a/packages/member/include/shallotproxy/member/steward_duty.hpp
+++ b/packages/member/include/shallotproxy/member/steward_duty.hpp
@@ -72,8 +72,10 @@
     auto load() -> void;
     auto startSteward(const LoadedRecords &loaded) -> void;
     auto loadJobs(const LoadedRecords &loaded) -> void;
-    auto readRunTimes(const std::shared_ptr<LoadedRecords> &loaded) -> void;
+    auto readRunTimes(const std::shared_ptr<LoadedRecords> &loaded,
+                      const std::function<void()> &retry) -> void;
     auto saveRunTimes(BootTime now) -> void;
+    auto reportRunTimes() -> void;
     auto acceptJob(const VersionedRecord &record, const JobProgress &progress) -> void;
     auto jobChanged(const VersionedRecord &record) -> void;
     auto workerChanged(const VersionedRecord &record) -> void;
@@ -128,6 +130,7 @@
     BootTime m_nextCleanupAt;
     BootTime m_nextRunTimesAt;
     std::uint64_t m_savedRuns = 0; // of the steward's observed runs
+    std::map<QueueName, double> m_reportedRatios; // of actual to stated run times
     BootTime m_tickDueAt;
     ProcessorLoad m_processorLoad;
     BootTime m_nextLoadReportAt;
--- a/packages/member/src/steward_records.cpp
+++ b/packages/member/src/steward_records.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t MaxJobsPerCleanup = 30; // a write of the store has at most 32 entries
 // A lost steward costs what was learned in this time at most.
 constexpr milliseconds RunTimesInterval{2'000};
+// A queue's prediction is reported when it has changed by this factor.
+constexpr double ReportedShift = 1.5;
 constexpr int RetentionFactor = 2; // ended jobs stay twice as long as the settings promise
 
 } // namespace
@@ -36,7 +38,7 @@
             return;
         }
         loaded->progress = std::move(progress->records);
-        readRunTimes(loaded);
+        readRunTimes(loaded, retry);
     });
     // Jobs are read first: if one ends between the two reads, its progress record shows the
     // outcome.
@@ -52,17 +54,28 @@
                             }));
 }
 
-/// Run times that can't be read are learned anew.
-auto StewardDuty::readRunTimes(const std::shared_ptr<LoadedRecords> &loaded) -> void
+/// A record that can't be decoded is learned anew. One that the store doesn't give is read again,
+/// as this steward would soon write over it.
+auto StewardDuty::readRunTimes(const std::shared_ptr<LoadedRecords> &loaded,
+                               const std::function<void()> &retry) -> void
 {
+    if (!m_context.settings.runTimes.isOn) {
+        startSteward(*loaded);
+        return;
+    }
     m_context.store.read(
-        std::string(store_keys::RunTimes), ifSameTerm([this, loaded](const auto &reply) {
-            if (reply && !reply->records.empty()) {
+        std::string(store_keys::RunTimes), ifSameTerm([this, loaded, retry](const auto &reply) {
+            if (!reply) {
+                retry();
+                return;
+            }
+            if (!reply->records.empty()) {
                 loaded->runTimes = RunTimes::decode(reply->records.front().value);
-                if (!loaded->runTimes)
+                if (!loaded->runTimes) {
                     m_context.log.warning(
                         "event=record-unreadable key={} error=\"expected run times\"",
                         store_keys::RunTimes);
+                }
             }
             startSteward(*loaded);
         }));
@@ -76,6 +89,7 @@
     if (now < m_nextRunTimesAt || observed == m_savedRuns)
         return;
     m_nextRunTimesAt = now + RunTimesInterval;
+    reportRunTimes();
     auto commit = fencedCommit();
     commit.puts.push_back(
         {std::string(store_keys::RunTimes), m_steward->runTimes().encode(), StoreLease(0)});
@@ -89,16 +103,41 @@
                            }));
 }
 
+/// Reports how well runs were forecast, and what is expected of a queue if it differs from the last
+/// report by a factor that changes the order of its work.
+auto StewardDuty::reportRunTimes() -> void
+{
+    for (const auto &it : m_steward->takeRunTimeRatios()) {
+        m_context.metrics.sample("shallotproxy_run_time_ratio",
+                                 fmt::format("queue=\"{}\"", it.queue.value()), it.ratio);
+    }
+    const auto &times = m_steward->runTimes();
+    for (const auto &queue : times.queues()) {
+        const auto ratio = times.misstatement(queue);
+        auto &reported = m_reportedRatios.try_emplace(queue, 1).first->second;
+        if (std::max(ratio / reported, reported / ratio) < ReportedShift)
+            continue;
+        m_context.log.info(
+            "event=run-times-shifted queue={} actual-to-stated={:.2f} before={:.2f} runs={:.0f}",
+            queue.value(), ratio, reported, times.sampleCount(queue));
+        reported = ratio;
+    }
+    std::erase_if(m_reportedRatios,
+                  [&times](const auto &it) { return times.sampleCount(it.first) == 0; });
+}
+
 auto StewardDuty::startSteward(const LoadedRecords &loaded) -> void
 {
     auto settings = StewardSettings();
     settings.maxRunLease = m_context.settings.maxRunLease;
     settings.stopTimeout = m_context.settings.runStopTimeout;
+    settings.runTimes = m_context.settings.runTimes;
     const auto now = BootClock::now();
     m_steward = std::make_unique<Steward>(*m_stewardship.token(), settings, now);
     if (loaded.runTimes)
         m_steward->restoreRunTimes(*loaded.runTimes);
     m_savedRuns = 0;
+    m_reportedRatios.clear();
     dispatch(steward_event::Ticked{wallMilliseconds()});
     declarationsChanged();
     loadJobs(loaded);
--- a/tests/unit/fake_ports.cpp
+++ b/tests/unit/fake_ports.cpp
@@ -89,6 +89,13 @@
 
 auto FakeRecordStore::read(const std::string &key, RecordStoreCallback<StoreRead> reply) -> void
 {
+    if (failedReads > 0) {
+        --failedReads;
+        later([reply] {
+            reply(tl::unexpected(StoreFailure{StoreFailure::Kind::NotApplied, "read", {}}));
+        });
+        return;
+    }
     auto result = StoreRead{{}, m_revision};
     if (const auto it = m_records.find(key); it != m_records.end())
         result.records.push_back(it->second);
--- a/tests/unit/fake_ports.hpp
+++ b/tests/unit/fake_ports.hpp
@@ -16,6 +16,8 @@
     auto remove(const std::string &key) -> void;
     /// Makes all watches load their records again.
     auto compact() -> void;
+    /// Number of the next reads of one record that fail.
+    int failedReads = 0;
 
     auto commit(const StoreCommit &commit, RecordStoreCallback<std::uint64_t> reply)
         -> void override;
--- a/tests/unit/unit-steward-duty.cpp
+++ b/tests/unit/unit-steward-duty.cpp
@@ -26,8 +26,10 @@
 class SingleMember
 {
 public:
-    SingleMember()
+    explicit SingleMember(const std::function<void(test::FakeRecordStore &)> &prepare = {})
     {
+        if (prepare)
+            prepare(store);
         test::ensureApplication();
         auto declaration = std::make_shared<FleetDeclaration>();
         declaration->version = 1;
@@ -140,6 +142,31 @@
     EXPECT_TRUE(member.startsTasks());
 }
 
+// A steward that couldn't read what earlier ones had learned of run times wrote over it two seconds
+// later.
+TEST(StewardDuty, KeepsWhatWasLearnedOfRunTimesWhenAReadFails)
+{
+    constexpr auto Runs = 50;
+    auto learned = RunTimes();
+    for (auto n = 0; n < Runs; ++n)
+        learned.observe({QueueName("quotes"), TeamName("blue"), 1s}, {}, 3s);
+    const auto before = learned.encode();
+    auto member = SingleMember([&before](test::FakeRecordStore &store) {
+        store.put("run-times", before);
+        store.failedReads = 1;
+    });
+    const auto kept = std::make_shared<std::string>(before); // answers may come after the test
+    const auto isWritten = [&] {
+        member.store.read("run-times",
+                          [kept](const auto &reply) { *kept = reply->records.front().value; });
+        return *kept != before || !member.startsTasks();
+    };
+    ASSERT_TRUE(test::runUntil(isWritten, 10'000));
+    const auto decoded = RunTimes::decode(*kept);
+    ASSERT_TRUE(decoded && *kept != before);
+    EXPECT_GT(decoded->sampleCount(QueueName("quotes")), Runs);
+}
+
 TEST(StewardDuty, CountsTasksThatWait)
 {
     auto member = SingleMember();
