--- a/tests/unit/unit-run-time-learning.cpp
+++ b/tests/unit/unit-run-time-learning.cpp
@@ -8,8 +8,8 @@
 
 using namespace std::chrono_literals;
 
-const auto Queue = QueueName("quotes");
-const auto Team = TeamName("blue");
+const auto queue = QueueName("quotes");
+const auto team = TeamName("blue");
 
 /// A worker with room for one run at a time, which answers polls when a run ends.
 class OneSlot
@@ -55,7 +55,7 @@
 
     [[nodiscard]] auto forecast(Duration stated) const -> Duration
     {
-        return single.steward.runTimes().forecast({Queue, Team, stated}).expected;
+        return single.steward.runTimes().forecast({queue, team, stated}).expected;
     }
 
     test::SingleWorker single;
@@ -110,9 +110,10 @@
     for (auto n = 0; n < 40; ++n)
         slot.finish(slot.submit("job-" + std::to_string(n), 1, 200), 200ms);
     const auto before = slot.forecast(200ms);
-    for (const auto end : {RunEnd::Failed, RunEnd::Stopped, RunEnd::LeaseExpired})
+    for (const auto end : {RunEnd::Failed, RunEnd::Stopped, RunEnd::LeaseExpired}) {
         slot.finish(slot.submit("ended-" + std::to_string(static_cast<int>(end)), 1, 200), 20ms,
                     end);
+    }
     EXPECT_EQ(slot.forecast(200ms), before);
 }
 
@@ -178,7 +179,7 @@
     auto forecast(std::size_t steward) -> double
     {
         const auto &times = fleet.steward(steward).runTimes();
-        return std::chrono::duration<double>(times.forecast({Queue, Team, 400ms}).expected).count();
+        return std::chrono::duration<double>(times.forecast({queue, team, 400ms}).expected).count();
     }
 
     test::FakeFleet fleet;
@@ -202,8 +203,8 @@
     fleet.steward(next).restoreRunTimes(*RunTimes::decode(record));
     EXPECT_EQ(learning.forecast(next), learning.forecast(first));
     learning.runJobs(3, 1);
-    EXPECT_GT(fleet.steward(next).runTimes().sampleCount(Queue),
-              fleet.steward(first).runTimes().sampleCount(Queue));
+    EXPECT_GT(fleet.steward(next).runTimes().sampleCount(queue),
+              fleet.steward(first).runTimes().sampleCount(queue));
 }
 
 // Runs that a new steward finds have begun before, and those of a crashed worker tell nothing.
@@ -236,15 +237,32 @@
     EXPECT_EQ(learning.fleet.steward(steward).observedRuns(), 0U);
 }
 
-// One worker of four takes five times as long: that shows the worker, and not the queue.
+// One worker of two takes five times as long: that shows the worker, and not the queue. Others go
+// first.
 TEST(RunTimeLearning, KeepsSlowWorkersApart)
 {
-    auto learning = LearningFleet(4);
+    constexpr auto TasksOfBothWorkers = 16;
+    auto learning = LearningFleet(2);
     auto &fleet = learning.fleet;
     fleet.slowness[test::workerName(0)] = 5;
     const auto steward = fleet.addSteward();
-    learning.runJobs(60, 32);
+    for (auto n = 0; n < 20; ++n)
+        learning.runJobs(1, TasksOfBothWorkers);
     EXPECT_NEAR(learning.forecast(steward), 0.4, 0.12);
+    fleet.addJob(test::oneStepJob("next", test::shortStep(1)));
+    fleet.run(1s);
+    EXPECT_EQ(fleet.outcome("next"), JobOutcome::Completed);
+}
+
+// Work that becomes longer everywhere makes no worker slow.
+TEST(RunTimeLearning, LearnsThatAllWorkBecomesLonger)
+{
+    auto learning = LearningFleet(2);
+    const auto steward = learning.fleet.addSteward();
+    learning.runJobs(20, 4);
+    learning.fleet.runTime = 2s;
+    learning.runJobs(60, 4);
+    EXPECT_GT(learning.forecast(steward), 1.2);
 }
 
 } // namespace
--- a/tests/unit/unit-run-times.cpp
+++ b/tests/unit/unit-run-times.cpp
@@ -17,9 +17,9 @@
 using namespace std::chrono_literals;
 using Seconds = std::chrono::duration<double>;
 
-const auto Queue = QueueName("queue");
-const auto Honest = TeamName("honest");
-const auto Liar = TeamName("liar");
+const auto queue = QueueName("queue");
+const auto honestTeam = TeamName("honest");
+const auto liarTeam = TeamName("liar");
 
 auto scaled(Duration time, double factor) -> Duration
 {
@@ -65,7 +65,7 @@
     auto stated = 0.0;
     for (auto n = 0; n < Warmup + Runs; ++n) {
         const auto actual = workload.nextActual();
-        const auto shape = RunShape{Queue, Honest, bias(workload.stated(actual))};
+        const auto shape = RunShape{queue, honestTeam, bias(workload.stated(actual))};
         if (n >= Warmup) {
             learned += errorOf(times.forecast(shape).expected, actual) / Runs;
             stated += errorOf(shape.stated, actual) / Runs;
@@ -78,10 +78,10 @@
 TEST(RunTimes, ExpectsWhatIsStatedUntilSomethingWasSeen)
 {
     const auto times = RunTimes();
-    const auto shape = RunShape{Queue, Honest, 700ms};
+    const auto shape = RunShape{queue, honestTeam, 700ms};
     EXPECT_EQ(times.forecast(shape).expected, 700ms);
     EXPECT_EQ(times.forecast(shape).upper, 700ms);
-    EXPECT_EQ(times.forecast({Queue, Honest, {}}).expected, 0ms);
+    EXPECT_EQ(times.forecast({queue, honestTeam, {}}).expected, 0ms);
 }
 
 TEST(RunTimes, KeepsExactStatements)
@@ -114,13 +114,13 @@
         auto finished = StepWitness();
         for (auto task = 0; task < 8; ++task) {
             const auto actual = scaled(level, 1 + 0.02 * task);
-            times.observe({Queue, Honest, 1s}, finished, actual);
+            times.observe({queue, honestTeam, 1s}, finished, actual);
             finished.add(actual);
         }
     }
     auto finished = StepWitness();
     finished.add(5s);
-    const auto forecast = times.forecast({Queue, Honest, 200ms}, finished);
+    const auto forecast = times.forecast({queue, honestTeam, 200ms}, finished);
     EXPECT_LE(errorOf(forecast.expected, 5s), 0.2);
     EXPECT_GE(forecast.upper, forecast.expected);
 }
@@ -134,7 +134,7 @@
     auto workload = Workload(0.5, 0);
     auto sum = Seconds();
     auto count = 0;
-    const auto shape = RunShape{Queue, Honest, 1s, Tasks};
+    const auto shape = RunShape{queue, honestTeam, 1s, Tasks};
     for (auto n = 0; n < 100; ++n) {
         auto tasks = std::vector<Duration>();
         for (auto task = 0; task < Tasks; ++task)
@@ -155,7 +155,7 @@
 TEST(RunTimes, FollowsWorkThatChanges)
 {
     auto times = RunTimes();
-    const auto shape = RunShape{Queue, Honest, 1s};
+    const auto shape = RunShape{queue, honestTeam, 1s};
     for (auto n = 0; n < 500; ++n)
         times.observe(shape, {}, 1s);
     for (auto n = 0; n < 200; ++n)
@@ -168,7 +168,7 @@
 TEST(RunTimes, TakesRunsThatWereEndedEarlyAsALowerBound)
 {
     auto times = RunTimes();
-    const auto shape = RunShape{Queue, Honest, 1s};
+    const auto shape = RunShape{queue, honestTeam, 1s};
     for (auto n = 0; n < 50; ++n)
         times.observe(shape, {}, 1s);
     const auto before = times.forecast(shape).expected;
@@ -187,12 +187,12 @@
         auto workload = Workload(0.4, 0.2);
         for (auto n = 0; n < 60; ++n) {
             const auto honest = workload.nextActual();
-            times.observe({Queue, Honest, workload.stated(honest)}, {}, honest);
+            times.observe({queue, honestTeam, workload.stated(honest)}, {}, honest);
             const auto lied = workload.nextActual();
-            times.observe({Queue, Liar, scaled(workload.stated(lied), factor)}, {}, lied);
+            times.observe({queue, liarTeam, scaled(workload.stated(lied), factor)}, {}, lied);
         }
-        const auto honest = times.forecast({Queue, Honest, 1s}).expected;
-        const auto lied = times.forecast({Queue, Liar, scaled(1s, factor)}).expected;
+        const auto honest = times.forecast({queue, honestTeam, 1s}).expected;
+        const auto lied = times.forecast({queue, liarTeam, scaled(1s, factor)}).expected;
         EXPECT_LE(errorOf(lied, honest), 0.35) << factor;
     }
 }
@@ -203,11 +203,12 @@
     auto workload = Workload(0.5, 0.5);
     for (auto n = 0; n < 40; ++n) {
         const auto actual = workload.nextActual();
-        times.observe({Queue, n % 2 == 0 ? Honest : Liar, workload.stated(actual)}, {}, actual);
+        times.observe({queue, n % 2 == 0 ? honestTeam : liarTeam, workload.stated(actual)}, {},
+                      actual);
     }
     const auto decoded = RunTimes::decode(times.encode());
     ASSERT_TRUE(decoded);
-    const auto shape = RunShape{Queue, Liar, 2s};
+    const auto shape = RunShape{queue, liarTeam, 2s};
     EXPECT_EQ(decoded->forecast(shape).expected, times.forecast(shape).expected);
     EXPECT_EQ(decoded->forecast(shape).upper, times.forecast(shape).upper);
     EXPECT_FALSE(RunTimes::decode("no run times"));
@@ -221,14 +222,14 @@
     auto packer = msgpack::packer(buf);
     packer.pack_map(1);
     packer.pack_array(1);
-    packer.pack(Queue.value());
+    packer.pack(queue.value());
     packer.pack_array(4);
     packer.pack(line);
     packer.pack(step[0]);
     packer.pack(step[1]);
     packer.pack_map(1);
     packer.pack_array(1);
-    packer.pack(Honest.value());
+    packer.pack(honestTeam.value());
     packer.pack(team);
     return {buf.data(), buf.size()};
 }
@@ -266,7 +267,7 @@
         auto witness = StepWitness();
         if (n % 3 == 0)
             witness.add(extremes.at(pick(random)));
-        const auto shape = RunShape{Queue, TeamName(std::to_string(n)), extremes.at(pick(random))};
+        const auto shape = RunShape{queue, TeamName(std::to_string(n)), extremes.at(pick(random))};
         times.observe(shape, witness, extremes.at(pick(random)));
         times.observeAtLeast(shape, witness, extremes.at(pick(random)));
         const auto forecast = times.forecast(shape, witness);
@@ -283,11 +284,11 @@
 {
     auto times = RunTimes();
     for (auto n = 0; n < 10; ++n)
-        times.observe({Queue, Honest, 1s}, {}, 3s);
+        times.observe({queue, honestTeam, 1s}, {}, 3s);
     const auto isAny = [](const auto &) { return true; };
     times.retain([](const QueueName &) { return false; }, isAny);
-    EXPECT_EQ(times.sampleCount(Queue), 0);
-    EXPECT_EQ(times.forecast({Queue, Honest, 1s}).expected, 1s);
+    EXPECT_EQ(times.sampleCount(queue), 0);
+    EXPECT_EQ(times.forecast({queue, honestTeam, 1s}).expected, 1s);
 }
 
 } // namespace
