--- a/tests/unit/unit-run-time-learning.cpp
+++ b/tests/unit/unit-run-time-learning.cpp
@@ -131,6 +131,25 @@
     EXPECT_EQ(single.steward.observedRuns(), 0U);
 }
 
+// The clock of a worker that restarted starts anew: the run would have taken less than no time.
+TEST(RunTimeLearning, LearnsNothingFromRunsThatEndAfterARestart)
+{
+    auto single = test::SingleWorker(test::shortStep(1));
+    const auto run = single.startRun();
+    auto event = steward_event::WorkerPolled();
+    event.worker = test::workerName(0);
+    event.sentAt = single.now;
+    single.now += 50ms;
+    single.step(steward_event::StartAnswered{test::workerName(0), single.task, run,
+                                             OrderOutcome::Accepted, single.clockMilliseconds});
+    event.clockMilliseconds = 100;
+    event.startedMilliseconds = 2;
+    event.ended = {{1, single.task, run, RunEnd::Done, {}}};
+    single.step(event);
+    EXPECT_EQ(single.steward.view("job").state, JobState::Running); // until it is persisted
+    EXPECT_EQ(single.steward.observedRuns(), 0U);
+}
+
 // A busy steward polls late: the run has ended at some time since the last poll.
 TEST(RunTimeLearning, TakesTheMiddleIfAWorkerWasPolledLate)
 {
