--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -109,6 +109,7 @@
     worker.isRead = false;
     worker.hasClock = false;
     worker.latestClockMilliseconds = 0;
+    worker.pace = RunPace(MaxRunsOfWorkerPace);
 }
 
 auto Steward::expectWorkers(std::set<WorkerName> workers, std::vector<Resources> hostCapacities,
