Try overdue steps behind one that never fits

Cause: the oldest useless step comes first each 250 ms. One that never fits (a team at its limit, a label without a worker, a wide task in a full pool) took each turn, and so did visits that found no room: those behind it starved as long as other work filled the pool. Change: only a placed step ends the turn, and after the oldest one another one is tried, each in its turn. Test: WaitingOrder.PlacesOverdueStepsBehindOneThatNeverFits, 39 steps behind one that never fits.

--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -245,20 +245,19 @@
         }
     }
 
-    /// Returns the useless step that was submitted first, null if there is none.
-    [[nodiscard]] auto oldestUselessStep() const -> const Entry *
+    /// Returns the useless step that was submitted first, or first after `after`.
+    [[nodiscard]] auto oldestUselessStep(const std::optional<Key> &after) const
+        -> std::optional<Key>
     {
-        const Entry *oldest = nullptr;
+        auto oldest = std::optional<Key>();
         for (const auto &[band, queues] : m_bands) {
             if (!band.isFinite || !band.isUseless)
                 continue;
             for (const auto &[group, queue] : queues) {
-                if (queue.steps.empty())
-                    continue;
-                const auto &first = m_entries.at(queue.steps.begin()->second);
-                const auto isOlder =
-                    oldest == nullptr || first.step.submittedAt < oldest->step.submittedAt;
-                oldest = isOlder ? &first : oldest;
+                const auto &steps = queue.steps;
+                const auto first = after ? steps.upper_bound(*after) : steps.begin();
+                if (first != steps.end() && (!oldest || *first < *oldest))
+                    oldest = *first;
             }
         }
         return oldest;
@@ -270,12 +269,32 @@
     {
         if (now < m_nextOverdueAt)
             return true;
-        const auto *oldest = oldestUselessStep();
-        if (oldest == nullptr || now < oldest->step.submittedAt + OverdueAge)
-            return true;
-        m_nextOverdueAt = now + OverdueInterval;
-        const auto value = oldest->value; // the step may be removed
-        return place(value) != StepVisit::Stop;
+        const auto oldest = oldestUselessStep(std::nullopt);
+        auto result = placeIfOverdue(now, oldest, place);
+        if (result != StepVisit::Missed || !oldest)
+            return result != StepVisit::Stop;
+        // One that doesn't fit for long must not keep those behind it from their turn: one of them
+        // is tried after it, another one in each visit.
+        m_missedOverdue = oldestUselessStep(std::max(m_missedOverdue, oldest));
+        if (!m_missedOverdue)
+            m_missedOverdue = oldestUselessStep(oldest);
+        result = placeIfOverdue(now, m_missedOverdue, place);
+        return result != StepVisit::Stop;
+    }
+
+    template <typename Place>
+    auto placeIfOverdue(BootTime now, const std::optional<Key> &key, Place &place) -> StepVisit
+    {
+        if (!key)
+            return StepVisit::Missed;
+        const auto &entry = m_entries.at(key->second);
+        if (now < entry.step.submittedAt + OverdueAge)
+            return StepVisit::Missed;
+        const auto value = entry.value; // the step may be removed
+        const StepVisit result = place(value);
+        if (result == StepVisit::Placed)
+            m_nextOverdueAt = now + OverdueInterval;
+        return result;
     }
 
     /// Returns whether the visit goes on with the next band.
@@ -331,6 +350,8 @@
     std::set<std::pair<BootTime, WaitingStepId>> m_changes;
     /// When an overdue step may come first again.
     BootTime m_nextOverdueAt;
+    /// The last step that was tried in place of the oldest one.
+    std::optional<Key> m_missedOverdue;
 };
 
 } // namespace shallotproxy
--- a/tests/unit/unit-waiting-order.cpp
+++ b/tests/unit/unit-waiting-order.cpp
@@ -190,6 +190,39 @@
     EXPECT_GE(placed, 24 * Overdue); // the others keep nearly all of the room
 }
 
+// The oldest step wants more than ever gets free at once, and most visits find no room at all.
+TEST(WaitingOrder, PlacesOverdueStepsBehindOneThatNeverFits)
+{
+    constexpr auto Overdue = std::uint64_t{40};
+    const auto start = BootTime(1h);
+    auto waiting = WaitingSteps<std::uint64_t>();
+    for (auto n = std::uint64_t{0}; n < Overdue; ++n) {
+        auto step = stepOfJob(n);
+        step.submittedAt = start + 1ms * n;
+        step.deadline = start + 1s;
+        step.usefulUntil = start + 3s;
+        waiting.add(step, n);
+    }
+    auto ended = std::uint64_t{0};
+    auto number = Overdue;
+    const auto bound = start + OverdueAge + 2 * OverdueInterval * Overdue;
+    for (auto now = start; now <= bound; now += 10ms) {
+        auto fresh = stepOfJob(number);
+        fresh.submittedAt = now;
+        fresh.deadline = now + 60s;
+        waiting.add(fresh, number++);
+        auto hasRoom = (now - start) % 30ms == 0ms;
+        waiting.visit(now, usageIn({}), [&](std::uint64_t job) {
+            if (job == 0 || !std::exchange(hasRoom, false))
+                return StepVisit::Missed;
+            waiting.remove({job, 0, 0});
+            ended += job < Overdue ? 1 : 0;
+            return StepVisit::Placed;
+        });
+    }
+    EXPECT_EQ(ended, Overdue - 1);
+}
+
 // The order doesn't depend on when steps were added, became late or were removed.
 RC_GTEST_PROP(WaitingOrder, IsThatOfTheRanks, ())
 {
