Admission: count only work that waits for room, in a bounded time

Cause, from the review of the admission: steps that wait for their team's limit or for a labelled worker counted as backlog of the whole pool, so that others were refused while room was idle; work of a priority without a backlog wasn't told of the late work of earlier priorities; the outlook went through all waiting steps, each with a forecast. Change: such steps don't count; the gate takes the late wait of earlier priorities; at most 1,024 steps are looked at, drawn at random from all.

--- a/packages/demand/src/admission_gate.cpp
+++ b/packages/demand/src/admission_gate.cpp
@@ -35,9 +35,12 @@
     const auto doneAfter = [&](std::int64_t published) {
         return std::max(Duration(milliseconds(published)) - age, Duration()) + request.chain;
     };
+    // Late work of an earlier priority comes before all work of a later one.
+    const auto wait =
+        entry.priority < request.priority ? entry.lateMilliseconds : entry.entitledMilliseconds;
     const auto excess = isSurplus
         ? doneAfter(entry.surplusMilliseconds) - request.deadline
-        : std::min(doneAfter(entry.entitledMilliseconds) - request.deadline,
+        : std::min(doneAfter(wait) - request.deadline,
                    doneAfter(entry.lateMilliseconds) - request.usefulTime);
     if (excess <= Duration())
         return std::nullopt;
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -408,7 +408,7 @@
     [[nodiscard]] auto roomForFiniteTasks(const PoolName &pool) const -> Resources;
     [[nodiscard]] auto shapeOf(const Job &job, std::size_t step) const -> RunShape;
     auto addToBacklog(PoolBacklog &sum, const WaitingStep &step, const Candidate &candidate,
-                      Timeliness timeliness) const -> void;
+                      Timeliness timeliness, std::size_t steps) const -> void;
 
     auto markDirty(const PoolName &pool) -> void { m_dirtyPools.insert(pool); }
 
--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <concepts>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <queue>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -109,13 +111,23 @@
 
     [[nodiscard]] auto isEmpty() const -> bool { return m_entries.empty(); }
 
-    /// Calls `function` for each step with its value and its timeliness as of the last visit, in
-    /// the order of their ids.
-    template <std::invocable<const WaitingStep &, const Value &, Timeliness> Function>
-    auto forEachStep(Function function) const -> void
+    /// Calls `function` for steps spread evenly over all of them, at most `maxSteps`, with the
+    /// value, the timeliness as of the last visit, and the number of steps that each stands for.
+    template <std::invocable<const WaitingStep &, const Value &, Timeliness, std::size_t> Function>
+    auto forEachSample(std::size_t maxSteps, Function function) const -> void
     {
-        for (const auto &[id, entry] : m_entries)
-            function(entry.step, entry.value, entry.timeliness);
+        const auto stride = (m_entries.size() + maxSteps - 1) / maxSteps;
+        auto left = m_entries.size();
+        auto random = std::minstd_rand(); // steps of different kinds may take turns
+        for (auto it = m_entries.begin(); left > 0;) {
+            const auto count = std::min(stride, left);
+            const auto offset = random() % count;
+            std::advance(it, offset);
+            const auto &entry = it->second;
+            function(entry.step, entry.value, entry.timeliness, count);
+            std::advance(it, count - offset);
+            left -= count;
+        }
     }
 
     /// Calls `function` for the value of each step, in the order of their ids.
--- a/packages/job/src/steward_admission.cpp
+++ b/packages/job/src/steward_admission.cpp
@@ -4,6 +4,13 @@
 
 namespace shallotproxy {
 
+namespace {
+
+// Bounds the time for an outlook while tens of thousands of steps wait.
+constexpr std::size_t MaxSampledSteps = 1'024;
+
+} // namespace
+
 /// Returns what the workers of a pool that take new work offer beside its long-running tasks.
 auto Steward::roomForFiniteTasks(const PoolName &pool) const -> Resources
 {
@@ -24,12 +31,16 @@
 }
 
 /// Adds the tasks of a ready step, and those of later steps of its job, which need the same room
-/// soon.
+/// soon. New work doesn't wait for steps that wait for something else than the pool's room: for
+/// the end of other runs of their team, or for a worker with a certain label.
 auto Steward::addToBacklog(PoolBacklog &sum, const WaitingStep &step, const Candidate &candidate,
-                           Timeliness timeliness) const -> void
+                           Timeliness timeliness, std::size_t steps) const -> void
 {
     const auto &job = *candidate.job;
-    if (candidate.spec().isLongRunning || timeliness == Timeliness::Useless)
+    const auto &ready = candidate.spec();
+    const auto waitsForRoom = !ready.isLongRunning && timeliness != Timeliness::Useless
+        && ready.requiredLabel.empty() && isWithinTeamLimit(job, ready.resources);
+    if (!waitsForRoom)
         return;
     auto kind = PoolBacklog::Kind::Entitled;
     if (step.isSurplus) {
@@ -41,7 +52,8 @@
     const auto add = [&](std::uint32_t number, std::uint32_t count) {
         const auto &spec = job.spec.steps[number];
         if (mayFitAnyHost(spec))
-            sum.add(step.priority, kind, spec.reservedResources(), count,
+            sum.add(step.priority, kind, spec.reservedResources(),
+                    static_cast<std::int64_t>(count * steps),
                     forecastRun(job, &occurrence, number).expected);
     };
     add(candidate.step, occurrence.waitingTasks[candidate.step]);
@@ -63,10 +75,10 @@
         const auto hosts = arriving.find(pool);
         auto sum = PoolBacklog(roomForFiniteTasks(pool)
                                + (hosts == arriving.end() ? Resources() : hosts->second));
-        backlog->steps.forEachStep(
-            [&](const WaitingStep &step, const Candidate &candidate, Timeliness timeliness) {
-                addToBacklog(sum, step, candidate, timeliness);
-            });
+        backlog->steps.forEachSample(
+            MaxSampledSteps,
+            [&](const WaitingStep &step, const Candidate &candidate, Timeliness timeliness,
+                std::size_t steps) { addToBacklog(sum, step, candidate, timeliness, steps); });
         if (auto waits = waitsIn(sum); !waits.empty())
             outlook.pools.emplace(pool, std::move(waits));
     }
--- a/tests/unit/unit-waiting-order.cpp
+++ b/tests/unit/unit-waiting-order.cpp
@@ -223,6 +223,31 @@
     EXPECT_EQ(ended, Overdue - 1);
 }
 
+TEST(WaitingOrder, SamplesTensOfThousandsOfSteps)
+{
+    constexpr auto Steps = std::uint64_t{20'000};
+    auto waiting = WaitingSteps<std::uint64_t>();
+    for (auto n = std::uint64_t{0}; n < Steps; ++n) {
+        auto step = stepOfJob(n);
+        step.priority = n % 4 == 0 ? 0 : 1;
+        waiting.add(step, n);
+    }
+    const auto sums = [&waiting](std::size_t maxSteps) {
+        auto sum = std::map<std::uint32_t, std::size_t>();
+        auto calls = std::size_t{0};
+        waiting.forEachSample(maxSteps, [&](const WaitingStep &step, auto, auto, auto count) {
+            sum[step.priority] += count;
+            ++calls;
+        });
+        EXPECT_LE(calls, maxSteps);
+        return sum;
+    };
+    EXPECT_EQ(sums(Steps)[0], Steps / 4);
+    const auto sampled = sums(1'000);
+    EXPECT_EQ(sampled.at(0) + sampled.at(1), Steps);
+    EXPECT_NEAR(static_cast<double>(sampled.at(0)), Steps / 4.0, Steps / 20.0);
+}
+
 // The order doesn't depend on when steps were added, became late or were removed.
 RC_GTEST_PROP(WaitingOrder, IsThatOfTheRanks, ())
 {
