Pace what hundreds of members share by their number

Cause: each member campaigned within 80 ms of the others (by arithmetic up to 900 writes of 300 members while the store is slow, of 400 a second), reported to the steward once a second though eight are used, and read each outlook (1,200 reads a second of 2,000 during a peak). Change: MemberPacing: campaigns are spread over 10 ms a member; members beyond the 8 used and 24 in reserve report each 5 s at most 61 a second in all; the outlook is published each 2.5 ms a member, 700 ms at the longest.

--- a/packages/demand/include/shallotproxy/demand/admission_outlook.hpp
+++ b/packages/demand/include/shallotproxy/demand/admission_outlook.hpp
@@ -92,7 +92,8 @@
 /// Decides when an outlook is published.
 ///
 /// Load pattern: peaks of some seconds. Without a backlog nothing is published; during a peak the
-/// members learn of changes within a fraction of the shortest deadline.
+/// members learn of changes within a fraction of the shortest deadline. Each publication costs a
+/// read of the store for each member: hundreds of members learn of changes less often.
 class OutlookPublisher
 {
 public:
@@ -101,8 +102,20 @@
     /// Longest time between two publications of a backlog, as members forget it after a while.
     static constexpr std::chrono::milliseconds MaxInterval{500};
 
+    /// Most reads a second that the members' watches may cost, of the 2,000 that all calls share.
+    static constexpr int MaxReadsPerSecond = 400;
+    /// Longest `minInterval`: two publications are within the time that members use one.
+    static constexpr std::chrono::milliseconds LongestMinInterval{700};
+
+    /// Returns the shortest time between two publications to this many members.
+    static auto minInterval(std::size_t members) -> std::chrono::milliseconds;
+    /// Whether an outlook may be published now; before that none has to be made.
+    [[nodiscard]] auto isDue(std::size_t members, BootTime now) const -> bool
+    {
+        return now >= m_publishedAt + minInterval(members);
+    }
     /// Whether the outlook is to be published now; the caller does so.
-    auto step(const AdmissionOutlook &outlook, BootTime now) -> bool;
+    auto step(const AdmissionOutlook &outlook, std::size_t members, BootTime now) -> bool;
 
 private:
     AdmissionOutlook m_published;
--- a/packages/demand/src/admission_outlook.cpp
+++ b/packages/demand/src/admission_outlook.cpp
@@ -77,12 +77,19 @@
     return unpackRecord<AdmissionOutlook>(bytes);
 }
 
-auto OutlookPublisher::step(const AdmissionOutlook &outlook, BootTime now) -> bool
+auto OutlookPublisher::minInterval(std::size_t members) -> std::chrono::milliseconds
+{
+    const auto wanted = std::chrono::milliseconds(members * 1'000 / MaxReadsPerSecond);
+    return std::clamp(wanted, MinInterval, LongestMinInterval);
+}
+
+auto OutlookPublisher::step(const AdmissionOutlook &outlook, std::size_t members, BootTime now)
+    -> bool
 {
     if (outlook.isEmpty() && m_published.isEmpty())
         return false;
-    const auto interval = outlook == m_published ? MaxInterval : MinInterval;
-    if (now < m_publishedAt + interval)
+    const auto isRepeated = outlook == m_published && now < m_publishedAt + MaxInterval;
+    if (isRepeated || !isDue(members, now))
         return false;
     m_published = outlook;
     m_publishedAt = now;
--- a/packages/member/include/shallotproxy/member/delegate_duty.hpp
+++ b/packages/member/include/shallotproxy/member/delegate_duty.hpp
@@ -41,6 +41,8 @@
     std::uint64_t m_generation = 0; // changes with the steward; marks stale replies
     std::size_t m_openReports = 0;
     BootTime m_nextReportAt;
+    /// Until then this member reports only replies.
+    BootTime m_pausedUntil;
     QTimer m_tickTimer;
     QTimer m_reportTimer;
     bool m_isDraining = false;
--- a/packages/member/include/shallotproxy/member/delegate_table.hpp
+++ b/packages/member/include/shallotproxy/member/delegate_table.hpp
@@ -71,6 +71,8 @@
     /// Most members that call workers at the same time. Each costs the steward up to a hundred
     /// exchanges a second.
     static constexpr std::size_t MaxDelegates = 8;
+    /// The next members after those, which take the place of lost or overloaded ones.
+    static constexpr std::size_t MaxReserves = 24;
     /// A delegate that hasn't reported for this long gets no calls. It reports at least every
     /// ReportInterval.
     static constexpr Milliseconds ReportTimeout{700};
@@ -82,6 +84,8 @@
                                   BootTime now) const -> std::optional<MemberName>;
     /// Whether the member is one of those that get calls.
     [[nodiscard]] auto isSelected(const MemberName &delegate) const -> bool;
+    /// Whether the member is one of those that get calls next.
+    [[nodiscard]] auto isReserve(const MemberName &delegate) const -> bool;
     [[nodiscard]] auto isSpreading() const -> bool { return m_isSpreading; }
 
 private:
@@ -105,6 +109,7 @@
     std::map<MemberName, Delegate> m_delegates;
     /// The delegates that get calls.
     std::vector<const Delegate *> m_selected;
+    std::vector<const Delegate *> m_reserves;
     std::map<WorkerName, BootTime> m_calledDirectlyUntil;
     /// Smoothed.
     double m_load = 0;
--- a/packages/member/include/shallotproxy/member/delegated_workers.hpp
+++ b/packages/member/include/shallotproxy/member/delegated_workers.hpp
@@ -36,6 +36,8 @@
 
     /// Takes the report of another member, and answers it when there are orders for that member.
     auto receiveReport(const HttpRequest &request, HttpResponder responder) -> void;
+    /// Returns the number of members that report to this one, and itself.
+    [[nodiscard]] auto memberCount() const -> std::size_t { return m_channels.size() + 1; }
     /// The steward's process has used this part of its processor time.
     auto loadMeasured(double load) -> void;
     /// Drops all orders, because this member isn't the steward any more.
--- a/packages/member/include/shallotproxy/member/fleet_state.hpp
+++ b/packages/member/include/shallotproxy/member/fleet_state.hpp
@@ -20,6 +20,9 @@
     std::map<std::string, DataCentreName> closedByKey;
     std::map<std::string, UpkeepWave> wavesByKey;
 
+    /// The number of members, as a steward last counted them.
+    std::size_t memberCount = 1;
+
     [[nodiscard]] auto closedDataCentres() const -> std::set<DataCentreName>
     {
         auto result = std::set<DataCentreName>();
--- a/packages/member/src/delegate_duty.cpp
+++ b/packages/member/src/delegate_duty.cpp
@@ -71,6 +71,7 @@
         m_openReports = 0;
         ++m_generation;
         m_nextReportAt = now;
+        m_pausedUntil = now;
     }
     if (m_steward.stewardship().token())
         return; // the steward's own calls use the same connections
@@ -86,9 +87,11 @@
 
 auto DelegateDuty::reportIfDue() -> void
 {
-    if (!hasSteward() || m_openReports >= MaxOpenReports || BootClock::now() < m_nextReportAt)
+    const auto now = BootClock::now();
+    if (!hasSteward() || m_openReports >= MaxOpenReports || now < m_nextReportAt)
         return;
-    if (!m_replies.empty() || (m_openReports == 0 && !m_isDraining))
+    const auto isFree = m_openReports == 0 && !m_isDraining && now >= m_pausedUntil;
+    if (!m_replies.empty() || isFree)
         report();
 }
 
@@ -134,6 +137,9 @@
         m_nextReportAt = now + RetryDelay;
         return;
     }
+    if (orders->members > 0)
+        m_context.fleet.memberCount = orders->members;
+    m_pausedUntil = now + milliseconds(orders->pauseMilliseconds);
     // Measured without the steward's clock: the report was on its way for a part of the time.
     const auto transit = now - reportedAt - milliseconds(orders->heldMilliseconds);
     const auto isLate = transit >= MaxTransitTime;
--- a/packages/member/src/delegate_messages.hpp
+++ b/packages/member/src/delegate_messages.hpp
@@ -100,8 +100,13 @@
     /// How long the steward may order starts from now on.
     std::int64_t startsAllowedMilliseconds = 0;
     std::vector<DelegatedOrder> orders;
+    /// The number of members; 0 if it isn't known.
+    std::uint32_t members = 0;
+    /// How long the member should wait before it reports again, unless it has replies.
+    std::int64_t pauseMilliseconds = 0;
 
-    MSGPACK_DEFINE(isSteward, heldMilliseconds, startsAllowedMilliseconds, orders)
+    MSGPACK_DEFINE(isSteward, heldMilliseconds, startsAllowedMilliseconds, orders, members,
+                   pauseMilliseconds)
 };
 
 auto delegated(const WorkerReport &worker, std::uint64_t token,
--- a/packages/member/src/delegate_table.cpp
+++ b/packages/member/src/delegate_table.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <span>
 
 #include "shallotproxy/member/delegate_table.hpp"
 
@@ -83,6 +84,7 @@
 auto DelegateTable::select() -> void
 {
     m_selected.clear();
+    m_reserves.clear();
     for (const auto &[name, entry] : m_delegates) {
         if (!entry.isOverloaded)
             m_selected.push_back(&entry);
@@ -94,8 +96,12 @@
     const auto minShare = m_selected.front()->processorShare * MinRelativeShare;
     std::erase_if(m_selected,
                   [minShare](const Delegate *it) { return it->processorShare < minShare; });
-    if (m_selected.size() > MaxDelegates)
-        m_selected.resize(MaxDelegates);
+    if (m_selected.size() <= MaxDelegates)
+        return;
+    const auto others = std::span(m_selected).subspan(MaxDelegates);
+    const auto reserves = others.first(std::min(others.size(), MaxReserves));
+    m_reserves.assign(reserves.begin(), reserves.end());
+    m_selected.resize(MaxDelegates);
 }
 
 /// Weighted rendezvous hashing: if a delegate is lost, only its own workers move.
@@ -126,6 +132,12 @@
     return best == nullptr ? std::nullopt : std::optional(best->name);
 }
 
+auto DelegateTable::isReserve(const MemberName &delegate) const -> bool
+{
+    return std::ranges::any_of(m_reserves,
+                               [&delegate](const Delegate *it) { return it->name == delegate; });
+}
+
 auto DelegateTable::isSelected(const MemberName &delegate) const -> bool
 {
     return std::ranges::any_of(m_selected,
--- a/packages/member/src/delegated_workers.cpp
+++ b/packages/member/src/delegated_workers.cpp
@@ -3,6 +3,7 @@
 
 #include "delegate_messages.hpp"
 #include "shallotproxy/member/delegated_workers.hpp"
+#include "shallotproxy/member/member_pacing.hpp"
 
 namespace shallotproxy {
 
@@ -51,6 +52,9 @@
     BootTime reportedAt;
     /// When the last report was answered; the next one follows.
     BootTime answeredAt;
+    /// How long the member was told to wait before it reports again.
+    milliseconds pause{};
+    milliseconds nextPause{};
     /// Orders that aren't sent yet.
     std::vector<std::uint64_t> orders;
 };
@@ -213,6 +217,9 @@
     message.heldMilliseconds = duration_cast<milliseconds>(now - channel.reportedAt).count();
     message.startsAllowedMilliseconds =
         duration_cast<milliseconds>(m_stewardship.orderTimeLeft(now)).count();
+    message.members = static_cast<std::uint32_t>(memberCount());
+    message.pauseMilliseconds = std::exchange(channel.nextPause, milliseconds(0)).count();
+    channel.pause = milliseconds(message.pauseMilliseconds);
     channel.answeredAt = now;
     auto responder = std::move(*channel.heldReport);
     channel.heldReport.reset();
@@ -310,6 +317,7 @@
     const auto last = std::exchange(m_checkedAt, now);
     // What has arrived meanwhile isn't read yet. A steward that is late each time checks all the
     // same, so that no order stays without an answer.
+    m_context.fleet.memberCount = memberCount();
     m_isCheckSkipped = now >= last + MaxCheckInterval && !m_isCheckSkipped;
     if (m_isCheckSkipped)
         return;
@@ -318,9 +326,14 @@
         const auto isUsed = m_table.isSpreading() && m_table.isSelected(name);
         const auto interval = isUsed ? DelegateTable::ReportInterval : UnusedReportInterval;
         const auto timeout = isUsed ? DelegateTable::ReportTimeout : UnusedReportTimeout;
-        if (channel.heldReport && now >= channel.reportedAt + interval)
+        if (channel.heldReport && now >= channel.reportedAt + interval) {
+            const auto isNeeded =
+                m_table.isSelected(name) || m_table.isReserve(name) || !channel.orders.empty();
+            channel.nextPause =
+                isNeeded ? milliseconds(0) : MemberPacing::reportPause(memberCount());
             flush(channel, now);
-        if (!channel.heldReport && now >= channel.answeredAt + timeout)
+        }
+        if (!channel.heldReport && now >= channel.answeredAt + timeout + channel.pause)
             silent.push_back(name);
     }
     for (const auto &it : silent)
--- a/packages/member/src/steward_admission.cpp
+++ b/packages/member/src/steward_admission.cpp
@@ -8,10 +8,11 @@
 /// the term. Members follow it by the watch that tells them of the steward.
 auto StewardDuty::publishOutlook(BootTime now) -> void
 {
-    if (m_isPublishing || !m_hosts)
+    const auto members = m_workers.memberCount();
+    if (m_isPublishing || !m_hosts || !m_outlookPublisher.isDue(members, now))
         return;
     const auto outlook = m_steward->admissionOutlook(m_hosts->arrivingCapacity());
-    if (!m_outlookPublisher.step(outlook, now))
+    if (!m_outlookPublisher.step(outlook, members, now))
         return;
     reportOutlook(outlook);
     auto commit = fencedCommit();
--- a/packages/member/src/steward_duty.cpp
+++ b/packages/member/src/steward_duty.cpp
@@ -2,6 +2,7 @@
 #include <QRandomGenerator>
 
 #include "host_duty.hpp"
+#include "shallotproxy/member/member_pacing.hpp"
 #include "shallotproxy/member/steward_duty.hpp"
 #include "store_keys.hpp"
 
@@ -21,8 +22,6 @@
 constexpr double BusyLoad = 0.8;
 constexpr milliseconds LoadReportInterval{1'000};
 constexpr milliseconds PlacementDelay{5}; // one placement serves replies that arrive together
-// Spreads the campaigns of the members, so that few calls are wasted on a key that is taken.
-constexpr milliseconds CampaignJitter{80};
 constexpr milliseconds FreshnessRetryDelay{50}; // the check makes no call
 constexpr milliseconds CampaignRetryDelay{250}; // after a campaign that failed
 // An unanswered claim may still be applied; the key is read after this delay.
@@ -119,7 +118,8 @@
 /// the steward does most of the work.
 auto StewardDuty::campaignLater() -> void
 {
-    const auto jitter = static_cast<int>(CampaignJitter.count());
+    const auto spread = MemberPacing::campaignSpread(m_context.fleet.memberCount);
+    const auto jitter = static_cast<int>(spread.count());
     const auto delay = Stewardship::campaignDelay(m_context.settings.processorShare)
         + milliseconds(QRandomGenerator::global()->bounded(jitter));
     QTimer::singleShot(delay, this, [this] { campaign(); });
--- a/tests/unit/unit-admission.cpp
+++ b/tests/unit/unit-admission.cpp
@@ -139,6 +139,19 @@
     EXPECT_TRUE(gate.decide(request, Start));
 }
 
+// A later priority has no backlog yet, but comes after the late work of the earlier one.
+TEST(AdmissionGate, CountsLateWorkOfEarlierPriorities)
+{
+    auto outlook = AdmissionOutlook();
+    outlook.pools[Pool] = {{0, 0, 60'000, 60'000}};
+    auto gate = AdmissionGate();
+    gate.outlookReceived(outlook, Start);
+    auto request = requestOf(TeamName("team"), 1s);
+    EXPECT_FALSE(gate.decide(request, Start));
+    request.priority = 1;
+    EXPECT_TRUE(gate.decide(request, Start));
+}
+
 // A herd that was refused doesn't return at once, and those refused first return first.
 TEST(AdmissionGate, SpreadsReturnsInTheOrderOfTheRefusals)
 {
@@ -174,14 +187,28 @@
 {
     auto publisher = OutlookPublisher();
     for (auto now = Start; now < Start + 10s; now += 100ms)
-        EXPECT_FALSE(publisher.step({}, now));
+        EXPECT_FALSE(publisher.step({}, 8, now));
     auto count = 0;
     for (auto n = 0; n < 100; ++n)
-        count += publisher.step(outlookOf(n, n), Start + n * 100ms) ? 1 : 0;
+        count += publisher.step(outlookOf(n, n), 8, Start + n * 100ms) ? 1 : 0;
     EXPECT_LE(count, 10s / OutlookPublisher::MinInterval);
     EXPECT_GE(count, 10s / AdmissionGate::MaxAge * 2);
-    EXPECT_TRUE(publisher.step({}, Start + 11s));
-    EXPECT_FALSE(publisher.step({}, Start + 12s));
+    EXPECT_TRUE(publisher.step({}, 8, Start + 11s));
+    EXPECT_FALSE(publisher.step({}, 8, Start + 12s));
+}
+
+// Each publication is a read for each member: a peak must not use up the store's reads, and members
+// must not forget the backlog in between.
+TEST(OutlookPublisher, LeavesTheStoreToOthersWithHundredsOfMembers)
+{
+    constexpr auto Members = 300;
+    auto publisher = OutlookPublisher();
+    auto count = 0;
+    for (auto n = 0; n < 100; ++n)
+        count += publisher.step(outlookOf(n, n), Members, Start + n * 100ms) ? 1 : 0;
+    EXPECT_LE(count * Members / 10, 500);
+    EXPECT_GE(count, 10s / AdmissionGate::MaxAge * 2);
+    EXPECT_LT(2 * OutlookPublisher::minInterval(100'000), AdmissionGate::MaxAge);
 }
 
 /// One pool of 100 cores that serves a burst of 30 s at several times of what it holds; the backlog
@@ -251,7 +278,7 @@
         auto outlook = AdmissionOutlook();
         if (auto waits = waitsIn(backlog); !waits.empty())
             outlook.pools[Pool] = std::move(waits);
-        if (m_publisher.step(outlook, now))
+        if (m_publisher.step(outlook, 8, now))
             m_gate.outlookReceived(outlook, now);
     }
 
--- a/tests/unit/unit-delegate-table.cpp
+++ b/tests/unit/unit-delegate-table.cpp
@@ -135,6 +135,35 @@
     EXPECT_TRUE(members.workersByMember(north).contains(MemberName("a")));
 }
 
+// The members that aren't needed report rarely; those that are next in turn must be known at once.
+TEST(DelegateTable, KeepsReservesForLostMembers)
+{
+    auto members = Members();
+    for (auto n = 100; n < 400; ++n)
+        members.add(std::to_string(n), 0.5, north);
+    const auto count = [&members](auto isOne) {
+        auto result = std::size_t{0};
+        for (auto n = 100; n < 400; ++n)
+            result += isOne(MemberName(std::to_string(n))) ? 1U : 0U;
+        return result;
+    };
+    const auto isSelected = [&](const auto &it) { return members.table.isSelected(it); };
+    const auto isReserve = [&](const auto &it) { return members.table.isReserve(it); };
+    EXPECT_EQ(count(isSelected), DelegateTable::MaxDelegates);
+    EXPECT_EQ(count(isReserve), DelegateTable::MaxReserves);
+    const auto isBoth = [&](const auto &it) { return isSelected(it) && isReserve(it); };
+    EXPECT_EQ(count(isBoth), 0U);
+    auto lost = std::vector<std::string>();
+    for (auto n = 100; n < 400; ++n) {
+        if (isSelected(MemberName(std::to_string(n))))
+            lost.push_back(std::to_string(n));
+    }
+    for (const auto &it : lost)
+        members.remove(it);
+    EXPECT_EQ(count(isSelected), DelegateTable::MaxDelegates);
+    EXPECT_EQ(count(isReserve), DelegateTable::MaxReserves);
+}
+
 TEST(DelegateTable, MovesOnlyTheWorkersOfALostMember)
 {
     auto members = Members();
