--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <concepts>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <queue>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -109,13 +111,23 @@
 
     [[nodiscard]] auto isEmpty() const -> bool { return m_entries.empty(); }
 
-    /// Calls `function` for each step with its value and its timeliness as of the last visit, in
-    /// the order of their ids.
-    template <std::invocable<const WaitingStep &, const Value &, Timeliness> Function>
-    auto forEachStep(Function function) const -> void
+    /// Calls `function` for steps spread evenly over all of them, at most `maxSteps`, with the
+    /// value, the timeliness as of the last visit, and the number of steps that each stands for.
+    template <std::invocable<const WaitingStep &, const Value &, Timeliness, std::size_t> Function>
+    auto forEachSample(std::size_t maxSteps, Function function) const -> void
     {
-        for (const auto &[id, entry] : m_entries)
-            function(entry.step, entry.value, entry.timeliness);
+        const auto stride = (m_entries.size() + maxSteps - 1) / maxSteps;
+        auto left = m_entries.size();
+        auto random = std::minstd_rand(); // steps of different kinds may take turns
+        for (auto it = m_entries.begin(); left > 0;) {
+            const auto count = std::min(stride, left);
+            const auto offset = random() % count;
+            std::advance(it, offset);
+            const auto &entry = it->second;
+            function(entry.step, entry.value, entry.timeliness, count);
+            std::advance(it, count - offset);
+            left -= count;
+        }
     }
 
     /// Calls `function` for the value of each step, in the order of their ids.
@@ -245,20 +257,19 @@
         }
     }
 
-    /// Returns the useless step that was submitted first, null if there is none.
-    [[nodiscard]] auto oldestUselessStep() const -> const Entry *
+    /// Returns the useless step that was submitted first, or first after `after`.
+    [[nodiscard]] auto oldestUselessStep(const std::optional<Key> &after) const
+        -> std::optional<Key>
     {
-        const Entry *oldest = nullptr;
+        auto oldest = std::optional<Key>();
         for (const auto &[band, queues] : m_bands) {
             if (!band.isFinite || !band.isUseless)
                 continue;
             for (const auto &[group, queue] : queues) {
-                if (queue.steps.empty())
-                    continue;
-                const auto &first = m_entries.at(queue.steps.begin()->second);
-                const auto isOlder =
-                    oldest == nullptr || first.step.submittedAt < oldest->step.submittedAt;
-                oldest = isOlder ? &first : oldest;
+                const auto &steps = queue.steps;
+                const auto first = after ? steps.upper_bound(*after) : steps.begin();
+                if (first != steps.end() && (!oldest || *first < *oldest))
+                    oldest = *first;
             }
         }
         return oldest;
@@ -270,12 +281,32 @@
     {
         if (now < m_nextOverdueAt)
             return true;
-        const auto *oldest = oldestUselessStep();
-        if (oldest == nullptr || now < oldest->step.submittedAt + OverdueAge)
-            return true;
-        m_nextOverdueAt = now + OverdueInterval;
-        const auto value = oldest->value; // the step may be removed
-        return place(value) != StepVisit::Stop;
+        const auto oldest = oldestUselessStep(std::nullopt);
+        auto result = placeIfOverdue(now, oldest, place);
+        if (result != StepVisit::Missed || !oldest)
+            return result != StepVisit::Stop;
+        // One that doesn't fit for long must not keep those behind it from their turn: one of them
+        // is tried after it, another one in each visit.
+        m_missedOverdue = oldestUselessStep(std::max(m_missedOverdue, oldest));
+        if (!m_missedOverdue)
+            m_missedOverdue = oldestUselessStep(oldest);
+        result = placeIfOverdue(now, m_missedOverdue, place);
+        return result != StepVisit::Stop;
+    }
+
+    template <typename Place>
+    auto placeIfOverdue(BootTime now, const std::optional<Key> &key, Place &place) -> StepVisit
+    {
+        if (!key)
+            return StepVisit::Missed;
+        const auto &entry = m_entries.at(key->second);
+        if (now < entry.step.submittedAt + OverdueAge)
+            return StepVisit::Missed;
+        const auto value = entry.value; // the step may be removed
+        const StepVisit result = place(value);
+        if (result == StepVisit::Placed)
+            m_nextOverdueAt = now + OverdueInterval;
+        return result;
     }
 
     /// Returns whether the visit goes on with the next band.
@@ -331,6 +362,8 @@
     std::set<std::pair<BootTime, WaitingStepId>> m_changes;
     /// When an overdue step may come first again.
     BootTime m_nextOverdueAt;
+    /// The last step that was tried in place of the oldest one.
+    std::optional<Key> m_missedOverdue;
 };
 
 } // namespace shallotproxy
