Size pools by their turns of demand, and let hosts leave when a turn is over

Queues have their peaks by turns. A pool got its hosts when a part of its peak was over, was sized by its largest rate of 200 ms (a few large jobs: 174 hosts where 104 to 124 were needed), and kept idle hosts for 2.5 s after it.

TurnForecast (packages/demand) learns when turns begin, what they need and in which order and spacing pools take them. PoolSizer goes by the mean of a turn that goes on, lets hosts leave at once when a turn is over (from the second pool's turn on), and moves hosts 2 s before a foreseen turn. pool-sized shows the hosts foreseen.

--- a/packages/demand/include/shallotproxy/demand.hpp
+++ b/packages/demand/include/shallotproxy/demand.hpp
@@ -10,3 +10,4 @@
 #include "demand/run_time_forecast.hpp"
 #include "demand/run_times.hpp"
 #include "demand/team_entitlement.hpp"
+#include "demand/turn_forecast.hpp"
--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -4,6 +4,7 @@
 #include <span>
 
 #include "host_view.hpp"
+#include "shallotproxy/demand/turn_forecast.hpp"
 
 namespace shallotproxy {
 
@@ -19,6 +20,8 @@
 {
     std::size_t hosts = 0;
     std::size_t needed = 0;
+    /// Those that a foreseen turn of high demand will occupy, if it is near.
+    std::size_t foreseen = 0;
 };
 
 /// Moves idle hosts between pools.
@@ -30,6 +33,9 @@
 /// next. Hosts that stay idle for long go to standby. Where tasks crash their workers, hosts that
 /// are down aren't replaced at once: that would take the idle hosts of other pools one by one,
 /// while one of these may be about to have its peak.
+///
+/// Once the peaks were seen to come by turns, hosts arrive as a turn begins, and leave when it is
+/// over and the next one is far.
 class PoolSizer
 {
 public:
@@ -41,6 +47,9 @@
     /// After the first start of the system, a pool that has had no peak yet keeps its hosts for
     /// this long: its demand is unknown. A later steward finds pools that have been sized.
     static constexpr Milliseconds UnknownDemandHold{20'000};
+    /// Hosts for a foreseen turn are moved this long before it: a move takes 1.5 s, and the list of
+    /// hosts shows its end up to 0.4 s later.
+    static constexpr Milliseconds ArrivalLead{2'000};
     /// A pool has had a peak once its demand reached this part of its hosts.
     static constexpr double PeakPart = 0.5;
     /// A host moves to another pool after this idle time; gaps between two jobs are shorter.
@@ -102,13 +111,17 @@
 
     auto isBrieflyDown(const HostReport &report, BootTime now) -> bool;
     static auto arrivingResources(const Demand &demand) -> Resources;
-    auto updateDemand(Demand &demand, const PoolLoad &load, const Resources &host, BootTime now)
-        -> void;
+    [[nodiscard]] auto foreseenHosts(const PoolName &pool, BootTime now) const -> double;
+    [[nodiscard]] auto mayGoToStandby(const PoolName &pool, Duration idleTime, BootTime now) const
+        -> bool;
+    auto updateDemand(const PoolName &pool, const PoolLoad &load, const Resources &host,
+                      BootTime now) -> Demand &;
 
     std::map<HostName, BootTime> m_idleSince;
     std::map<HostName, BootTime> m_downSince;
     std::map<PoolName, Demand> m_demand;
     std::map<PoolName, PoolSize> m_sizes;
+    TurnForecast m_turns;
     BootTime m_holdUntil;
     BootTime m_lastStepAt;
 };
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -9,6 +9,8 @@
 
 using Seconds = std::chrono::duration<double>;
 
+constexpr double MillisecondsPerSecond = 1'000;
+
 /// Returns how many hosts provide these resources, by the scarcest kind.
 auto hostsFor(const Resources &resources, const Resources &host) -> double
 {
@@ -65,19 +67,44 @@
     return recent == demand.samples.rend() ? longRate : largestOf(rateSince(*recent), longRate);
 }
 
-auto PoolSizer::updateDemand(Demand &demand, const PoolLoad &load, const Resources &host,
-                             BootTime now) -> void
+/// Returns the hosts that the next turn of the pool needs, from when they should move.
+auto PoolSizer::foreseenHosts(const PoolName &pool, BootTime now) const -> double
+{
+    const auto turn = m_turns.nextTurn(pool);
+    return turn && turn->begin <= now + ArrivalLead ? turn->hosts : 0;
+}
+
+/// Whether a host of the pool goes to standby after this idle time. What is known of the next turn
+/// replaces the wait for one.
+auto PoolSizer::mayGoToStandby(const PoolName &pool, Duration idleTime, BootTime now) const -> bool
+{
+    const auto turn = m_turns.nextTurn(pool);
+    if (!turn || m_turns.isInTurn(pool))
+        return m_turns.isAtRest(pool) || idleTime >= IdleBeforeStandby;
+    return turn->begin - ArrivalLead > now + IdleBeforeStandby;
+}
+
+auto PoolSizer::updateDemand(const PoolName &pool, const PoolLoad &load, const Resources &host,
+                             BootTime now) -> Demand &
 {
+    auto &demand = m_demand[pool];
     auto &samples = demand.samples;
     samples.push_back({now, load.acceptedJobs, load.acceptedWork});
     while (samples.size() > 2 && samples[1].at + RateWindow <= now)
         samples.pop_front();
-    const auto hosts = std::max(hostsFor(load.used + load.waiting, host),
-                                hostsFor(load.longRunning + arrivingResources(demand), host));
+    const auto arriving = arrivingResources(demand);
+    const auto acceptedSeconds = hostsFor(load.acceptedWork, host) / MillisecondsPerSecond;
+    m_turns.observe(pool, hostsFor(arriving, host), acceptedSeconds, now);
+    // A few large jobs within a window look like a higher peak: their mean over the turn counts.
+    const auto arrivingHosts = m_turns.hostsOfTurn(pool).value_or(hostsFor(arriving, host));
+    const auto hosts = std::max(
+        {hostsFor(load.used + load.waiting, host),
+         hostsFor(load.longRunning, host) + std::max(arrivingHosts, foreseenHosts(pool, now))});
     const auto elapsed = Seconds(now - m_lastStepAt).count();
     const auto weight = std::min(1.0, elapsed / Seconds(SmoothingTime).count());
     demand.smoothed =
         hosts > demand.smoothed ? hosts : demand.smoothed + (hosts - demand.smoothed) * weight;
+    return demand;
 }
 
 /// Whether the host has been down for a short time only.
@@ -132,11 +159,11 @@
     for (auto &[name, pool] : pools) {
         const auto entry = loads.find(name);
         const auto load = entry == loads.end() ? PoolLoad() : entry->second;
-        auto &demand = m_demand[name];
-        updateDemand(demand, load, largestHost, now);
+        auto &demand = updateDemand(name, load, largestHost, now);
         const auto needed =
             static_cast<std::size_t>(std::ceil(demand.smoothed / TargetUtilization));
         pool.needed = std::max(needed, load.minWorkers) + SpareHosts;
+        pool.foreseen = static_cast<std::size_t>(std::ceil(foreseenHosts(name, now)));
         const auto peak = std::max(1.0, PeakPart * static_cast<double>(pool.hosts));
         demand.hasPeaked = demand.hasPeaked || demand.smoothed >= peak;
         m_sizes[name] = pool;
@@ -183,7 +210,7 @@
         for (const auto &host : pool.idle) {
             if (pool.hosts <= pool.needed || !mayAddMove())
                 break;
-            if (now < m_idleSince.at(host) + IdleBeforeStandby)
+            if (!mayGoToStandby(name, now - m_idleSince.at(host), now))
                 continue;
             moves.push_back({host, standbyPool->first});
             --pool.hosts;
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -279,8 +279,8 @@
     const auto moves = m_sizer.step(hosts, *loads, declaration->rules, blocked, BootClock::now());
     if (!moves.empty()) {
         for (const auto &[pool, size] : m_sizer.sizes()) {
-            m_context.log.info("event=pool-sized pool={} hosts={} needed={}", pool.value(),
-                               size.hosts, size.needed);
+            m_context.log.info("event=pool-sized pool={} hosts={} needed={} foreseen={}",
+                               pool.value(), size.hosts, size.needed, size.foreseen);
         }
     }
     for (const auto &it : moves)
