--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -130,12 +130,13 @@
         }
     }
 
-    /// Calls `function` for the value of each step, in the order of their ids.
-    template <std::invocable<const Value &> Function>
+    /// Calls `function` for the value of each step and its timeliness as of the last visit, in the
+    /// order of their ids.
+    template <std::invocable<const Value &, Timeliness> Function>
     auto forEach(Function function) const -> void
     {
         for (const auto &[id, entry] : m_entries)
-            function(entry.value);
+            function(entry.value, entry.timeliness);
     }
 
     /// Visits steps in the order of their placement. `relativeUsage` returns the running cores of a
--- a/packages/job/src/host_reclaim.cpp
+++ b/packages/job/src/host_reclaim.cpp
@@ -21,7 +21,8 @@
             continue;
         const auto isUp = report.state == HostState::Up;
         if (rule->second.isStandby) {
-            idleStandby += isUp && !blocked.contains(report.host) ? 1 : 0;
+            if (isUp && !blocked.contains(report.host))
+                ++idleStandby;
             continue;
         }
         auto &balance = balances[report.pool];
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -558,8 +558,7 @@
     for (const auto &[pool, backlog] : m_backlogs) {
         auto &load = loads[pool];
         const auto &suspects = backlog->suspects;
-        const auto add = [this, &load, &suspects](const WaitingStep &, const Candidate &it,
-                                                  Timeliness timeliness) {
+        const auto add = [this, &load, &suspects](const Candidate &it, Timeliness timeliness) {
             const auto &spec = it.spec();
             if (!mayFitAnyHost(spec))
                 return;
@@ -577,7 +576,7 @@
                 load.lateWaiting += waiting;
             }
         };
-        backlog->steps.forEachStep(add);
+        backlog->steps.forEach(add);
     }
     return loads;
 }
