Count the rate of accepted work by the spread of its jobs' sizes

The windows of arrivals count again, less one standard deviation of the work that arrives (from the jobs' squares) instead of that of the number of jobs; the mean of the turn is the least.

--- a/packages/job/include/shallotproxy/job/pool_sizer.hpp
+++ b/packages/job/include/shallotproxy/job/pool_sizer.hpp
@@ -97,6 +97,7 @@
         BootTime at;
         std::uint64_t jobs = 0;
         Resources work;
+        double squares = 0;
     };
 
     /// What a pool requested lately.
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -46,12 +46,20 @@
     std::uint64_t acceptedJobs = 0;
     /// Resources times estimated milliseconds of the finite tasks of these jobs.
     Resources acceptedWork;
+    /// Sum of the squares of the work of each of these jobs, as workSize(); 0 if it isn't known.
+    double acceptedSquares = 0;
     /// Number of workers that long-running tasks need because of their limit per worker.
     std::size_t minWorkers = 0;
     /// A task of the pool has crashed its worker lately, so that others probably will.
     bool hasCrashingTasks = false;
 };
 
+/// Returns a measure of the size of a job's work, to compare jobs of a pool.
+inline auto workSize(const Resources &work) -> double
+{
+    return static_cast<double>(work.milliCores) + static_cast<double>(work.memoryMegabytes);
+}
+
 /// Load of one worker, for decisions about its host.
 struct WorkerLoad
 {
@@ -234,6 +242,7 @@
     {
         std::uint64_t jobs = 0;
         Resources work;
+        double squares = 0;
     };
 
     auto handle(const steward_event::RulesChanged &event) -> void;
--- a/packages/job/src/pool_sizer.cpp
+++ b/packages/job/src/pool_sizer.cpp
@@ -43,7 +43,7 @@
 /// Returns the resources that the arriving work occupies, by the window with the higher rate.
 ///
 /// A few large jobs in a window show no rate: each window counts one standard deviation of the
-/// number of its arrivals less.
+/// work that arrives in it less, which is that of the number of its jobs if these are alike.
 auto PoolSizer::arrivingResources(const Demand &demand) -> Resources
 {
     const auto &now = demand.samples.back();
@@ -52,11 +52,14 @@
         const auto window = std::chrono::duration<double, std::milli>(now.at - before.at).count();
         if (jobs < 1 || window <= 0)
             return Resources();
-        const auto factor = (1 - 1 / std::sqrt(jobs)) / window;
+        const auto work = now.work - before.work;
+        const auto squares = now.squares - before.squares;
+        const auto size = workSize(work);
+        const auto alikeJobs = squares > 0 ? std::min(jobs, size * size / squares) : jobs;
+        const auto factor = std::max(0.0, 1 - 1 / std::sqrt(alikeJobs)) / window;
         const auto scaled = [factor](std::int64_t amount) {
             return static_cast<std::int64_t>(static_cast<double>(amount) * factor);
         };
-        const auto work = now.work - before.work;
         return Resources{scaled(work.milliCores), scaled(work.memoryMegabytes),
                          scaled(work.accelerators)};
     };
@@ -89,14 +92,15 @@
 {
     auto &demand = m_demand[pool];
     auto &samples = demand.samples;
-    samples.push_back({now, load.acceptedJobs, load.acceptedWork});
+    samples.push_back({now, load.acceptedJobs, load.acceptedWork, load.acceptedSquares});
     while (samples.size() > 2 && samples[1].at + RateWindow <= now)
         samples.pop_front();
     const auto arriving = arrivingResources(demand);
     const auto acceptedSeconds = hostsFor(load.acceptedWork, host) / MillisecondsPerSecond;
     m_turns.observe(pool, hostsFor(arriving, host), acceptedSeconds, now);
-    // A few large jobs within a window look like a higher peak: their mean over the turn counts.
-    const auto arrivingHosts = m_turns.hostsOfTurn(pool).value_or(hostsFor(arriving, host));
+    // The mean of a turn is surer than the windows, which show that the turn still rises.
+    const auto arrivingHosts =
+        std::max(hostsFor(arriving, host), m_turns.hostsOfTurn(pool).value_or(0));
     const auto hosts = std::max(
         {hostsFor(load.used + load.waiting, host),
          hostsFor(load.longRunning, host) + std::max(arrivingHosts, foreseenHosts(pool, now))});
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -59,6 +59,7 @@
         return;
     auto &accepted = m_acceptedWork[poolOf(job)];
     ++accepted.jobs;
+    auto work = Resources();
     for (std::size_t n = 0; n < job.spec.steps.size(); ++n) {
         const auto &step = job.spec.steps[n];
         if (!isForecast(step))
@@ -68,8 +69,10 @@
         const auto time =
             std::chrono::duration_cast<milliseconds>(runTime).count() * step.taskCount;
         const auto task = step.reservedResources();
-        accepted.work += task * time;
+        work += task * time;
     }
+    accepted.work += work;
+    accepted.squares += workSize(work) * workSize(work);
 }
 
 auto Steward::openOccurrence(Job &job, std::uint32_t number) -> Occurrence &
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -525,6 +525,7 @@
     for (const auto &[pool, accepted] : m_acceptedWork) {
         loads[pool].acceptedJobs = accepted.jobs;
         loads[pool].acceptedWork = accepted.work;
+        loads[pool].acceptedSquares = accepted.squares;
     }
     for (const auto &[pool, workers] : m_poolWorkers) {
         loads[pool].hasCrashingTasks = hasCrashingTasks(pool);
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -376,6 +376,29 @@
     EXPECT_EQ(sizer.step(hosts, loads, poolRules(), {}, now).size(), 2U);
 }
 
+// Nine small jobs and a large one arrive, at a rate that only the large one makes high: its work
+// isn't a peak, while ten alike jobs of the same work are.
+TEST(PoolSizer, TakesNoLargeJobAmongSmallOnesForARate)
+{
+    constexpr auto SmallWork = 1'000'000.0;
+    constexpr auto LargeWork = 91'000'000.0;
+    const auto movesFor = [](double squares) {
+        auto sizer = PoolSizer();
+        const auto hosts = hostsWithStandby(60);
+        auto loads = std::map<PoolName, PoolLoad>();
+        auto &load = loads[PoolName("a")];
+        auto now = BootTime(1h);
+        sizer.step(hosts, loads, poolRules(), {}, now);
+        now += 500ms;
+        load.acceptedJobs = 10;
+        load.acceptedWork = {100'000'000, 0, 0};
+        load.acceptedSquares = squares;
+        return sizer.step(hosts, loads, poolRules(), {}, now).size();
+    };
+    EXPECT_LE(movesFor(9 * SmallWork * SmallWork + LargeWork * LargeWork), 3U);
+    EXPECT_GE(movesFor(10 * 1e7 * 1e7), 15U);
+}
+
 // After the peak the rate falls to nothing within the window.
 TEST(PoolSizer, ForgetsTheRateOfAPeakThatIsOver)
 {
