Send as many orders about hosts as the platform takes

Cause: with a wave over 1,578 hosts the steward ordered upkeep of up to 658 at once and again whatever was refused: 2,500 orders a second on a platform that takes 64.

--- a/packages/job/include/shallotproxy/job.hpp
+++ b/packages/job/include/shallotproxy/job.hpp
@@ -2,6 +2,7 @@
 
 // Public header of the job library: scheduling of jobs, whose state outlives requests and members.
 
+#include "job/host_order_pacer.hpp"
 #include "job/host_view.hpp"
 #include "job/job_progress.hpp"
 #include "job/job_spec.hpp"
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -310,7 +310,9 @@
     const auto token = m_steward.stewardship().token();
     if (!token || !m_waves.contains(start.wave))
         return;
-    if (!m_steward.stewardship().mayOrder(BootClock::now())) {
+    // Hosts for which no order is sent are planned again.
+    const auto now = BootClock::now();
+    if (!m_steward.stewardship().mayOrder(now) || !m_pacer.takeOrder(now)) {
         if (order.isRepeat)
             repeatUpkeep(order);
         return;
@@ -328,6 +330,7 @@
 {
     const auto &start = order.start;
     m_pendingOrders.erase(start.host);
+    orderAnswered(outcome);
     if (outcome == HostOutcome::Accepted) {
         m_upkeep.startAccepted(start, BootClock::now());
         if (!start.worker.isEmpty())
@@ -347,6 +350,12 @@
     }
 }
 
+auto HostDuty::orderAnswered(HostOutcome outcome) -> void
+{
+    const auto isTaken = outcome == HostOutcome::Accepted || outcome == HostOutcome::Busy;
+    m_pacer.orderAnswered(isTaken, BootClock::now());
+}
+
 /// Repeats an order without an answer until it is accepted: one that was carried out is accepted
 /// again, and the refusal of a repetition doesn't tell what became of the first order.
 auto HostDuty::repeatUpkeep(const UpkeepOrder &order) -> void
@@ -359,8 +368,9 @@
 auto HostDuty::move(const HostMove &move) -> void
 {
     const auto token = m_steward.stewardship().token();
-    if (!token || !m_pendingOrders.insert(move.host).second)
+    if (!token || m_pendingOrders.contains(move.host) || !m_pacer.takeOrder(BootClock::now()))
         return;
+    m_pendingOrders.insert(move.host);
     const auto it = std::ranges::find(m_hosts, move.host, &HostReport::host);
     const auto worker = it == m_hosts.end() ? WorkerName() : it->worker;
     setDraining(move.host, true);
@@ -375,6 +385,7 @@
         if (!self)
             return;
         self->m_pendingOrders.erase(move.host);
+        self->orderAnswered(outcome);
         const auto now = BootClock::now();
         if (outcome == HostOutcome::Accepted) {
             if (!worker.isEmpty())
--- a/packages/member/src/host_duty.hpp
+++ b/packages/member/src/host_duty.hpp
@@ -33,6 +33,7 @@
     struct UpkeepOrder;
     auto startUpkeep(const UpkeepOrder &order) -> void;
     auto upkeepAnswered(const UpkeepOrder &order, HostOutcome outcome) -> void;
+    auto orderAnswered(HostOutcome outcome) -> void;
     auto repeatUpkeep(const UpkeepOrder &order) -> void;
     auto endUnansweredMoves(BootTime now) -> void;
     [[nodiscard]] auto hostsUnderOrder() const -> std::set<HostName>;
@@ -57,6 +58,7 @@
     BootTime m_nextListAt;
     bool m_isListing = false;
     std::set<std::uint64_t> m_waves; // known to the planner, or being read from the store
+    HostOrderPacer m_pacer;
     std::set<HostName> m_pendingOrders; // hosts with an order that waits for its reply
     /// Hosts whose move got no reply; other orders for a host wait until the given time.
     std::map<HostName, BootTime> m_unansweredMoves;
