--- a/packages/job/src/steward_admission.cpp
+++ b/packages/job/src/steward_admission.cpp
@@ -51,10 +51,11 @@
     const auto &occurrence = *candidate.occurrence;
     const auto add = [&](std::uint32_t number, std::uint32_t count) {
         const auto &spec = job.spec.steps[number];
-        if (mayFitAnyHost(spec))
+        if (mayFitAnyHost(spec)) {
             sum.add(step.priority, kind, spec.reservedResources(),
                     static_cast<std::int64_t>(count * steps),
                     forecastRun(job, &occurrence, number).expected);
+        }
     };
     add(candidate.step, occurrence.waitingTasks[candidate.step]);
     for (auto n = candidate.step + 1; n < job.spec.steps.size(); ++n) {
