--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -273,7 +273,7 @@
         return;
     case SubmissionAction::RefuseCancelled:
         --m_openSubmissions;
-        refuse(call, 409, "cancelled-before");
+        refuse(call, 503, "cancelled-before");
         return;
     case SubmissionAction::ReportUnknown:
         --m_openSubmissions;
--- a/tests/unit/unit-early-cancellation.cpp
+++ b/tests/unit/unit-early-cancellation.cpp
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <QTcpServer>
@@ -110,7 +111,7 @@
     {
         auto request = HttpRequest();
         request.method = method;
-        request.path = std::string("/queue/") + Job;
+        request.path = fmt::format("/queue/{}", Job);
         request.headers.push_back({"Host", "127.0.0.1"});
         request.body = body;
         auto status = std::make_shared<unsigned>(0);
@@ -163,7 +164,7 @@
     auto isStored() -> bool
     {
         auto found = std::optional<bool>();
-        store.read(std::string("jobs/") + Job,
+        store.read(fmt::format("jobs/{}", Job),
                    [&](const auto &reply) { found = !reply->records.empty(); });
         test::runUntil([&] { return found.has_value(); });
         return *found;
@@ -186,7 +187,7 @@
     EXPECT_EQ(members.other.call("DELETE"), 410U);
     members.cutOff.store.isCut = false;
     EXPECT_TRUE(test::runUntil([&] { return *submitted != 0; }, 6'000));
-    EXPECT_EQ(*submitted, 409U);
+    EXPECT_EQ(*submitted, 503U);
     EXPECT_FALSE(members.isStored());
 }
 
@@ -201,7 +202,7 @@
     EXPECT_EQ(members.other.call("DELETE"), 410U);
     members.cutOff.store.carryOutHeld();
     EXPECT_FALSE(members.isStored());
-    EXPECT_EQ(members.other.call("POST", JobBody), 409U); // submitted again
+    EXPECT_EQ(members.other.call("POST", JobBody), 503U); // submitted again
     EXPECT_EQ(members.other.call("GET"), 410U);
     EXPECT_FALSE(members.isStored());
 }
--- a/tests/unit/unit-host-reclaim.cpp
+++ b/tests/unit/unit-host-reclaim.cpp
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "shallotproxy/job.hpp"
@@ -12,6 +13,16 @@
 const auto New = PoolName("new");
 constexpr auto HostSize = Resources{10'000, 100'000, 0};
 
+auto reportOf(const std::string &host, const PoolName &pool) -> HostReport
+{
+    auto report = HostReport();
+    report.host = HostName(host);
+    report.pool = pool;
+    report.state = HostState::Up;
+    report.capacity = HostSize;
+    return report;
+}
+
 /// A pool whose hosts work on the late rest of its peak, and one whose peak begins.
 class TwoPools
 {
@@ -22,7 +33,7 @@
         rules.pools[New] = {};
         for (std::size_t n = 0; n < oldHosts; ++n) {
             auto host = HostView();
-            host.report = {HostName("old-" + std::to_string(n)), Old, HostState::Up, HostSize};
+            host.report = reportOf(fmt::format("old-{}", n), Old);
             host.otherRuns = 10 - n % 5;
             host.isLoadKnown = true;
             hosts.push_back(host);
@@ -103,7 +114,7 @@
     pools.rules.pools[standby].isStandby = true;
     for (auto n = 0; n < 8; ++n) {
         auto host = HostView();
-        host.report = {HostName("standby-" + std::to_string(n)), standby, HostState::Up, HostSize};
+        host.report = reportOf(fmt::format("standby-{}", n), standby);
         pools.hosts.push_back(host);
     }
     EXPECT_TRUE(pools.step().drain.empty());
--- a/tests/unit/unit-many-suspects.cpp
+++ b/tests/unit/unit-many-suspects.cpp
@@ -34,7 +34,7 @@
 {
     auto count = 0U;
     for (auto n = 0U; n < Tasks; ++n)
-        count += fleet.outcome("job-" + std::to_string(n)) == JobOutcome::Open ? 1 : 0;
+        count += fleet.outcome("job-" + std::to_string(n)) == JobOutcome::Open ? 1U : 0U;
     return count;
 }
 
@@ -62,7 +62,7 @@
     EXPECT_LE(fleet.crashes(crashingTask), 4U);
     auto failed = 0U;
     for (auto n = 0U; n < Tasks; ++n)
-        failed += fleet.outcome("job-" + std::to_string(n)) == JobOutcome::Failed ? 1 : 0;
+        failed += fleet.outcome("job-" + std::to_string(n)) == JobOutcome::Failed ? 1U : 0U;
     EXPECT_EQ(failed, 1U);
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
