--- a/packages/demand/include/shallotproxy/demand/turn_forecast.hpp
+++ b/packages/demand/include/shallotproxy/demand/turn_forecast.hpp
@@ -86,9 +86,9 @@
     };
 
     auto addTurn(const Turn &turn) -> void;
-    auto poolsWithTurns() const -> std::size_t;
-    auto isOrderKnown() const -> bool;
-    auto spacing() const -> Duration;
+    [[nodiscard]] auto poolsWithTurns() const -> std::size_t;
+    [[nodiscard]] auto isOrderKnown() const -> bool;
+    [[nodiscard]] auto spacing() const -> Duration;
     auto forgetMissedTurn(BootTime now) -> void;
 
     std::map<PoolName, Observed> m_pools;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -134,9 +134,10 @@
     -> std::vector<std::optional<CrashEvidence>>
 {
     auto runs = std::vector<RunAtCrash>();
-    for (const auto *task : tasks)
+    for (const auto *it : tasks) {
         runs.push_back(
-            {task->crashes.isSuspect(), isEstablished(*task), isUnderTest(*task), task->isGrouped});
+            {it->crashes.isSuspect(), isEstablished(*it), isUnderTest(*it), it->isGrouped});
+    }
     return attributeCrash(runs);
 }
 
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -286,9 +286,10 @@
 {
     m_context.store.commit(jobCreationCommit(call->operation.job, call->record),
                            [self = QPointer(this), call](const auto &reply) {
-                               if (self)
+                               if (self) {
                                    self->submissionAttempted(
                                        call, creationOutcome(call->operation.job, reply));
+                               }
                            });
 }
 
--- a/packages/member/src/steward_admission.cpp
+++ b/packages/member/src/steward_admission.cpp
@@ -22,9 +22,10 @@
                                // A lost outlook is followed by the next one; until then members use
                                // the last one.
                                m_isPublishing = false;
-                               if (!reply)
+                               if (!reply) {
                                    m_context.log.info("event=outlook-not-published reason={}",
                                                       reply.error().name());
+                               }
                            }));
 }
 
@@ -55,9 +56,10 @@
         m_admissionGate.outlookReceived(std::move(*outlook), BootClock::now());
         return;
     }
-    if (record != nullptr)
+    if (record != nullptr) {
         m_context.log.warning("event=record-unreadable key={} error=\"expected an outlook\"",
                               record->key);
+    }
     m_admissionGate.outlookRemoved();
 }
 
