Accept what meets no wait, whatever its deadline

Cause: a queue whose deadline is shorter than its own critical path was refused in a listed pool although nothing waited before it (by reading). Change: AdmissionGate accepts where the published wait has been worked off. Test: AdmissionGate.AcceptsWhereNothingWaitsWhateverTheDeadline.

--- a/packages/demand/src/admission_gate.cpp
+++ b/packages/demand/src/admission_gate.cpp
@@ -31,6 +31,9 @@
         return std::nullopt;
     const auto isSurplus = std::ranges::binary_search(m_outlook.exhaustedTeams, request.team);
     const auto &entry = *std::prev(next);
+    const auto longestWait = isSurplus ? entry.surplusMilliseconds : entry.lateMilliseconds;
+    if (milliseconds(longestWait) <= age)
+        return std::nullopt; // room is idle by now, whatever the deadline
     // The backlog that was published has been worked on since.
     const auto doneAfter = [&](std::int64_t published) {
         return std::max(Duration(milliseconds(published)) - age, Duration()) + request.chain;
--- a/tests/unit/unit-admission.cpp
+++ b/tests/unit/unit-admission.cpp
@@ -127,6 +127,19 @@
     EXPECT_FALSE(gate.decide(request, Start + 3s)); // the news is too old by then
 }
 
+TEST(AdmissionGate, AcceptsWhereNothingWaitsWhateverTheDeadline)
+{
+    auto request = requestOf(TeamName("team"), 5s);
+    request.deadline = 1s;
+    request.usefulTime = 3s;
+    auto gate = AdmissionGate();
+    gate.outlookReceived(outlookOf(0, 2'000), Start);
+    EXPECT_FALSE(gate.decide(request, Start));
+    gate.outlookReceived(outlookOf(500, 500), Start);
+    EXPECT_TRUE(gate.decide(request, Start));
+    EXPECT_FALSE(gate.decide(request, Start + 500ms));
+}
+
 TEST(AdmissionGate, IgnoresTheBacklogOfLaterPriorities)
 {
     auto outlook = AdmissionOutlook();
