Count workers that take no new work at the moment as room for admission

Change: room is what the registered workers offer that aren't leaving. Names and braces that the linter asked for.

--- a/packages/job/src/steward_admission.cpp
+++ b/packages/job/src/steward_admission.cpp
@@ -11,7 +11,8 @@
 
 } // namespace
 
-/// Returns what the workers of a pool that take new work offer beside its long-running tasks.
+/// Returns what the registered workers of a pool offer beside its long-running tasks. Those that
+/// take no new work at the moment will within seconds, or lose their registration.
 auto Steward::roomForFiniteTasks(const PoolName &pool) const -> Resources
 {
     auto room = Resources();
@@ -19,7 +20,7 @@
     if (workers == m_poolWorkers.end())
         return room;
     for (const auto *worker : workers->second) {
-        if (!takesNewWork(*worker))
+        if (!worker->isRegistered || worker->report.isLeaving)
             continue;
         room += worker->report.capacity;
         for (const auto *task : worker->runs) {
--- a/tests/unit/unit-admission.cpp
+++ b/tests/unit/unit-admission.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <functional>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -10,14 +13,14 @@
 using namespace std::chrono_literals;
 using Kind = PoolBacklog::Kind;
 
-const auto Pool = PoolName("pool");
-const auto Start = BootTime(1h);
+const auto testPool = PoolName("pool");
+const auto startTime = BootTime(1h);
 constexpr auto OneTask = Resources{1'000, 1'000, 0};
 
 auto requestOf(const TeamName &team, Duration chain) -> AdmissionRequest
 {
     auto request = AdmissionRequest();
-    request.pool = Pool;
+    request.pool = testPool;
     request.team = team;
     request.chain = chain;
     request.deadline = chain + 1s;
@@ -29,7 +32,8 @@
                std::vector<TeamName> exhausted = {}) -> AdmissionOutlook
 {
     auto outlook = AdmissionOutlook();
-    outlook.pools[Pool] = {{0, entitledMilliseconds, entitledMilliseconds, surplusMilliseconds}};
+    outlook.pools[testPool] = {
+        {0, entitledMilliseconds, entitledMilliseconds, surplusMilliseconds}};
     outlook.exhaustedTeams = std::move(exhausted);
     return outlook;
 }
@@ -42,22 +46,22 @@
     auto entitlement = TeamEntitlement();
     auto admitted = 0;
     for (auto n = 0; n < 8 * Rate * 6; ++n)
-        admitted += entitlement.admit(hot, Rate, Start + n * 25ms) ? 1 : 0;
+        admitted += entitlement.admit(hot, Rate, startTime + n * 25ms) ? 1 : 0;
     EXPECT_GE(admitted, Rate * 6);
     EXPECT_LE(admitted, Rate * 7);
-    EXPECT_TRUE(entitlement.exhaustedTeams(Start + 5'990ms) == std::vector{hot});
-    EXPECT_TRUE(entitlement.exhaustedTeams(Start + 8s).empty());
+    EXPECT_TRUE(entitlement.exhaustedTeams(startTime + 5'990ms) == std::vector{hot});
+    EXPECT_TRUE(entitlement.exhaustedTeams(startTime + 8s).empty());
 }
 
 TEST(TeamEntitlement, AdmitsOneJobOfAnySmallRate)
 {
     const auto small = TeamName("small");
     auto entitlement = TeamEntitlement();
-    EXPECT_TRUE(entitlement.admit(small, 0.1, Start));
-    EXPECT_FALSE(entitlement.admit(small, 0.1, Start + 5s));
-    EXPECT_TRUE(entitlement.admit(small, 0.1, Start + 10s));
-    EXPECT_TRUE(entitlement.admit(TeamName("unlimited"), 0, Start));
-    EXPECT_TRUE(entitlement.admit(TeamName("unlimited"), 0, Start));
+    EXPECT_TRUE(entitlement.admit(small, 0.1, startTime));
+    EXPECT_FALSE(entitlement.admit(small, 0.1, startTime + 5s));
+    EXPECT_TRUE(entitlement.admit(small, 0.1, startTime + 10s));
+    EXPECT_TRUE(entitlement.admit(TeamName("unlimited"), 0, startTime));
+    EXPECT_TRUE(entitlement.admit(TeamName("unlimited"), 0, startTime));
 }
 
 TEST(PoolBacklog, DelaysWorkByWhatComesBeforeIt)
@@ -91,25 +95,25 @@
 {
     auto gate = AdmissionGate();
     const auto request = requestOf(TeamName("team"), 1s);
-    EXPECT_FALSE(gate.decide(request, Start));
-    gate.outlookReceived(outlookOf(60'000, 60'000), Start);
-    EXPECT_TRUE(gate.decide(request, Start));
-    EXPECT_FALSE(gate.decide(request, Start + AdmissionGate::MaxAge + 1ms));
-    gate.outlookReceived(outlookOf(60'000, 60'000), Start + 10s);
+    EXPECT_FALSE(gate.decide(request, startTime));
+    gate.outlookReceived(outlookOf(60'000, 60'000), startTime);
+    EXPECT_TRUE(gate.decide(request, startTime));
+    EXPECT_FALSE(gate.decide(request, startTime + AdmissionGate::MaxAge + 1ms));
+    gate.outlookReceived(outlookOf(60'000, 60'000), startTime + 10s);
     gate.outlookRemoved();
-    EXPECT_FALSE(gate.decide(request, Start + 10s));
+    EXPECT_FALSE(gate.decide(request, startTime + 10s));
 }
 
 TEST(AdmissionGate, RefusesATeamAboveItsRateFirst)
 {
     const auto hot = TeamName("hot");
     auto gate = AdmissionGate();
-    gate.outlookReceived(outlookOf(0, 2'000, {hot}), Start);
-    const auto refusal = gate.decide(requestOf(hot, 1s), Start);
+    gate.outlookReceived(outlookOf(0, 2'000, {hot}), startTime);
+    const auto refusal = gate.decide(requestOf(hot, 1s), startTime);
     ASSERT_TRUE(refusal);
     EXPECT_EQ(refusal->reason, AdmissionRefusalReason::TeamAboveRate);
     EXPECT_EQ(refusal->retryAfter, 1s);
-    EXPECT_FALSE(gate.decide(requestOf(TeamName("calm"), 1s), Start));
+    EXPECT_FALSE(gate.decide(requestOf(TeamName("calm"), 1s), startTime));
 }
 
 // Late results are still of use: only what can't be is refused.
@@ -117,14 +121,14 @@
 {
     auto gate = AdmissionGate();
     const auto request = requestOf(TeamName("team"), 1s); // of use for 6 s
-    gate.outlookReceived(outlookOf(4'900, 4'900), Start);
-    EXPECT_FALSE(gate.decide(request, Start));
-    gate.outlookReceived(outlookOf(8'000, 8'000), Start);
-    const auto refusal = gate.decide(request, Start);
+    gate.outlookReceived(outlookOf(4'900, 4'900), startTime);
+    EXPECT_FALSE(gate.decide(request, startTime));
+    gate.outlookReceived(outlookOf(8'000, 8'000), startTime);
+    const auto refusal = gate.decide(request, startTime);
     ASSERT_TRUE(refusal);
     EXPECT_EQ(refusal->reason, AdmissionRefusalReason::NoRoomInTime);
     EXPECT_EQ(refusal->retryAfter, 3s);
-    EXPECT_FALSE(gate.decide(request, Start + 3s)); // the news is too old by then
+    EXPECT_FALSE(gate.decide(request, startTime + 3s)); // the news is too old by then
 }
 
 TEST(AdmissionGate, AcceptsWhereNothingWaitsWhateverTheDeadline)
@@ -133,46 +137,46 @@
     request.deadline = 1s;
     request.usefulTime = 3s;
     auto gate = AdmissionGate();
-    gate.outlookReceived(outlookOf(0, 2'000), Start);
-    EXPECT_FALSE(gate.decide(request, Start));
-    gate.outlookReceived(outlookOf(500, 500), Start);
-    EXPECT_TRUE(gate.decide(request, Start));
-    EXPECT_FALSE(gate.decide(request, Start + 500ms));
+    gate.outlookReceived(outlookOf(0, 2'000), startTime);
+    EXPECT_FALSE(gate.decide(request, startTime));
+    gate.outlookReceived(outlookOf(500, 500), startTime);
+    EXPECT_TRUE(gate.decide(request, startTime));
+    EXPECT_FALSE(gate.decide(request, startTime + 500ms));
 }
 
 TEST(AdmissionGate, IgnoresTheBacklogOfLaterPriorities)
 {
     auto outlook = AdmissionOutlook();
-    outlook.pools[Pool] = {{1, 60'000, 60'000, 60'000}};
+    outlook.pools[testPool] = {{1, 60'000, 60'000, 60'000}};
     auto gate = AdmissionGate();
-    gate.outlookReceived(outlook, Start);
+    gate.outlookReceived(outlook, startTime);
     auto request = requestOf(TeamName("team"), 1s);
-    EXPECT_FALSE(gate.decide(request, Start));
+    EXPECT_FALSE(gate.decide(request, startTime));
     request.priority = 2;
-    EXPECT_TRUE(gate.decide(request, Start));
+    EXPECT_TRUE(gate.decide(request, startTime));
 }
 
 // A later priority has no backlog yet, but comes after the late work of the earlier one.
 TEST(AdmissionGate, CountsLateWorkOfEarlierPriorities)
 {
     auto outlook = AdmissionOutlook();
-    outlook.pools[Pool] = {{0, 0, 60'000, 60'000}};
+    outlook.pools[testPool] = {{0, 0, 60'000, 60'000}};
     auto gate = AdmissionGate();
-    gate.outlookReceived(outlook, Start);
+    gate.outlookReceived(outlook, startTime);
     auto request = requestOf(TeamName("team"), 1s);
-    EXPECT_FALSE(gate.decide(request, Start));
+    EXPECT_FALSE(gate.decide(request, startTime));
     request.priority = 1;
-    EXPECT_TRUE(gate.decide(request, Start));
+    EXPECT_TRUE(gate.decide(request, startTime));
 }
 
 // A herd that was refused doesn't return at once, and those refused first return first.
 TEST(AdmissionGate, SpreadsReturnsInTheOrderOfTheRefusals)
 {
     auto gate = AdmissionGate();
-    gate.outlookReceived(outlookOf(9'000, 9'000), Start);
+    gate.outlookReceived(outlookOf(9'000, 9'000), startTime);
     auto returns = std::vector<std::chrono::seconds>();
     for (auto n = 0; n < 40; ++n) {
-        const auto refusal = gate.decide(requestOf(TeamName("team"), 1s), Start + n * 1ms);
+        const auto refusal = gate.decide(requestOf(TeamName("team"), 1s), startTime + n * 1ms);
         ASSERT_TRUE(refusal);
         returns.push_back(refusal->retryAfter);
     }
@@ -199,15 +203,15 @@
 TEST(OutlookPublisher, PublishesABacklogOftenEnoughAndNothingWithoutOne)
 {
     auto publisher = OutlookPublisher();
-    for (auto now = Start; now < Start + 10s; now += 100ms)
+    for (auto now = startTime; now < startTime + 10s; now += 100ms)
         EXPECT_FALSE(publisher.step({}, 8, now));
     auto count = 0;
     for (auto n = 0; n < 100; ++n)
-        count += publisher.step(outlookOf(n, n), 8, Start + n * 100ms) ? 1 : 0;
+        count += publisher.step(outlookOf(n, n), 8, startTime + n * 100ms) ? 1 : 0;
     EXPECT_LE(count, 10s / OutlookPublisher::MinInterval);
     EXPECT_GE(count, 10s / AdmissionGate::MaxAge * 2);
-    EXPECT_TRUE(publisher.step({}, 8, Start + 11s));
-    EXPECT_FALSE(publisher.step({}, 8, Start + 12s));
+    EXPECT_TRUE(publisher.step({}, 8, startTime + 11s));
+    EXPECT_FALSE(publisher.step({}, 8, startTime + 12s));
 }
 
 // Each publication is a read for each member: a peak must not use up the store's reads, and members
@@ -218,7 +222,7 @@
     auto publisher = OutlookPublisher();
     auto count = 0;
     for (auto n = 0; n < 100; ++n)
-        count += publisher.step(outlookOf(n, n), Members, Start + n * 100ms) ? 1 : 0;
+        count += publisher.step(outlookOf(n, n), Members, startTime + n * 100ms) ? 1 : 0;
     EXPECT_LE(count * Members / 10, 500);
     EXPECT_GE(count, 10s / AdmissionGate::MaxAge * 2);
     EXPECT_LT(2 * OutlookPublisher::minInterval(100'000), AdmissionGate::MaxAge);
@@ -236,7 +240,7 @@
     /// Returns how many jobs start so that they end in time, while the burst lasts.
     auto goodput() -> int
     {
-        for (auto now = Start; now < Start + 30s; now += Tick) {
+        for (auto now = startTime; now < startTime + 30s; now += Tick) {
             arrive(now);
             serve(now);
             publish(now);
@@ -271,7 +275,7 @@
     {
         const auto late = [now](const Waiting &it) { return now + RunTime > it.deadline; };
         // Those that are late come last, as in WaitingSteps.
-        std::ranges::stable_partition(m_waiting, std::not_fn(late));
+        std::stable_partition(m_waiting.begin(), m_waiting.end(), std::not_fn(late));
         for (m_served += JobsPerTick; m_served >= 1; --m_served) {
             if (m_waiting.empty())
                 continue;
@@ -290,7 +294,7 @@
         backlog.add(0, Kind::Late, OneTask, late, RunTime);
         auto outlook = AdmissionOutlook();
         if (auto waits = waitsIn(backlog); !waits.empty())
-            outlook.pools[Pool] = std::move(waits);
+            outlook.pools[testPool] = std::move(waits);
         if (m_publisher.step(outlook, 8, now))
             m_gate.outlookReceived(outlook, now);
     }
--- a/tests/unit/unit-host-reclaim.cpp
+++ b/tests/unit/unit-host-reclaim.cpp
@@ -9,8 +9,8 @@
 
 using namespace std::chrono_literals;
 
-const auto Old = PoolName("old");
-const auto New = PoolName("new");
+const auto oldPool = PoolName("old");
+const auto newPool = PoolName("new");
 constexpr auto HostSize = Resources{10'000, 100'000, 0};
 
 auto reportOf(const std::string &host, const PoolName &pool) -> HostReport
@@ -29,31 +29,31 @@
 public:
     explicit TwoPools(std::size_t oldHosts)
     {
-        rules.pools[Old] = {};
-        rules.pools[New] = {};
+        rules.pools[oldPool] = {};
+        rules.pools[newPool] = {};
         for (std::size_t n = 0; n < oldHosts; ++n) {
             auto host = HostView();
-            host.report = reportOf(fmt::format("old-{}", n), Old);
+            host.report = reportOf(fmt::format("old-{}", n), oldPool);
             host.otherRuns = 10 - n % 5;
             host.isLoadKnown = true;
             hosts.push_back(host);
         }
         auto host = hosts.front();
         host.report.host = HostName("new-0");
-        host.report.pool = New;
+        host.report.pool = newPool;
         hosts.push_back(host);
         const auto count = static_cast<std::int64_t>(oldHosts);
-        loads[Old].used = HostSize * count;
-        loads[Old].lateUsed = loads[Old].used;
-        loads[Old].waiting = HostSize * 50;
-        loads[Old].lateWaiting = loads[Old].waiting;
-        loads[New].used = HostSize;
-        loads[New].waiting = HostSize * 4;
+        loads[oldPool].used = HostSize * count;
+        loads[oldPool].lateUsed = loads[oldPool].used;
+        loads[oldPool].waiting = HostSize * 50;
+        loads[oldPool].lateWaiting = loads[oldPool].waiting;
+        loads[newPool].used = HostSize;
+        loads[newPool].waiting = HostSize * 4;
     }
 
     auto step() -> ReclaimOrders
     {
-        const auto orders = reclaim.step(hosts, loads, rules, blocked, now);
+        auto orders = reclaim.step(hosts, loads, rules, blocked, now);
         for (const auto &it : orders.drain)
             find(it).isDraining = true;
         for (const auto &it : orders.release)
@@ -86,14 +86,14 @@
     const auto second = pools.step();
     ASSERT_EQ(second.moves.size(), 1U);
     EXPECT_EQ(second.moves.front().host, first.drain.front());
-    EXPECT_EQ(second.moves.front().to, New);
+    EXPECT_EQ(second.moves.front().to, newPool);
 }
 
 TEST(HostReclaim, LeavesHostsThatWorkInTimeOrRunLongRunningTasks)
 {
     auto inTime = TwoPools(10);
-    inTime.loads[Old].lateUsed = {};
-    inTime.loads[Old].lateWaiting = {};
+    inTime.loads[oldPool].lateUsed = {};
+    inTime.loads[oldPool].lateWaiting = {};
     EXPECT_TRUE(inTime.step().drain.empty());
 
     auto pinned = TwoPools(10);
@@ -125,7 +125,7 @@
 {
     auto over = TwoPools(10);
     const auto taken = over.step().drain;
-    over.loads[New].waiting = {};
+    over.loads[newPool].waiting = {};
     EXPECT_EQ(over.step().release.size(), taken.size());
 
     auto busy = TwoPools(10);
--- a/tests/unit/unit-member-pacing.cpp
+++ b/tests/unit/unit-member-pacing.cpp
@@ -28,9 +28,10 @@
     auto random = std::minstd_rand(seed);
     const auto spread = MemberPacing::campaignSpread(members).count();
     auto starts = std::vector<milliseconds>();
-    for (std::size_t n = 0; n < members; ++n)
+    for (std::size_t n = 0; n < members; ++n) {
         starts.emplace_back(
             std::uniform_int_distribution<milliseconds::rep>(0, spread - 1)(random));
+    }
     const auto first = std::ranges::min(starts);
     const auto campaigns =
         std::ranges::count_if(starts, [&](auto it) { return it <= first + timeToSee; });
