--- a/tests/unit/unit-delegate-table.cpp
+++ b/tests/unit/unit-delegate-table.cpp
@@ -141,7 +141,7 @@
     auto members = Members();
     for (auto n = 100; n < 400; ++n)
         members.add(std::to_string(n), 0.5, north);
-    const auto count = [&members](auto isOne) {
+    const auto count = [](auto isOne) {
         auto result = std::size_t{0};
         for (auto n = 100; n < 400; ++n)
             result += isOne(MemberName(std::to_string(n))) ? 1U : 0U;
