Give reclaimed hosts back whose move or upkeep comes to nothing

Cause, found by reading: a reclaimed host was forgotten once its move was ordered, or once it was under another order. If that order wasn't sent (paced) or was refused, the host stayed drained for ever. Change: HostReclaim keeps it until it has moved, is given back, or has left its pool; nothing is decided while another order is under way.

--- a/packages/job/src/host_reclaim.cpp
+++ b/packages/job/src/host_reclaim.cpp
@@ -71,11 +71,16 @@
         const auto &[host, reclaim] = *it;
         const auto view = views.find(host);
         const auto isStillThere = view != views.end() && view->second->report.state == HostState::Up
-            && view->second->report.pool == reclaim.from && !blocked.contains(host);
+            && view->second->report.pool == reclaim.from;
         if (!isStillThere) {
             it = m_reclaims.erase(it);
             continue;
         }
+        // Another order decides; if it comes to nothing, the host is still drained.
+        if (blocked.contains(host)) {
+            ++it;
+            continue;
+        }
         const auto target = balances.find(reclaim.to);
         const auto isNeeded = target != balances.end()
             && target->second.neededInTime >= target->second.hosts
@@ -83,10 +88,10 @@
         if (!isNeeded) {
             orders.release.push_back(host);
             it = m_reclaims.erase(it);
-        } else if (view->second->isIdle()) {
-            orders.moves.push_back({host, reclaim.to});
-            it = m_reclaims.erase(it);
         } else {
+            // Ordered again until the host moves: an order may not be sent or be refused.
+            if (view->second->isIdle())
+                orders.moves.push_back({host, reclaim.to});
             ++it;
         }
     }
--- a/tests/unit/unit-host-reclaim.cpp
+++ b/tests/unit/unit-host-reclaim.cpp
@@ -134,6 +134,21 @@
     EXPECT_EQ(busy.step().release.size(), drained.size());
 }
 
+// A move that wasn't sent, or an upkeep that wasn't begun, left the host drained for ever.
+TEST(HostReclaim, GivesHostsBackWhoseOrdersComeToNothing)
+{
+    auto pools = TwoPools(10);
+    const auto host = pools.step().drain.front();
+    pools.find(host).otherRuns = 0;
+    EXPECT_EQ(pools.step().moves.size(), 1U);
+    EXPECT_EQ(pools.step().moves.size(), 1U);
+    pools.blocked.insert(host);
+    pools.now += HostReclaim::MaxDrainTime;
+    EXPECT_EQ(std::ranges::count(pools.step().release, host), 0);
+    pools.blocked.clear();
+    EXPECT_EQ(std::ranges::count(pools.step().release, host), 1);
+}
+
 } // namespace
 
 } // namespace shallotproxy
