Acknowledge an end only once all that is known of its job is kept

What callers saw: a task could run again after its worker had been told that its result was taken (TWICE). A new steward reads that one task of a job has failed for the last time and that another one has completed, and dies before it has written the failure; the worker of the failed task crashes. The next steward reads the job as open, knows of neither end, and starts the completed task again.

Cause: of the ends in a poll, only those waited for a write that changed the job themselves. The end of a run that an earlier steward had started, of a job that had failed a moment before, changed nothing and was acknowledged at once, although the failure that made it needless wasn't kept.

Change: each end of a known job waits for the last change of that job. If nothing is unwritten, it is acknowledged at once, as before.

Evidence: AcknowledgedEnds.WaitForTheOutcomeOfTheirJob (two kills, the store down in between, a crash) fails without the change with "starts after it was done: a.0.0.1", and passes with it.

--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -167,16 +167,16 @@
         return;
     worker.lastReceivedEnd = end.sequence;
     auto *task = findTask(end.task);
-    const auto changeBefore = m_lastChange;
     const auto isAssigned = task != nullptr && task->worker == &worker && task->run == end.run;
     // Ends of runs that an earlier steward started are reported in any order.
     const auto isFromEarlierSteward = task != nullptr && !isAssigned
         && task->phase != TaskPhase::Done && task->job->outcome == JobOutcome::Open;
     if (isAssigned || isFromEarlierSteward)
         applyRunEnd(*task, worker, end, isAssigned);
-    const auto isChanged = m_lastChange != changeBefore && task != nullptr;
-    worker.unpersistedEnds.push_back({end.sequence, isChanged ? task->job->spec.id : std::string(),
-                                      isChanged ? task->job->change : 0});
+    // Also an end that changes nothing: it may be needed again if an earlier change of the job,
+    // such as its outcome, is lost with this steward.
+    worker.unpersistedEnds.push_back({end.sequence, task == nullptr ? std::string() : end.task.job,
+                                      task == nullptr ? 0 : task->job->change});
 }
 
 auto Steward::applyRunEnd(Task &task, Worker &worker, const EndedRun &end, bool isAssigned) -> void
