Look again for a job whose progress is open before its cancelling is acknowledged

The member reads that jobs/ID isn't there; the job is stored by another member and its first task ends or crashes; the member then reads progress/ID, takes the job for ended, and answers 200 without writing a cancellation. A slow store is enough for that.

Cause: a progress record was taken for the end of its job. While the job is open, both records are there.

Change: an open progress record begins the cancelling anew, up to the three attempts that a conflict with a marker has; after these it is refused with 503, as are progress records that can't be read.

Evidence: EarlyCancellation.IsKeptForAJobThatIsStoredMeanwhile fails without the change (200, no cancellation in the store), and passes with it.

--- a/packages/member/include/shallotproxy/member/caller_duty.hpp
+++ b/packages/member/include/shallotproxy/member/caller_duty.hpp
@@ -46,6 +46,8 @@
     auto cancelJob(const CallPointer &call) -> void;
     auto writeCancellation(const CallPointer &call, const VersionedRecord &job) -> void;
     auto cancelUnstoredJob(const CallPointer &call) -> void;
+    auto cancelByProgress(const CallPointer &call, const VersionedRecord &progress) -> void;
+    auto cancelAgain(const CallPointer &call, std::string_view reason) -> void;
     auto markCancelled(const CallPointer &call) -> void;
     auto countPending(const CallPointer &call) -> void;
     auto answerJobState(const CallPointer &call, const JobView &view) -> void;
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -506,14 +506,37 @@
 {
     readRecord(call, store_keys::progress(call->operation.job),
                [this, call](const VersionedRecord *progress) {
-                   if (progress != nullptr) {
-                       answer(call, {200, {}, "{}"}, "ended-before");
-                   } else {
+                   if (progress == nullptr) {
                        markCancelled(call);
+                   } else {
+                       cancelByProgress(call, *progress);
                    }
                });
 }
 
+/// The job has ended, unless it was stored after its record was looked for.
+auto CallerDuty::cancelByProgress(const CallPointer &call, const VersionedRecord &progress) -> void
+{
+    const auto record = decodeProgress(progress.value);
+    if (!record) {
+        refuse(call, 503, record.error().name());
+    } else if (record->state() != JobOutcome::Open) {
+        answer(call, {200, {}, "{}"}, "ended-before");
+    } else {
+        cancelAgain(call, "job-changing");
+    }
+}
+
+/// Begins the cancelling anew with what the store has now, or refuses it.
+auto CallerDuty::cancelAgain(const CallPointer &call, std::string_view reason) -> void
+{
+    if (++call->cancelAttempts < MaxCancelAttempts) {
+        cancelJob(call);
+    } else {
+        refuse(call, 503, reason);
+    }
+}
+
 /// The job may still be written: by a member that repeats its submission, or by the store itself,
 /// which may carry out an unanswered write late.
 auto CallerDuty::markCancelled(const CallPointer &call) -> void
@@ -524,9 +547,8 @@
         if (reply) {
             self->answer(call, self->m_context.callerCodec.encodeState(JobState::Unknown),
                          "no-such-job");
-        } else if (reply.error().kind == StoreFailure::Kind::Conflict
-                   && ++call->cancelAttempts < MaxCancelAttempts) {
-            self->cancelJob(call); // it has been stored meanwhile
+        } else if (reply.error().kind == StoreFailure::Kind::Conflict) {
+            self->cancelAgain(call, reply.error().name()); // it has been stored meanwhile
         } else if (reply.error().kind == StoreFailure::Kind::Unknown) {
             self->answer(call, {504, {}, "{}"}, "cancellation-unknown");
         } else {
--- a/tests/unit/unit-early-cancellation.cpp
+++ b/tests/unit/unit-early-cancellation.cpp
@@ -43,6 +43,8 @@
     auto read(const std::string &key, RecordStoreCallback<StoreRead> reply) -> void override
     {
         m_store.read(key, std::move(reply));
+        if (auto action = std::exchange(afterRead, {}))
+            action();
     }
     auto readAll(const std::string &prefix, RecordStoreCallback<StoreRead> reply) -> void override
     {
@@ -72,6 +74,8 @@
 
     bool isCut = false;
     std::vector<StoreCommit> held;
+    /// Called once, when the store has been read next.
+    std::function<void()> afterRead;
 
 private:
     RecordStore &m_store;
@@ -161,10 +165,10 @@
 
 struct TwoMembers
 {
-    auto isStored() -> bool
+    auto isStored(const std::string &suffix = {}) -> bool
     {
         auto found = std::optional<bool>();
-        store.read(fmt::format("jobs/{}", Job),
+        store.read(fmt::format("jobs/{}{}", Job, suffix),
                    [&](const auto &reply) { found = !reply->records.empty(); });
         test::runUntil([&] { return found.has_value(); });
         return *found;
@@ -217,6 +221,31 @@
     EXPECT_TRUE(members.isStored());
 }
 
+// The job was stored and its first task started between two reads of the member. Its cancelling was
+// acknowledged as that of an ended job, and the job ran on.
+TEST(EarlyCancellation, IsKeptForAJobThatIsStoredMeanwhile)
+{
+    auto members = TwoMembers();
+    members.other.store.afterRead = [&members] {
+        auto spec = test::oneStepJob(Job, test::shortStep(2));
+        spec.team = {};
+        members.store.put(fmt::format("jobs/{}", Job), encodeJob(spec));
+        members.store.put(fmt::format("progress/{}", Job), encodeProgress({}));
+    };
+    EXPECT_EQ(members.other.call("DELETE"), 200U);
+    EXPECT_TRUE(members.isStored("/cancel"));
+}
+
+TEST(EarlyCancellation, IsNeedlessForAJobThatHasEnded)
+{
+    auto members = TwoMembers();
+    auto progress = JobProgress();
+    progress.outcome = static_cast<std::uint8_t>(JobOutcome::Completed);
+    members.store.put(fmt::format("progress/{}", Job), encodeProgress(progress));
+    EXPECT_EQ(members.other.call("DELETE"), 200U);
+    EXPECT_FALSE(members.isStored("/cancel"));
+}
+
 } // namespace
 
 } // namespace shallotproxy
