Take over an occurrence that an earlier steward began by a clock that is ahead

A steward begins an occurrence when its time of day says that it is due. The next steward's clock is behind: to it, the occurrence isn't open, so that the end in a worker's answer names no task. It was acknowledged and dropped, and the occurrence ran once it was due there; a run that was active was stopped as one that nobody needs.

Cause: what a worker lists was looked up among the occurrences that this steward has opened, as if these were all.

Change: a run or an end of an occurrence that isn't open yet opens it and all before it, as a progress record does.

Evidence: EarlyOccurrence.DoesNotRunAgainIfItIsDone and RunsOn fail without the change and pass with it.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -304,12 +304,14 @@
     auto isWithinTeamRate(const Job &job) -> bool;
     auto openOccurrence(Job &job, std::uint32_t number) -> Occurrence &;
     auto restore(Job &job, const JobProgress &progress) -> void;
+    auto openOccurrencesBefore(Job &job, std::uint32_t end) -> void;
     auto openDueOccurrences(Job &job) -> void;
     auto finishTask(Task &task) -> void;
     auto failTask(Task &task, std::uint64_t run) -> void;
     auto endJob(Job &job, JobOutcome outcome) -> void;
     auto markChanged(Job &job, WriteUrgency urgency) -> void;
     auto findTask(const JobTaskId &id) -> Task *;
+    auto findReportedTask(const JobTaskId &id) -> Task *;
     [[nodiscard]] auto declaredRules(const Job &job) const -> const QueueRules *;
     [[nodiscard]] auto rulesOf(const Job &job) const -> const JobRules &;
     [[nodiscard]] auto poolOf(const Job &job) const -> const PoolName &;
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -204,8 +204,14 @@
             return;
     }
     // Progress is recorded of tasks with an end only: earlier occurrences may have none yet.
-    for (std::uint32_t n = 0; n < job.nextOccurrence; ++n)
+    openOccurrencesBefore(job, job.nextOccurrence);
+}
+
+auto Steward::openOccurrencesBefore(Job &job, std::uint32_t end) -> void
+{
+    for (std::uint32_t n = 0; n < end; ++n)
         openOccurrence(job, n);
+    job.nextOccurrence = std::max(job.nextOccurrence, end);
 }
 
 auto Steward::handle(const steward_event::JobCancelled &event) -> void
@@ -408,6 +414,23 @@
     return &occurrence->second.steps[id.step][id.index];
 }
 
+/// Returns the task of a run that a worker lists. An earlier steward, whose clock was ahead, may
+/// have begun an occurrence that isn't due here yet.
+auto Steward::findReportedTask(const JobTaskId &id) -> Task *
+{
+    const auto it = m_jobs.find(id.job);
+    if (it != m_jobs.end()) {
+        auto &job = *it->second;
+        const auto isBegunEarly = job.outcome == JobOutcome::Open
+            && id.occurrence >= job.nextOccurrence && id.occurrence < job.spec.occurrences;
+        if (isBegunEarly) {
+            openOccurrencesBefore(job, id.occurrence + 1);
+            markDirty(poolOf(job));
+        }
+    }
+    return findTask(id);
+}
+
 auto Steward::declaredRules(const Job &job) const -> const QueueRules *
 {
     if (!m_rules)
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -80,7 +80,7 @@
 {
     clearDetachedRuns(worker);
     for (const auto &run : event.active) {
-        auto *task = findTask(run.task);
+        auto *task = findReportedTask(run.task);
         const auto isAssigned = task != nullptr && task->worker == &worker && task->run == run.run;
         if (!isAssigned) {
             adopt(worker, run);
@@ -166,7 +166,7 @@
     if (end.sequence <= worker.lastReceivedEnd)
         return;
     worker.lastReceivedEnd = end.sequence;
-    auto *task = findTask(end.task);
+    auto *task = findReportedTask(end.task);
     const auto isAssigned = task != nullptr && task->worker == &worker && task->run == end.run;
     // Ends of runs that an earlier steward started are reported in any order.
     const auto isFromEarlierSteward = task != nullptr && !isAssigned
--- a/tests/unit/unit-recovery.cpp
+++ b/tests/unit/unit-recovery.cpp
@@ -215,6 +215,53 @@
     EXPECT_EQ(poll(0, runsOf("old", 7)), 1);
 }
 
+/// A steward that has taken over a job whose second occurrence is due half a second later by its
+/// clock.
+class EarlyOccurrence : public HalfRead
+{
+protected:
+    EarlyOccurrence()
+    {
+        auto job = oneStepJob("scheduled", shortStep(1));
+        job.occurrences = 2;
+        job.firstDueMilliseconds = 999'500;
+        job.intervalMilliseconds = 1'000;
+        step(steward_event::JobAccepted{job, {}, true});
+        takeOver();
+    }
+
+    /// Reads the other worker, which tells of the task of the second occurrence. Returns the starts
+    /// until that is due here as well.
+    auto startsAfter(std::vector<ActiveRun> active, std::vector<EndedRun> ended) -> std::ptrdiff_t
+    {
+        auto event = steward_event::WorkerPolled();
+        event.worker = workerName(0);
+        event.sentAt = now;
+        event.clockMilliseconds = 5'000;
+        event.startedMilliseconds = 1;
+        event.active = std::move(active);
+        event.ended = std::move(ended);
+        auto starts = step(event);
+        now += 1s;
+        starts += step(steward_event::Ticked{1'001'000});
+        EXPECT_FALSE(steward.isRecovering());
+        return starts;
+    }
+};
+
+// The earlier steward's clock was ahead. The end of its run was acknowledged and forgotten, and the
+// occurrence ran again.
+TEST_F(EarlyOccurrence, DoesNotRunAgainIfItIsDone)
+{
+    const auto ended = EndedRun{1, {"scheduled", 1, 0, 0}, 1, RunEnd::Done, {}};
+    EXPECT_EQ(startsAfter({}, {ended}), 1); // the first occurrence
+}
+
+TEST_F(EarlyOccurrence, RunsOn)
+{
+    EXPECT_EQ(startsAfter({{{"scheduled", 1, 0, 0}, 1, {}, 0, 0}}, {}), 1);
+}
+
 } // namespace
 
 } // namespace shallotproxy
