Keep the limit of a team for its jobs when the team is removed

What callers saw: after a change of the configuration that removes a team, its accepted jobs ran without any limit, beside those of teams that have one (QUOTA).

Cause: the limit was looked up in the declared teams, and a team that isn't there counted as one without a limit.

It holds while the team isn't declared. Records without it have no limit, as before.

Evidence: Steward.KeepsATeamThatIsRemovedBelowItsLimit (8 starts of 3 allowed) and Submissions.KeepTheLimitOfTheirTeam fail without the change and pass with it.

--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -110,6 +110,8 @@
     std::int64_t submittedMilliseconds = 0;
     /// The rules of the queue when the job was submitted; they hold on if the queue is removed.
     JobRules rules = {0};
+    /// The limit of the team when the job was submitted; it holds on if the team is removed.
+    Resources teamLimit;
 
     [[nodiscard]] auto isScheduled() const -> bool { return firstDueMilliseconds > 0; }
     /// Returns the duration of the longest chain of dependent steps. `durationOf` returns the
@@ -130,7 +132,7 @@
     }
 
     MSGPACK_DEFINE(id, queue, pool, team, payload, steps, occurrences, firstDueMilliseconds,
-                   intervalMilliseconds, submittedMilliseconds, rules)
+                   intervalMilliseconds, submittedMilliseconds, rules, teamLimit)
 };
 
 /// The reason why a job is refused or a job record can't be read.
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -266,18 +266,18 @@
     return PlaceResult::Placed;
 }
 
+/// Whether the team may use these resources as well. Jobs of a team that is no longer declared keep
+/// the limit that it had when they were submitted.
 auto Steward::isWithinTeamLimit(const Job &job, const Resources &resources) const -> bool
 {
     if (!m_rules)
         return false;
     const auto team = m_rules->teams.find(job.spec.team);
-    if (team == m_rules->teams.end())
-        return true;
     const auto running = m_teamUsage.find(job.spec.team);
     auto used = running == m_teamUsage.end() ? resources : running->second + resources;
     if (m_isRecovering)
         used += m_unknownRuns.upperBound(job.spec.team, m_unaskedRoom);
-    const auto &limit = team->second.limit;
+    const auto &limit = team == m_rules->teams.end() ? job.spec.teamLimit : team->second.limit;
     return (limit.milliCores == 0 || used.milliCores <= limit.milliCores)
         && (limit.memoryMegabytes == 0 || used.memoryMegabytes <= limit.memoryMegabytes)
         && (limit.accelerators == 0 || used.accelerators <= limit.accelerators);
--- a/packages/member/include/shallotproxy/member/caller_duty.hpp
+++ b/packages/member/include/shallotproxy/member/caller_duty.hpp
@@ -59,6 +59,7 @@
         -> std::optional<AdmissionRefusal>;
     auto refuseUnlessStored(const CallPointer &call, const AdmissionRefusal &refusal) -> void;
     auto refuseForLoad(const CallPointer &call, const AdmissionRefusal &refusal) -> void;
+    [[nodiscard]] auto teamLimit(const TeamName &team) const -> Resources;
     auto beginSubmission(const CallPointer &call) -> void;
     /// Answers other members' requests about the jobs of this member's steward.
     auto receivePeerRequest(const HttpRequest &request, HttpResponder responder) -> void;
--- a/packages/member/src/caller_duty.cpp
+++ b/packages/member/src/caller_duty.cpp
@@ -169,6 +169,7 @@
     spec->pool = call->rules.pool;
     spec->rules = call->rules;
     spec->team = call->team;
+    spec->teamLimit = teamLimit(call->team);
     spec->submittedMilliseconds = wallMilliseconds();
     call->record = encodeJob(*spec);
     if (const auto refusal = decideAdmission(*call, *spec)) {
@@ -178,6 +179,15 @@
     }
 }
 
+auto CallerDuty::teamLimit(const TeamName &team) const -> Resources
+{
+    const auto &declaration = m_context.fleet.declarationCache.current();
+    if (!declaration)
+        return {};
+    const auto it = declaration->rules.teams.find(team);
+    return it == declaration->rules.teams.end() ? Resources() : it->second.limit;
+}
+
 auto CallerDuty::beginSubmission(const CallPointer &call) -> void
 {
     ++m_openSubmissions;
--- a/tests/unit/unit-early-cancellation.cpp
+++ b/tests/unit/unit-early-cancellation.cpp
@@ -19,6 +19,8 @@
 constexpr auto JobBody =
     R"({"spec":"","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":100}]})";
 
+constexpr auto PublicLimit = Resources{3'000, 0, 0};
+
 /// A store that one member doesn't reach for a while: commits are left unanswered and, if
 /// `areCarriedOut`, carried out when the member reaches the store again.
 class DistantStore final : public RecordStore
@@ -98,6 +100,7 @@
         auto declaration = std::make_shared<FleetDeclaration>();
         declaration->version = 1;
         declaration->rules = *test::testRules(2);
+        declaration->rules.teams[TeamName()].limit = PublicLimit;
         auto queue = JobQueue();
         queue.name = QueueName("quotes");
         queue.hostName = "127.0.0.1";
@@ -174,6 +177,17 @@
         return *found;
     }
 
+    auto storedJob() -> std::optional<JobSpec>
+    {
+        auto found = std::optional<StoreRead>();
+        store.read(fmt::format("jobs/{}", Job), [&](const auto &reply) { found = *reply; });
+        test::runUntil([&] { return found.has_value(); });
+        if (found->records.empty())
+            return std::nullopt;
+        const auto spec = decodeJob(found->records.front().value);
+        return spec ? std::optional(*spec) : std::nullopt;
+    }
+
     Application application; // sockets need it
     test::FakeRecordStore store;
     Member cutOff{store};
@@ -246,6 +260,15 @@
     EXPECT_FALSE(members.isStored("/cancel"));
 }
 
+TEST(Submissions, KeepTheLimitOfTheirTeam)
+{
+    auto members = TwoMembers();
+    EXPECT_EQ(members.other.call("POST", JobBody), 200U);
+    const auto job = members.storedJob();
+    ASSERT_TRUE(job.has_value());
+    EXPECT_EQ(job->teamLimit, PublicLimit);
+}
+
 } // namespace
 
 } // namespace shallotproxy
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -720,10 +720,12 @@
     spec.steps.resize(2);
     spec.steps[1].after = {0};
     spec.steps[1].resources = {2'500, 64, 1};
+    spec.teamLimit = {9'000, 0, 2};
     const auto decoded = decodeJob(encodeJob(spec));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded->payload, spec.payload);
     EXPECT_EQ(decoded->steps[1].resources, spec.steps[1].resources);
+    EXPECT_EQ(decoded->teamLimit, spec.teamLimit);
     auto progress = JobProgress();
     progress.tasks.push_back({0, 1, 2, false, {3, 4}, "c", {{5, 1}}});
     const auto read = decodeProgress(encodeProgress(progress));
--- a/tests/unit/unit-steward.cpp
+++ b/tests/unit/unit-steward.cpp
@@ -700,6 +700,22 @@
               3);
 }
 
+// The configuration that removes a team left its accepted jobs without any limit.
+TEST(Steward, KeepsATeamThatIsRemovedBelowItsLimit)
+{
+    auto worker = SingleWorker(test::shortStep(1));
+    worker.startRun();
+    auto job = test::oneStepJob("a", test::shortStep(8));
+    job.team = TeamName("red");
+    job.teamLimit = {3'000, 0, 0};
+    const auto actions = worker.step(steward_event::JobAccepted{job, {}, false});
+    const auto isOfTeam = [](const auto &it) {
+        const auto *start = std::get_if<steward_action::StartRun>(&it);
+        return start != nullptr && start->task.job == "a";
+    };
+    EXPECT_EQ(std::ranges::count_if(actions, isOfTeam), 3);
+}
+
 TEST(Steward, StartsNothingInAClosedDataCentreOrOnALeavingWorker)
 {
     auto fleet = FakeFleet(2);
