--- a/tests/unit/fake_ports.cpp
+++ b/tests/unit/fake_ports.cpp
@@ -194,7 +194,8 @@
 
 auto FakeHostPort::startUpkeep(const UpkeepStart &, std::uint64_t, Reply reply) -> void
 {
-    later([reply] { reply(HostOutcome::Refused); });
+    ++upkeepOrders;
+    later([reply, outcome = upkeepOutcome] { reply(outcome); });
 }
 
 } // namespace shallotproxy::test
--- a/tests/unit/fake_ports.hpp
+++ b/tests/unit/fake_ports.hpp
@@ -69,7 +69,7 @@
     std::map<WorkerName, std::vector<EndedRun>> m_ended;
 };
 
-/// Lists the given hosts and refuses orders about them.
+/// Lists the given hosts and answers all orders about them alike.
 class FakeHostPort final : public HostPort
 {
 public:
@@ -78,6 +78,8 @@
     auto startUpkeep(const UpkeepStart &start, std::uint64_t token, Reply reply) -> void override;
 
     std::vector<HostReport> hosts;
+    HostOutcome upkeepOutcome = HostOutcome::Refused;
+    std::size_t upkeepOrders = 0;
 };
 
 } // namespace shallotproxy::test
--- a/tests/unit/unit-steward-duty.cpp
+++ b/tests/unit/unit-steward-duty.cpp
@@ -26,8 +26,10 @@
 class SingleMember
 {
 public:
-    explicit SingleMember(const std::function<void(test::FakeRecordStore &)> &prepare = {})
+    explicit SingleMember(const std::function<void(test::FakeRecordStore &)> &prepare = {},
+                          const RuntimeSettings &settings = {})
     {
+        context.settings = settings;
         if (prepare)
             prepare(store);
         test::ensureApplication();
@@ -56,6 +58,29 @@
         return test::runUntil([this, before] { return workers.starts[worker] > before; });
     }
 
+    /// Declares a wave that includes the worker's host.
+    auto declareWave() -> void
+    {
+        auto wave = UpkeepWave();
+        wave.number = 1;
+        wave.hosts = {hosts.hosts.front().host};
+        wave.duration = 1min;
+        context.fleet.wavesByKey["wave"] = wave;
+        duty.declarationsChanged();
+    }
+
+    auto withdrawWave() -> void
+    {
+        context.fleet.wavesByKey.clear();
+        duty.declarationsChanged();
+    }
+
+    [[nodiscard]] auto isDraining() -> bool
+    {
+        const auto load = duty.steward()->workerLoad(worker);
+        return load && load->isDraining;
+    }
+
     static constexpr auto WorkerKey = "servers/worker-0";
 
     test::FakeRecordStore store;
@@ -181,6 +206,20 @@
     EXPECT_TRUE(test::runUntil(isCounted, 10'000));
 }
 
+// A member of the first start that became the steward after another one ordered hosts at once, so
+// that two stewards ordered a host within its lease.
+TEST(StewardDuty, OrdersNoHostWithinTheLeaseOfAnEarlierSteward)
+{
+    auto settings = RuntimeSettings();
+    settings.isFirstStart = true;
+    settings.hostLeaseDuration = 1s;
+    auto member = SingleMember({}, settings);
+    member.declareWave();
+    test::runFor(700);
+    EXPECT_EQ(member.hosts.upkeepOrders, 0U);
+    EXPECT_TRUE(test::runUntil([&] { return member.hosts.upkeepOrders > 0; }));
+}
+
 } // namespace
 
 } // namespace shallotproxy
