Let the hosts of a withdrawn wave serve again

An operator withdraws a wave of upkeep while hosts are drained for it.

Cause: the planner forgot the wave, but not that its hosts were draining, and nobody ended their drain. Besides, a wave that was withdrawn while its record was read came back without a declaration, and a late answer wrote an empty list of its begun hosts.

Change: withdrawing a wave returns its drained hosts that no other wave claims. They serve again at once; those with an unanswered order, after the time in which it may be carried out. Nothing is written of waves that aren't declared.

Evidence: StewardDuty.GivesWorkToTheWorkersOfAWithdrawnWave fails without the change and passes with it; UpkeepPlanner.ReleasesTheHostsOfAWithdrawnWave tests the decision.

--- a/packages/job/include/shallotproxy/job/upkeep_planner.hpp
+++ b/packages/job/include/shallotproxy/job/upkeep_planner.hpp
@@ -36,6 +36,14 @@
     std::vector<std::uint64_t> completed;
 };
 
+/// The hosts that were drained for a wave that is withdrawn.
+struct WithdrawnHosts
+{
+    std::vector<HostName> idle;
+    /// Their start orders have no answer, and may still be carried out.
+    std::vector<HostName> inDoubt;
+};
+
 /// Plans the upkeep of the hosts of all waves.
 ///
 /// Expected load: a wave of half of the fleet is declared while one pool is at its peak. The wave
@@ -63,7 +71,8 @@
 
     /// Adds a wave. `startedHosts` have had their upkeep started by earlier stewards.
     auto waveDeclared(UpkeepWave wave, const std::set<HostName> &startedHosts) -> void;
-    auto waveWithdrawn(std::uint64_t number) -> void;
+    /// Removes a wave. Returns the hosts that no other wave claims.
+    auto waveWithdrawn(std::uint64_t number) -> WithdrawnHosts;
     /// The start order was sent; its outcome isn't known yet.
     auto startSent(const UpkeepStart &start) -> void;
     auto startAccepted(const UpkeepStart &start, BootTime now) -> void;
--- a/packages/job/src/upkeep_planner.cpp
+++ b/packages/job/src/upkeep_planner.cpp
@@ -12,9 +12,20 @@
     entry.startedHosts.insert(startedHosts.begin(), startedHosts.end());
 }
 
-auto UpkeepPlanner::waveWithdrawn(std::uint64_t number) -> void
+auto UpkeepPlanner::waveWithdrawn(std::uint64_t number) -> WithdrawnHosts
 {
-    m_waves.erase(number);
+    const auto wave = m_waves.extract(number);
+    auto hosts = WithdrawnHosts();
+    if (wave.empty())
+        return hosts;
+    const auto &unanswered = wave.mapped().unanswered;
+    std::erase_if(m_draining, [this, &hosts, &unanswered](const HostName &it) {
+        if (isDue(it))
+            return false;
+        (unanswered.contains(it) ? hosts.inDoubt : hosts.idle).push_back(it);
+        return true;
+    });
+    return hosts;
 }
 
 auto UpkeepPlanner::startSent(const UpkeepStart &start) -> void
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -50,17 +50,31 @@
 auto HostDuty::declarationsChanged() -> void
 {
     auto declaredWaves = std::set<std::uint64_t>();
+    auto newWaves = std::vector<const UpkeepWave *>();
     for (const auto &[key, wave] : m_context.fleet.wavesByKey) {
         declaredWaves.insert(wave.number);
-        if (m_waves.insert(wave.number).second)
-            loadWave(wave);
+        if (!m_waves.contains(wave.number))
+            newWaves.push_back(&wave);
     }
-    std::erase_if(m_waves, [this, &declaredWaves](auto number) {
-        if (declaredWaves.contains(number))
-            return false;
-        m_upkeep.waveWithdrawn(number);
-        return true;
-    });
+    auto withdrawnWaves = std::vector<std::uint64_t>();
+    std::ranges::set_difference(m_waves, declaredWaves, std::back_inserter(withdrawnWaves));
+    m_waves = std::move(declaredWaves);
+    for (const auto *it : newWaves)
+        loadWave(*it);
+    for (const auto number : withdrawnWaves)
+        withdrawWave(number);
+}
+
+/// Lets the hosts serve again that were drained for the wave.
+auto HostDuty::withdrawWave(std::uint64_t number) -> void
+{
+    const auto hosts = m_upkeep.waveWithdrawn(number);
+    m_context.log.info("event=wave-withdrawn wave={} released={} in-doubt={}", number,
+                       hosts.idle.size(), hosts.inDoubt.size());
+    for (const auto &it : hosts.idle)
+        setDraining(it, false);
+    for (const auto &it : hosts.inDoubt)
+        m_unansweredOrders[it] = BootClock::now() + LateOrderPeriod;
 }
 
 /// Reads which hosts of the wave earlier stewards have started, and passes the wave to the planner.
@@ -68,7 +82,7 @@
 {
     m_context.store.read(
         store_keys::upkeep(wave.number), [self = QPointer(this), wave](auto reply) {
-            if (!self)
+            if (!self || !self->m_waves.contains(wave.number))
                 return;
             if (!reply) {
                 QTimer::singleShot(BusyListInterval, self, [self, wave] { self->loadWave(wave); });
@@ -97,24 +111,24 @@
 auto HostDuty::step() -> void
 {
     const auto now = BootClock::now();
-    endUnansweredMoves(now);
+    endUnansweredOrders(now);
     if (!m_isListing && now >= m_nextListAt)
         readList();
     if (m_listedAt != BootTime())
         plan();
 }
 
-/// Lets hosts serve again whose moves can't be carried out any more.
-auto HostDuty::endUnansweredMoves(BootTime now) -> void
+/// Lets hosts serve again whose orders can't be carried out any more.
+auto HostDuty::endUnansweredOrders(BootTime now) -> void
 {
-    for (auto it = m_unansweredMoves.begin(); it != m_unansweredMoves.end();) {
+    for (auto it = m_unansweredOrders.begin(); it != m_unansweredOrders.end();) {
         if (now < it->second) {
             ++it;
             continue;
         }
         if (!m_upkeep.isClaimed(it->first))
             setDraining(it->first, false);
-        it = m_unansweredMoves.erase(it);
+        it = m_unansweredOrders.erase(it);
     }
 }
 
@@ -122,7 +136,7 @@
 auto HostDuty::hostsUnderOrder() const -> std::set<HostName>
 {
     auto hosts = m_pendingOrders;
-    for (const auto &[host, until] : m_unansweredMoves)
+    for (const auto &[host, until] : m_unansweredOrders)
         hosts.insert(host);
     return hosts;
 }
@@ -189,7 +203,7 @@
         }
         const auto &host = it.host.host;
         const auto isUnderOrder = m_upkeep.isClaimed(host) || m_pendingOrders.contains(host)
-            || m_unansweredMoves.contains(host);
+            || m_unansweredOrders.contains(host);
         m_steward.dispatch(
             steward_event::WorkerEnded{it.worker, isUnderOrder || it.isMaintained, listSentAt});
         const auto *after = m_steward.steward();
@@ -232,8 +246,8 @@
     return it != m_hosts.end() && m_steward.steward() != nullptr && viewOfHost(*it).isIdle();
 }
 
-/// Whether orders may be sent. Also the members of a first start wait: one of them may have been the
-/// steward before.
+/// Whether orders may be sent. Also the members of a first start wait: one of them may have been
+/// the steward before.
 auto HostDuty::mayOrder(BootTime now) const -> bool
 {
     return now >= m_startedAt + m_context.settings.hostLeaseDuration
@@ -428,7 +442,7 @@
             return;
         }
         if (outcome == HostOutcome::Unanswered) {
-            self->m_unansweredMoves[move.host] = now + LateOrderPeriod;
+            self->m_unansweredOrders[move.host] = now + LateOrderPeriod;
         } else if (!worker.isEmpty()) {
             self->m_steward.dispatch(steward_event::WorkerDrainChanged{worker, false});
         }
@@ -438,7 +452,7 @@
 
 auto HostDuty::writeStatus(std::uint64_t wave, bool isCompleted) -> void
 {
-    if (!m_steward.stewardship().token())
+    if (!m_steward.stewardship().token() || !m_waves.contains(wave))
         return;
     auto commit = m_steward.fencedCommit();
     commit.puts.push_back(m_context.recordCodec.waveStatus(wave, isCompleted));
--- a/packages/member/src/host_duty.hpp
+++ b/packages/member/src/host_duty.hpp
@@ -39,12 +39,13 @@
     auto upkeepAnswered(const UpkeepOrder &order, HostOutcome outcome) -> void;
     auto orderAnswered(HostOutcome outcome) -> void;
     auto repeatUpkeep(const UpkeepOrder &order) -> void;
-    auto endUnansweredMoves(BootTime now) -> void;
+    auto endUnansweredOrders(BootTime now) -> void;
     [[nodiscard]] auto hostsUnderOrder() const -> std::set<HostName>;
     auto move(const HostMove &move) -> void;
     auto setDraining(const HostName &host, bool isDraining) -> void;
     auto writeStatus(std::uint64_t wave, bool isCompleted) -> void;
     auto loadWave(const UpkeepWave &wave) -> void;
+    auto withdrawWave(std::uint64_t number) -> void;
     [[nodiscard]] auto isIdleNow(const HostName &host) const -> bool;
     [[nodiscard]] auto mayOrder(BootTime now) const -> bool;
 
@@ -65,8 +66,9 @@
     std::set<std::uint64_t> m_waves; // known to the planner, or being read from the store
     HostOrderPacer m_pacer;
     std::set<HostName> m_pendingOrders; // hosts with an order that waits for its reply
-    /// Hosts whose move got no reply; other orders for a host wait until the given time.
-    std::map<HostName, BootTime> m_unansweredMoves;
+    /// Hosts with an order that got no reply and isn't repeated; other orders for a host wait until
+    /// the given time.
+    std::map<HostName, BootTime> m_unansweredOrders;
 };
 
 } // namespace shallotproxy
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -104,6 +104,25 @@
     RC_ASSERT(completed);
 }
 
+TEST(UpkeepPlanner, ReleasesTheHostsOfAWithdrawnWave)
+{
+    const auto now = BootTime(1h);
+    auto planner = UpkeepPlanner();
+    planner.waveDeclared(waveOf(3, 3), {});
+    auto other = waveOf(1, 1);
+    other.number = 2;
+    planner.waveDeclared(other, {});
+    const auto hosts = std::vector{idleHost(0, "a"), idleHost(1, "a"), idleHost(2, "a")};
+    const auto orders = planner.step(hosts, {}, now, now);
+    ASSERT_EQ(std::set(orders.drain.begin(), orders.drain.end()).size(), 3U);
+    planner.startSent({hostName(1), 1, {}});
+    const auto withdrawn = planner.waveWithdrawn(1);
+    EXPECT_EQ(withdrawn.idle, std::vector{hostName(2)});
+    EXPECT_EQ(withdrawn.inDoubt, std::vector{hostName(1)});
+    EXPECT_TRUE(planner.isClaimed(hostName(0))); // by the other wave
+    EXPECT_FALSE(planner.isClaimed(hostName(2)));
+}
+
 TEST(UpkeepPlanner, SkipsHostsThatAnEarlierStewardStarted)
 {
     auto planner = UpkeepPlanner();
--- a/tests/unit/unit-steward-duty.cpp
+++ b/tests/unit/unit-steward-duty.cpp
@@ -220,6 +220,19 @@
     EXPECT_TRUE(test::runUntil([&] { return member.hosts.upkeepOrders > 0; }));
 }
 
+// The workers of a wave that was withdrawn stayed drained.
+TEST(StewardDuty, GivesWorkToTheWorkersOfAWithdrawnWave)
+{
+    auto settings = RuntimeSettings();
+    settings.hostLeaseDuration = 1ms;
+    auto member = SingleMember({}, settings);
+    member.declareWave();
+    ASSERT_TRUE(test::runUntil([&] { return member.isDraining(); }));
+    member.withdrawWave();
+    EXPECT_FALSE(member.isDraining());
+    EXPECT_TRUE(member.startsTasks());
+}
+
 } // namespace
 
 } // namespace shallotproxy
