Hold a crash against its tasks also while their worker is being drained

The end of a worker that is being drained was taken for a planned one.

Change: a drain excuses no crash. What ends a host on the steward's order is reported as such, and these orders go to idle hosts only. A host that is drained for its upkeep, but hasn't been ordered to it, counts like any other.

Evidence: CrashingTasks.AreGivenUpAlsoOnWorkersThatAreBeingDrained fails without the change ("starts again and again after it ended its workers") and passes with it.

--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -170,7 +170,7 @@
 /// of the hosts shows a crash much later, and this steward may end before.
 auto Steward::recordPossibleCrash(const Worker &worker) -> void
 {
-    if (worker.isDraining || worker.report.isLeaving || isLostWithDataCentre(worker))
+    if (worker.report.isLeaving || isLostWithDataCentre(worker))
         return;
     const auto tasks = openRuns(worker);
     if (std::ranges::any_of(tasks, [](const Task *it) { return it->possibleCrash.has_value(); }))
--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -53,8 +53,8 @@
 /// Reports the runs that were lost with the worker, and attributes the crash if it was one.
 auto Steward::handleLostRuns(const Worker &worker, RunLoss loss) -> void
 {
-    const auto isPlanned = worker.isDraining || worker.report.isLeaving;
-    const auto cause = isPlanned ? RunLoss::Planned : loss;
+    // A drain by itself ends no worker: the order that does so is sent to idle hosts, and reported.
+    const auto cause = worker.report.isLeaving ? RunLoss::Planned : loss;
     auto lost = std::vector<LostRun>();
     for (auto *task : worker.runs) {
         if (!task->isRunLost)
--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -202,8 +202,8 @@
             continue;
         }
         const auto &host = it.host.host;
-        const auto isUnderOrder = m_upkeep.isClaimed(host) || m_pendingOrders.contains(host)
-            || m_unansweredOrders.contains(host);
+        const auto isUnderOrder =
+            m_pendingOrders.contains(host) || m_unansweredOrders.contains(host);
         m_steward.dispatch(
             steward_event::WorkerEnded{it.worker, isUnderOrder || it.isMaintained, listSentAt});
         const auto *after = m_steward.steward();
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -193,6 +193,32 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// Workers are drained under the run, to move their hosts to another pool. Each crash was taken for
+// the end of a host that had been moved.
+TEST(CrashingTasks, AreGivenUpAlsoOnWorkersThatAreBeingDrained)
+{
+    auto fleet = FakeFleet(6);
+    fleet.crashesWorker = isCrashingTask;
+    fleet.crashDelay = 100ms;
+    const auto steward = fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    const auto setDraining = [&](bool isDraining) {
+        for (const auto &it : fleet.steward(steward).registeredWorkers())
+            fleet.send(steward, steward_event::WorkerDrainChanged{it, isDraining});
+    };
+    for (auto n = 0; n < 400; ++n) {
+        fleet.run(50ms);
+        if (fleet.activeRuns("crashing") == 0)
+            continue;
+        setDraining(true);
+        fleet.run(FakeFleet::EndReportDelay + 100ms);
+        setDraining(false);
+    }
+    EXPECT_EQ(fleet.outcome("crashing"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 // The run works for a while before it ends its worker, so that others have started beside it.
 TEST(CrashingTasks, AreGivenUpIfTheyCrashTheirWorkersLate)
 {
