Record the test of a suspect when it starts, not when its worker stops answering

Change: a suspect that starts alone is recorded as a possible crash with its start, and until it is no longer under test. The next steward holds it against the task if no worker knows the run and its worker has ended, with weaker evidence, as before. The start doesn't wait for the write: it takes less time than a steward's end shows in. Where more suspects of one crash wait than there are workers, only those with two crashes are recorded, as most of the others are innocent.

Tried and dropped: starting only once the record is stored. Suspects of one crash waited longer, and the order of tests changed so that CrashingTasks.AreGivenUpWhateverElseFails gave up an innocent task.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -372,6 +372,7 @@
     // Crashes of workers: steward_crashes.cpp
     auto recordCrash(const Worker &worker, bool wasCutOff) -> void;
     auto recordPossibleCrash(const Worker &worker) -> void;
+    auto recordPossibleCrash(Task &task, CrashEvidence evidence) -> void;
     auto clearPossibleCrash(Task &task) -> void;
     auto forgetPossibleCrash(const WorkerName &worker) -> void;
     auto settlePossibleCrashes() -> void;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -182,16 +182,22 @@
             evidence[n] ? weighEvidence(*evidence[n], task, false) : CrashEvidence::Beside;
         if (strength == CrashEvidence::Beside)
             continue;
-        task.possibleCrash = {task.run,
-                              static_cast<std::uint8_t>(strength),
-                              task.activeAtMilliseconds.has_value(),
-                              worker.report.name.value(),
-                              worker.startedMilliseconds,
-                              worker.report.dataCentre.value()};
-        markChanged(*task.job, WriteUrgency::First);
+        recordPossibleCrash(task, strength);
     }
 }
 
+auto Steward::recordPossibleCrash(Task &task, CrashEvidence evidence) -> void
+{
+    const auto &worker = *task.worker;
+    task.possibleCrash = {task.run,
+                          static_cast<std::uint8_t>(evidence),
+                          task.activeAtMilliseconds.has_value(),
+                          worker.report.name.value(),
+                          worker.startedMilliseconds,
+                          worker.report.dataCentre.value()};
+    markChanged(*task.job, WriteUrgency::First);
+}
+
 auto Steward::clearPossibleCrash(Task &task) -> void
 {
     if (!task.possibleCrash)
@@ -388,7 +394,12 @@
             continue;
         worker->suspectReservedUntil = m_now;
         startTask(task, *worker);
-        if (group.maxSize > 1 && task.crashes.mayBeGrouped()) {
+        const auto startsGroup = group.maxSize > 1 && task.crashes.mayBeGrouped();
+        // The next steward learns of a crash also if this one dies before it does. Of a crowd of
+        // suspects of one crash, most are innocent.
+        if (!startsGroup && (task.crashes.needsIsolation() || !group.isCrowded))
+            recordPossibleCrash(task, CrashEvidence::Sole);
+        if (startsGroup) {
             group.worker = worker;
             group.first = &task;
             group.size = 1;
@@ -417,15 +428,22 @@
     const auto it = m_suspectGroups.find(pool);
     const auto groups = it == m_suspectGroups.end() ? SuspectGroups() : it->second;
     auto waiting = std::size_t{0};
+    auto groupable = std::size_t{0};
     for (const auto &candidate : suspects) {
-        waiting += static_cast<std::size_t>(
-            std::ranges::count_if(candidate.tasks(), [this](const Task &task) {
-                return mayPlaceSuspect(task) && task.crashes.mayBeGrouped();
-            }));
+        for (const auto &task : candidate.tasks()) {
+            if (!mayPlaceSuspect(task))
+                continue;
+            ++waiting;
+            if (task.crashes.mayBeGrouped())
+                ++groupable;
+        }
     }
-    const auto workers = std::ranges::count_if(
-        m_poolWorkers.at(pool), [this](const Worker *worker) { return acceptsRuns(*worker); });
-    return {groups.size(waiting, static_cast<std::size_t>(workers), m_now), 0, nullptr, nullptr};
+    const auto workers = static_cast<std::size_t>(std::ranges::count_if(
+        m_poolWorkers.at(pool), [this](const Worker *worker) { return acceptsRuns(*worker); }));
+    auto group = SuspectGroup();
+    group.maxSize = groups.size(groupable, workers, m_now);
+    group.isCrowded = waiting > workers;
+    return group;
 }
 
 /// Returns the worker on which the suspect may start now: all runs there are established, and none
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -88,13 +88,14 @@
         }
         task->job->hasStarted = true;
         task->listedAt = event.sentAt;
-        clearPossibleCrash(*task);
         if (!run.checkpoint.empty())
             task->checkpoint = run.checkpoint;
         if (!task->activeAtMilliseconds) {
             task->activeAtMilliseconds = event.clockMilliseconds;
             task->isPartialRun = true;
         }
+        if (!isUnderTest(*task))
+            clearPossibleCrash(*task);
         task->progressPercent = run.progressPercent;
         task->latencyOrUsage = run.latencyOrUsage;
         // The worker lists a run whose start order has no answer yet.
@@ -154,9 +155,10 @@
     task->progressPercent = run.progressPercent;
     settleUnknownRun(*task); // this is the newest run
     task->isPartialRun = true;
-    clearPossibleCrash(*task);
     attach(*task, worker);
     task->activeAtMilliseconds = worker.latestClockMilliseconds;
+    if (!isUnderTest(*task))
+        clearPossibleCrash(*task);
     // The earlier steward may have granted the longest lease, if the worker had restarted.
     worker.leaseEndsAt = std::max(worker.leaseEndsAt, latestLeaseEnd(m_settings.maxRunLease, {}));
 }
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -26,7 +26,7 @@
     /// Numbers of the failed runs. Workers may report them in any order, and repeatedly.
     std::vector<std::uint64_t> failedRuns;
     CrashHistory crashes;
-    /// Set while the worker of the last run may have crashed.
+    /// Set while the worker of the last run may have crashed, and while a suspect is tested alone.
     std::optional<PossibleCrash> possibleCrash;
     /// The present run was started under test together with others.
     bool isGrouped = false;
@@ -149,6 +149,8 @@
 struct Steward::SuspectGroup
 {
     std::size_t maxSize = 1;
+    /// More suspects wait than there are workers to test them on.
+    bool isCrowded = false;
     std::size_t size = 0;
     Worker *worker = nullptr;
     Task *first = nullptr;
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -109,6 +109,28 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// Each steward but the first is killed at the moment of the crash.
+TEST(CrashingTasks, AreGivenUpIfEachStewardDiesWithTheWorker)
+{
+    auto fleet = FakeFleet(6);
+    fleet.crashesWorker = isCrashingTask;
+    fleet.crashDelay = 100ms;
+    auto steward = fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    fleet.run(fleet.crashDelay + FakeFleet::EndReportDelay + 50ms);
+    for (auto n = 0; n < 8 && fleet.outcome("crashing") == JobOutcome::Open; ++n) {
+        const auto seen = fleet.crashes(crashingTask);
+        for (auto i = 0; i < 1'000 && fleet.crashes(crashingTask) == seen; ++i)
+            fleet.run(FakeFleet::Step);
+        fleet.killSteward(steward);
+        steward = fleet.addSteward();
+    }
+    fleet.run(20s);
+    EXPECT_EQ(fleet.outcome("crashing"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 struct LossAtStewardChange
 {
     std::size_t runs = 0;
