Take a failure of the store for an unknown outcome unless it says that nothing was done

What callers saw: nothing yet. A submission whose write was answered 500 or 502, by the store or by what stands before it, was refused with 503 and "not run", although the job may have been stored.

Cause: all answers from 400 to 503 counted as proof that a write wasn't applied. Of those from 500 on, only 503 says so.

--- a/tests/unit/unit-platform-clients.cpp
+++ b/tests/unit/unit-platform-clients.cpp
@@ -49,6 +49,10 @@
     EXPECT_EQ(commitTo(refused).error().kind, StoreFailure::Kind::NotApplied);
     auto tooMany = FakeTarget(respondingWith("429", "{}"));
     EXPECT_EQ(commitTo(tooMany).error().kind, StoreFailure::Kind::NotApplied);
+    for (const auto *it : {"500", "502", "504"}) {
+        auto failing = FakeTarget(respondingWith(it, "{}"));
+        EXPECT_EQ(commitTo(failing).error().kind, StoreFailure::Kind::Unknown);
+    }
     auto noLease = FakeTarget(respondingWith("404", "{}"));
     EXPECT_EQ(commitTo(noLease).error().kind, StoreFailure::Kind::LeaseExpired);
     auto disconnected = FakeTarget(respondingWith("", ""));
