Count the whole host of a worker that can't be asked, also if its capacity has shrunk

What callers saw: nothing yet (docs/design/recovery.md, "Not bounded"). After a change of stewards a team could exceed its limit by what runs on a worker that is cut off and whose registered capacity has shrunk below that.

Cause: what a worker may run that hasn't been asked was bounded by the capacity that it registers now.

Change: by the larger of that and the largest host of the fleet, as for a worker without a registration.

Evidence: WideHalfRead.HoldsBackWhatTheHostOfAShrunkWorkerHasRoomFor fails without the change (8 starts instead of 4) and passes with it.

--- a/packages/job/src/steward_recovery.cpp
+++ b/packages/job/src/steward_recovery.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 
 #include "steward_state.hpp"
 
@@ -57,15 +58,18 @@
         return Resources();
     if (!m_hasHostList)
         return std::nullopt;
+    const auto largestHost = largestOf(m_hostCapacities);
     auto room = Resources();
     for (const auto &name : m_expectedWorkers) {
         const auto worker = m_workers.find(name);
-        if (worker != m_workers.end()) {
-            room += worker->second->isPolled ? Resources() : worker->second->report.capacity;
-        } else if (m_hostCapacities.empty()) {
-            return std::nullopt;
-        } else {
-            room += largestOf(m_hostCapacities);
+        if (worker == m_workers.end()) {
+            if (m_hostCapacities.empty())
+                return std::nullopt;
+            room += largestHost;
+        } else if (!worker->second->isPolled) {
+            // Its capacity may have shrunk below what it runs.
+            const auto capacities = std::array{worker->second->report.capacity, largestHost};
+            room += largestOf(capacities);
         }
     }
     return room;
--- a/tests/unit/unit-recovery.cpp
+++ b/tests/unit/unit-recovery.cpp
@@ -183,6 +183,18 @@
     EXPECT_EQ(accept("new", 8, false), 4);
 }
 
+// Its capacity may have shrunk below what the runs there use.
+TEST_F(WideHalfRead, HoldsBackWhatTheHostOfAShrunkWorkerHasRoomFor)
+{
+    accept("old", 100, true);
+    takeOver();
+    auto shrunk = workerReport(0);
+    shrunk.capacity = {2'000, 2'000, 0};
+    step(steward_event::WorkerReported{shrunk});
+    steward.expectWorkers({workerName(0), workerName(1)}, {workerReport(0).capacity});
+    EXPECT_EQ(accept("new", 8, false), 4);
+}
+
 TEST_F(WideHalfRead, HoldsBackNoMoreThanTheOldTasksNeed)
 {
     accept("old", 2, true);
