Bound the deadline of jobs with stated times of years

What callers saw: nothing yet. A job of 64 steps in a row with stated times of three years, learned to take eight times as long, overflowed its critical path and its deadline: undefined behaviour, and a job that is due in the past.

Change: a step counts as three years at most, so that 64 of them have a time, and deadlines are computed as floating-point numbers and bounded.

Evidence: JobRules.GiveADeadlineToTheLongestJob fails without the change and passes with it.

--- a/packages/job/include/shallotproxy/job/job_spec.hpp
+++ b/packages/job/include/shallotproxy/job/job_spec.hpp
@@ -78,16 +78,26 @@
     /// Returns how long after its submission a job with this critical path should be done.
     [[nodiscard]] auto deadlineOf(Duration criticalPath) const -> Duration
     {
-        return std::chrono::milliseconds(deadlineSlackMilliseconds)
-            + std::chrono::duration_cast<Duration>(criticalPath * deadlineFactor);
+        const auto slack = std::chrono::milliseconds(deadlineSlackMilliseconds);
+        return bounded(std::chrono::duration<double>(criticalPath) * deadlineFactor + slack);
     }
     /// Returns how long after its submission the result of such a job is of use.
     [[nodiscard]] auto usefulTimeOf(Duration criticalPath) const -> Duration
     {
-        return std::chrono::duration_cast<Duration>(deadlineOf(criticalPath) * usefulFactor);
+        return bounded(std::chrono::duration<double>(deadlineOf(criticalPath)) * usefulFactor);
     }
 
     MSGPACK_DEFINE(attempts, priority, deadlineFactor, deadlineSlackMilliseconds, usefulFactor)
+
+private:
+    // Added to a time of this machine, the result stays within its range.
+    static constexpr std::chrono::years MaxTime{50};
+
+    static auto bounded(std::chrono::duration<double> time) -> Duration
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::min<std::chrono::duration<double>>(time, MaxTime));
+    }
 };
 
 /// A submitted job. It is immutable.
@@ -113,6 +123,9 @@
     /// The limit of the team when the job was submitted; it holds on if the team is removed.
     Resources teamLimit;
 
+    /// Longer steps count as this long in criticalPath(), so that a job of all steps has a time.
+    static constexpr std::chrono::years MaxStepTime{3};
+
     [[nodiscard]] auto isScheduled() const -> bool { return firstDueMilliseconds > 0; }
     /// Returns the duration of the longest chain of dependent steps. `durationOf` returns the
     /// duration of a step, given by its index.
@@ -125,7 +138,7 @@
             auto begin = Duration();
             for (const auto earlier : steps[n].after)
                 begin = std::max(begin, ends.at(earlier));
-            ends.push_back(begin + durationOf(n));
+            ends.push_back(begin + std::min<Duration>(durationOf(n), MaxStepTime));
             longest = std::max(longest, ends.back());
         }
         return longest;
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -800,6 +800,27 @@
     static_cast<void>(decodeProgress(bytes));
 }
 
+// A stated time of years in each of many steps overflowed, and the job was due in the past.
+TEST(JobRules, GiveADeadlineToTheLongestJob)
+{
+    constexpr auto LongestMilliseconds = 100'000'000'000;
+    auto job = JobSpec();
+    job.steps.resize(64);
+    for (std::uint32_t n = 0; n < job.steps.size(); ++n) {
+        job.steps[n].estimatedMilliseconds = LongestMilliseconds;
+        job.steps[n].after = n == 0 ? std::vector<std::uint32_t>() : std::vector{n - 1};
+    }
+    ASSERT_TRUE(checkJob(job).has_value());
+    auto rules = JobRules();
+    rules.deadlineFactor = 1.6;
+    const auto path = job.criticalPath([&job](std::size_t step) {
+        return 8 * std::chrono::milliseconds(job.steps[step].estimatedMilliseconds);
+    });
+    EXPECT_GT(path, std::chrono::years(100));
+    EXPECT_GT(rules.deadlineOf(path), std::chrono::years(40));
+    EXPECT_GE(rules.usefulTimeOf(path), rules.deadlineOf(path));
+}
+
 TEST(JobRecords, InvalidJobsAreRefused)
 {
     auto spec = JobSpec();
