Complete a wave only once its missing hosts have left the fleet

What callers saw: nothing yet. A list of the hosts that lacks one of a wave, as its pages aren't one

Change: a host of the wave that wasn't begun counts as there until all lists of five seconds lack it.

Evidence: UpkeepPlanner.DoesNotCompleteAWaveByAListThatLacksAHost fails without the change and passes with it.

--- a/packages/job/include/shallotproxy/job/upkeep_planner.hpp
+++ b/packages/job/include/shallotproxy/job/upkeep_planner.hpp
@@ -64,6 +64,10 @@
     /// for hosts that take long to drain, for takeovers and for platform outages.
     static constexpr double PlannedPart = 0.6;
 
+    /// A host that all lists of this time leave out has left the fleet. Pages of a list aren't one
+    /// snapshot: a host may be missing from one.
+    static constexpr Milliseconds DepartureTime{5'000};
+
     /// The platform takes `hostUpkeepTime` for the upkeep of a host.
     explicit UpkeepPlanner(Milliseconds hostUpkeepTime = Milliseconds(2'000))
         : m_hostTime(hostUpkeepTime + OrderTime)
@@ -100,6 +104,9 @@
         std::set<HostName> unanswered;
         /// Started hosts that haven't been listed as up again, with the time of the answer.
         std::map<HostName, BootTime> down;
+        /// Hosts that weren't started and are missing from the list, with the time of the first
+        /// such list.
+        std::map<HostName, BootTime> missingSince;
         bool isCompleted = false;
         /// Time at which the first step saw the wave.
         std::optional<BootTime> firstStepAt;
@@ -111,6 +118,9 @@
     [[nodiscard]] auto paceOf(const Wave &wave, std::size_t remaining, BootTime now) const
         -> std::size_t;
 
+    /// Whether a host of the wave that wasn't started may still be there although it isn't listed.
+    static auto awaitsMissingHosts(Wave &wave, std::span<const HostView> hosts, BootTime listedAt)
+        -> bool;
     auto stepWave(Wave &wave, std::span<const HostView> hosts, const std::set<HostName> &blocked,
                   BootTime listedAt, BootTime now, UpkeepOrders &orders) -> void;
 
--- a/packages/job/src/upkeep_planner.cpp
+++ b/packages/job/src/upkeep_planner.cpp
@@ -98,6 +98,25 @@
     return std::min(maximum, (remaining + rounds - 1) / rounds);
 }
 
+auto UpkeepPlanner::awaitsMissingHosts(Wave &wave, std::span<const HostView> hosts,
+                                       BootTime listedAt) -> bool
+{
+    auto missing = wave.declaration.hosts;
+    for (const auto &it : wave.startedHosts)
+        missing.erase(it);
+    for (const auto &it : hosts)
+        missing.erase(it.report.host);
+    std::erase_if(wave.missingSince,
+                  [&missing](const auto &it) { return !missing.contains(it.first); });
+    return std::ranges::count_if(missing,
+                                 [&wave, listedAt](const HostName &it) {
+                                     const auto since =
+                                         wave.missingSince.try_emplace(it, listedAt).first->second;
+                                     return listedAt < since + DepartureTime;
+                                 })
+        > 0;
+}
+
 auto UpkeepPlanner::stepWave(Wave &wave, std::span<const HostView> hosts,
                              const std::set<HostName> &blocked, BootTime listedAt, BootTime now,
                              UpkeepOrders &orders) -> void
@@ -123,7 +142,8 @@
         if (isFree && it.report.state == HostState::Up)
             pending.push_back(&it);
     }
-    if (isAllStarted && wave.unanswered.empty() && now > listedAt) {
+    const auto mayHaveMore = awaitsMissingHosts(wave, hosts, listedAt);
+    if (isAllStarted && !mayHaveMore && wave.unanswered.empty() && now > listedAt) {
         wave.isCompleted = true;
         orders.completed.push_back(wave.declaration.number);
         return;
--- a/tests/unit/unit-job-plans.cpp
+++ b/tests/unit/unit-job-plans.cpp
@@ -104,6 +104,29 @@
     RC_ASSERT(completed);
 }
 
+// A list without one host completed the wave, and the host never had its upkeep.
+TEST(UpkeepPlanner, DoesNotCompleteAWaveByAListThatLacksAHost)
+{
+    auto now = BootTime(1h);
+    auto planner = UpkeepPlanner();
+    planner.waveDeclared(waveOf(2, 1), {hostName(0)});
+    const auto listed = std::vector{idleHost(0, "a"), idleHost(1, "a")};
+    const auto step = [&](std::span<const HostView> hosts) {
+        const auto listedAt = now;
+        now += 400ms;
+        return planner.step(hosts, {}, listedAt, now);
+    };
+    EXPECT_TRUE(step(std::span(listed).first(1)).completed.empty());
+    const auto orders = step(listed);
+    ASSERT_EQ(orders.start.size(), 1U);
+    EXPECT_EQ(orders.start.front().host, hostName(1));
+    auto lists = 0;
+    while (step(std::span(listed).first(1)).completed.empty() && lists < 100)
+        ++lists; // it has left the fleet
+    EXPECT_GE(lists * 400ms, UpkeepPlanner::DepartureTime);
+    EXPECT_LT(lists * 400ms, UpkeepPlanner::DepartureTime + 1s);
+}
+
 TEST(UpkeepPlanner, ReleasesTheHostsOfAWithdrawnWave)
 {
     const auto now = BootTime(1h);
