Record the starts of a pool with suspects, so that a crash outlives its steward

Change: in a pool with suspects, each start is recorded as a possible crash, with the evidence that a steward would hold against a run that has just started. The record is dropped once a poll lists the run. Pools without suspects write nothing more than before.

Evidence: CrashingTasks.AreGivenUpIfNoStewardLivesToSeeOneOfTheirCrashes fails without the change and passes with it. What remains: a steward that takes over hundreds of waiting tasks starts 128 at once, and may die before all of them are written.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -372,7 +372,8 @@
     // Crashes of workers: steward_crashes.cpp
     auto recordCrash(const Worker &worker, bool wasCutOff) -> void;
     auto recordPossibleCrash(const Worker &worker) -> void;
-    auto recordPossibleCrash(Task &task, CrashEvidence evidence) -> void;
+    auto recordPossibleCrash(Task &task, CrashEvidence evidence, WriteUrgency urgency) -> void;
+    [[nodiscard]] auto hasSuspects(const PoolName &pool) const -> bool;
     auto clearPossibleCrash(Task &task) -> void;
     auto forgetPossibleCrash(const WorkerName &worker) -> void;
     auto settlePossibleCrashes() -> void;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -182,11 +182,11 @@
             evidence[n] ? weighEvidence(*evidence[n], task, false) : CrashEvidence::Beside;
         if (strength == CrashEvidence::Beside)
             continue;
-        recordPossibleCrash(task, strength);
+        recordPossibleCrash(task, strength, WriteUrgency::First);
     }
 }
 
-auto Steward::recordPossibleCrash(Task &task, CrashEvidence evidence) -> void
+auto Steward::recordPossibleCrash(Task &task, CrashEvidence evidence, WriteUrgency urgency) -> void
 {
     const auto &worker = *task.worker;
     task.possibleCrash = {task.run,
@@ -195,7 +195,15 @@
                           worker.report.name.value(),
                           worker.startedMilliseconds,
                           worker.report.dataCentre.value()};
-    markChanged(*task.job, WriteUrgency::First);
+    markChanged(*task.job, urgency);
+}
+
+/// Whether tasks of the pool are suspected of crashing their workers, so that others may as well.
+auto Steward::hasSuspects(const PoolName &pool) const -> bool
+{
+    const auto backlog = m_backlogs.find(pool);
+    return hasCrashingTasks(pool)
+        || (backlog != m_backlogs.end() && !backlog->second->suspects.empty());
 }
 
 auto Steward::clearPossibleCrash(Task &task) -> void
@@ -398,7 +406,7 @@
         // The next steward learns of a crash also if this one dies before it does. Of a crowd of
         // suspects of one crash, most are innocent.
         if (!startsGroup && (task.crashes.needsIsolation() || !group.isCrowded))
-            recordPossibleCrash(task, CrashEvidence::Sole);
+            recordPossibleCrash(task, CrashEvidence::Sole, WriteUrgency::First);
         if (startsGroup) {
             group.worker = worker;
             group.first = &task;
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -262,6 +262,9 @@
         if (!task.spec().isLongRunning)
             --m_startBudget;
         startTask(task, *worker);
+        // If this steward dies with the worker, the next one learns of the crash by the record.
+        if (hasSuspects(worker->report.pool))
+            recordPossibleCrash(task, CrashEvidence::Likely, WriteUrgency::Urgent);
     }
     return PlaceResult::Placed;
 }
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -131,6 +131,31 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// Other tasks of the pool are known to crash their workers, and no steward lives to see a crash of
+// the first one.
+TEST(CrashingTasks, AreGivenUpIfNoStewardLivesToSeeOneOfTheirCrashes)
+{
+    auto fleet = FakeFleet(8);
+    fleet.crashesWorker = [](const JobTaskId &it) { return it.index == 0; };
+    fleet.crashDelay = 100ms;
+    auto steward = fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("known", test::shortStep(1)));
+    fleet.run(fleet.crashDelay + FakeFleet::EndReportDelay + 50ms);
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    for (auto n = 0; n < 8 && fleet.outcome("crashing") == JobOutcome::Open; ++n) {
+        const auto seen = fleet.crashes(crashingTask);
+        for (auto i = 0; i < 1'000 && fleet.crashes(crashingTask) == seen; ++i)
+            fleet.run(FakeFleet::Step);
+        fleet.killSteward(steward);
+        steward = fleet.addSteward();
+    }
+    fleet.run(30s);
+    EXPECT_EQ(fleet.outcome("crashing"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.outcome("known"), JobOutcome::Failed);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 struct LossAtStewardChange
 {
     std::size_t runs = 0;
