Record each possible crash of a worker for itself

When a worker refuses connections, its runs were recorded as possible crashes unless one of them was already. Since starts are recorded, one of them often is, and the runs that a poll had listed a moment before were left out. Found by reading; no test shows a difference that callers would see.

--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -173,11 +173,11 @@
     if (worker.report.isLeaving || isLostWithDataCentre(worker))
         return;
     const auto tasks = openRuns(worker);
-    if (std::ranges::any_of(tasks, [](const Task *it) { return it->possibleCrash.has_value(); }))
-        return;
     const auto evidence = evidenceIfCrashed(tasks);
     for (std::size_t n = 0; n < tasks.size(); ++n) {
         auto &task = *tasks[n];
+        if (task.possibleCrash)
+            continue;
         const auto strength =
             evidence[n] ? weighEvidence(*evidence[n], task, false) : CrashEvidence::Beside;
         if (strength == CrashEvidence::Beside)
