--- a/packages/member/src/host_duty.cpp
+++ b/packages/member/src/host_duty.cpp
@@ -246,12 +246,11 @@
     return it != m_hosts.end() && m_steward.steward() != nullptr && viewOfHost(*it).isIdle();
 }
 
-/// Whether orders may be sent. Members of a first start wait as well: one of them may have been the
-/// steward before.
 auto HostDuty::mayOrder(BootTime now) const -> bool
 {
-    return now >= m_startedAt + m_context.settings.hostLeaseDuration
-        && m_steward.stewardship().mayOrder(now);
+    const auto hasWaited = m_context.settings.isFirstStart
+        || now >= m_startedAt + m_context.settings.hostLeaseDuration;
+    return hasWaited && m_steward.stewardship().mayOrder(now);
 }
 
 auto HostDuty::plan() -> void
