--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -38,8 +38,8 @@
     MSGPACK_DEFINE(run, evidence, wasConfirmed)
 };
 
-/// A run whose worker refused connections, so that it may have crashed. Tells the next steward of a
-/// crash that this one may not live to see.
+/// A run whose worker may have crashed: it refused connections, or the run has just started where
+/// tasks crash their workers. Tells the next steward of a crash that this one may not live to see.
 struct PossibleCrash
 {
     std::uint64_t run = 0;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -186,6 +186,7 @@
     }
 }
 
+/// Records what the crash of the task's worker would prove.
 auto Steward::recordPossibleCrash(Task &task, CrashEvidence evidence, WriteUrgency urgency) -> void
 {
     const auto &worker = *task.worker;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -26,7 +26,8 @@
     /// Numbers of the failed runs. Workers may report them in any order, and repeatedly.
     std::vector<std::uint64_t> failedRuns;
     CrashHistory crashes;
-    /// Set while the worker of the last run may have crashed, and while a suspect is tested alone.
+    /// Set while the worker of the last run may have crashed, while a suspect is tested alone, and
+    /// in a pool with suspects from the start of a run until a poll lists it.
     std::optional<PossibleCrash> possibleCrash;
     /// The present run was started under test together with others.
     bool isGrouped = false;
