review: a job whose task never started is shown as failed (LOST)

Three executors are cut off one after the other and restart behind the cut. A task that is ordered to each of them, and never starts, is given up as if it had crashed them.

--- a/review/stand-3/deployment.cpp
+++ b/review/stand-3/deployment.cpp
@@ -76,10 +76,12 @@
     store.put("op/config", encode({}));
     auto listed = std::vector<Executor *>();
     for (auto n = 1; n <= settings.executors; ++n) {
+        // Ids of one length, so that their order is that of the numbers.
         const auto number = std::to_string(n);
+        const auto digits = (n < 10 ? "0" : "") + number;
         executors.push_back(std::make_unique<Executor>(
             loop, store, record,
-            Executor::Settings{"i-7f3a91c" + number, "m-0a3f" + number, Service,
+            Executor::Settings{"i-7f3a91" + digits, "m-0a3f" + digits, Service,
                                at("127.0.1." + number, m_port), "bergen-a"}));
         listed.push_back(executors.back().get());
     }
--- a/review/stand-3/fleet.cpp
+++ b/review/stand-3/fleet.cpp
@@ -297,19 +297,37 @@
     m_record.add("executor " + m_settings.id + " crashes, with " + std::to_string(m_runs.size())
                  + " runs");
     m_isUp = false;
-    ++m_life;
     m_server.close();
-    const auto lost = std::exchange(m_runs, {});
-    if (ended) {
-        for (const auto &it : lost)
-            ended(*this, it, "lost");
-    }
+    loseRuns();
     m_loop.after(downMilliseconds, [this] {
         boot();
         m_record.add("executor " + m_settings.id + " is back");
     });
 }
 
+auto Executor::loseRuns() -> void
+{
+    ++m_life;
+    const auto lost = std::exchange(m_runs, {});
+    if (!ended)
+        return;
+    for (const auto &it : lost)
+        ended(*this, it, "lost");
+}
+
+auto Executor::restartBehindCut(std::int64_t milliseconds) -> void
+{
+    m_record.add("executor " + m_settings.id + " is cut off, and restarts with "
+                 + std::to_string(m_runs.size()) + " runs");
+    m_server.cut();
+    loseRuns();
+    m_loop.after(milliseconds, [this] {
+        boot();
+        m_server.heal();
+        m_record.add("executor " + m_settings.id + " is reached again");
+    });
+}
+
 auto Executor::clock() const -> std::int64_t
 {
     return steadyMilliseconds() - m_bootedAt;
--- a/review/stand-3/fleet.hpp
+++ b/review/stand-3/fleet.hpp
@@ -132,6 +132,9 @@
 
     /// Ends the process and all that runs there; it is back under its id after that time.
     auto crash(std::int64_t downMilliseconds) -> void;
+    /// Cuts the executor off for that time. Its process ends at once, with all that runs there, and
+    /// starts again behind the cut. Its machine stays up.
+    auto restartBehindCut(std::int64_t milliseconds) -> void;
     [[nodiscard]] auto isUp() const -> bool { return m_isUp; }
     [[nodiscard]] auto settings() const -> const Settings & { return m_settings; }
     [[nodiscard]] auto runs() const -> const std::vector<Run> & { return m_runs; }
@@ -166,6 +169,7 @@
     auto extend(const Json &body) -> void;
     [[nodiscard]] auto lists() const -> std::string;
     [[nodiscard]] auto clock() const -> std::int64_t;
+    auto loseRuns() -> void;
     auto boot() -> void;
     auto beat() -> void;
     auto tick() -> void;
--- a/review/stand-3/loop.cpp
+++ b/review/stand-3/loop.cpp
@@ -216,6 +216,30 @@
     }
 }
 
+auto Server::cut() -> void
+{
+    m_loop.unwatch(m_listener);
+    for (const auto &[fd, connection] : m_connections)
+        m_loop.unwatch(fd);
+    // Once the queue of new connections is full, the kernel drops opening packets.
+    constexpr auto Fillers = 4;
+    listen(m_listener, 0);
+    const auto address = socketAddress(m_address);
+    for (auto n = 0; n < Fillers; ++n) {
+        m_fillers.push_back(newSocket());
+        static_cast<void>(connect(m_fillers.back(), reinterpret_cast<const sockaddr *>(&address),
+                                  sizeof address));
+    }
+}
+
+auto Server::heal() -> void
+{
+    close();
+    for (const auto it : std::exchange(m_fillers, {}))
+        ::close(it);
+    open();
+}
+
 auto Server::accept() -> void
 {
     const auto fd = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/review/stand-3/loop.hpp
+++ b/review/stand-3/loop.hpp
@@ -68,6 +68,11 @@
     /// Closes all connections and refuses new ones until `open()`.
     auto close() -> void;
     auto open() -> void;
+    /// Behaves as behind a cut until `heal()`: nothing is read or answered, and new connections
+    /// stay without an answer.
+    auto cut() -> void;
+    /// Ends the cut. The connections from before it are reset.
+    auto heal() -> void;
 
 private:
     struct Connection;
@@ -81,6 +86,7 @@
     std::string m_address;
     Handler m_handler;
     int m_listener = -1;
+    std::vector<int> m_fillers;
     std::map<int, std::shared_ptr<Connection>> m_connections;
 };
 
