--- a/review/stand-3/deployment.cpp
+++ b/review/stand-3/deployment.cpp
@@ -107,7 +107,7 @@
 
 auto Deployment::submit(const std::string &job, const std::string &steps) -> void
 {
-    attempt(job, R"({"spec":"text","steps":)" + steps + '}', 0);
+    attempt(job, R"({"spec":"text","steps":)" + steps + "}", 0);
 }
 
 auto Deployment::attempt(const std::string &job, const std::string &body, std::size_t member)
--- a/review/stand-3/fleet.cpp
+++ b/review/stand-3/fleet.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::int64_t TickMilliseconds = 10;
+constexpr std::int64_t LateMilliseconds = 4'000; // of 2 to 12 s
 constexpr std::size_t EndsPerReply = 500;
 constexpr int Ok = 200;
 constexpr int BadRequest = 400;
@@ -247,8 +248,9 @@
     , m_store(store)
     , m_record(record)
     , m_settings(std::move(settings))
-    , m_server(loop, m_settings.address,
-               [this](const Request &request, const Respond &respond) { handle(request, respond); })
+    , m_server(loop, m_settings.address, [this](const Request &request, const Respond &respond) {
+        receive(request, respond);
+    })
 {
     boot();
     tick();
@@ -394,6 +396,25 @@
     respond(Rejected, Json{{"clock_ms", clock()}, {"reason", reason}}.dump());
 }
 
+auto Executor::receive(const Request &request, const Respond &respond) -> void
+{
+    const auto fate = fateOf ? fateOf(request) : Fate::Answered;
+    const auto ignore = [](int, const std::string &) {};
+    switch (fate) {
+    case Fate::Answered:
+        handle(request, respond);
+        return;
+    case Fate::AnswerLost:
+        handle(request, ignore);
+        return;
+    case Fate::Late:
+        m_loop.after(LateMilliseconds, [this, request, ignore, life = m_life] {
+            if (life == m_life)
+                handle(request, ignore);
+        });
+    }
+}
+
 auto Executor::handle(const Request &request, const Respond &respond) -> void
 {
     const auto expected = request.headers.find("x-expected-instance");
--- a/review/stand-3/fleet.hpp
+++ b/review/stand-3/fleet.hpp
@@ -139,6 +139,11 @@
     [[nodiscard]] auto settings() const -> const Settings & { return m_settings; }
     [[nodiscard]] auto runs() const -> const std::vector<Run> & { return m_runs; }
 
+    /// What becomes of an order: it is answered, carried out without an answer, or carried out some
+    /// seconds later without an answer.
+    enum class Fate { Answered, AnswerLost, Late };
+
+    std::function<Fate(const Request &)> fateOf;
     /// Tells what a task does, and how much of a core it takes.
     std::function<Work(const std::string &task)> workOf;
     std::function<std::int64_t(const std::string &task)> milliCoresOf;
@@ -160,6 +165,7 @@
         Respond respond;
     };
 
+    auto receive(const Request &request, const Respond &respond) -> void;
     auto handle(const Request &request, const Respond &respond) -> void;
     auto start(const Json &body, const Respond &respond) -> void;
     auto stop(const Json &body, const Respond &respond) -> void;
