--- a/review/stand-3/deployment.cpp
+++ b/review/stand-3/deployment.cpp
@@ -18,6 +18,7 @@
 constexpr auto StoreIp = "127.0.0.7";
 constexpr auto CloudIp = "127.0.0.8";
 constexpr int PortsOfMember = 18;
+constexpr int FirstMember = 11;
 
 auto headers() -> std::map<std::string, std::string>
 {
@@ -87,13 +88,12 @@
     }
     const auto cloudAddress = at(CloudIp, m_port);
     cloud = std::make_unique<Cloud>(loop, cloudAddress, std::move(listed));
-    members =
-        std::make_unique<Members>(record,
-                                  Members::Settings{settings.folder,
-                                                    {"127.0.0.11", "127.0.0.12", "127.0.0.13"},
-                                                    m_port,
-                                                    at(StoreIp, m_port),
-                                                    cloudAddress});
+    auto ips = std::vector<std::string>();
+    for (auto n = 0; n < settings.members; ++n)
+        ips.push_back("127.0.0." + std::to_string(FirstMember + n));
+    members = std::make_unique<Members>(record,
+                                        Members::Settings{settings.folder, std::move(ips), m_port,
+                                                          at(StoreIp, m_port), cloudAddress});
     for (std::size_t n = 0; n < members->count(); ++n)
         members->start(n);
 }
--- a/review/stand-3/deployment.hpp
+++ b/review/stand-3/deployment.hpp
@@ -16,7 +16,7 @@
 /// Whether the case brings about its disruption; not with TROUBLE=0.
 auto isTroubled() -> bool;
 
-/// A small deployment on the stand-ins: three members, one service and its executors.
+/// A small deployment on the stand-ins: some members, one service and its executors.
 class Deployment
 {
 public:
@@ -25,6 +25,7 @@
         std::string record;
         std::string folder;
         int executors = 6;
+        int members = 3;
     };
 
     explicit Deployment(const Settings &settings);
--- a/review/stand-3/fleet.cpp
+++ b/review/stand-3/fleet.cpp
@@ -73,6 +73,12 @@
     return m_revision;
 }
 
+auto Store::value(const std::string &key) const -> std::string
+{
+    const auto it = m_items.find(key);
+    return it == m_items.end() ? std::string() : it->second.value;
+}
+
 auto Store::remove(const std::string &key) -> void
 {
     if (m_items.contains(key))
@@ -317,6 +323,20 @@
         ended(*this, it, "lost");
 }
 
+auto Executor::crashSilently(std::int64_t downMilliseconds) -> void
+{
+    m_record.add("executor " + m_settings.id + " falls silent, with "
+                 + std::to_string(m_runs.size()) + " runs");
+    m_isUp = false;
+    m_server.cut();
+    loseRuns();
+    m_loop.after(downMilliseconds, [this] {
+        boot();
+        m_server.heal();
+        m_record.add("executor " + m_settings.id + " is back");
+    });
+}
+
 auto Executor::restartBehindCut(std::int64_t milliseconds) -> void
 {
     m_record.add("executor " + m_settings.id + " is cut off, and restarts with "
@@ -558,6 +578,11 @@
     return m_settings.ips[member] + ':' + std::to_string(m_settings.port);
 }
 
+auto Members::ip(std::size_t member) const -> std::string
+{
+    return m_settings.ips[member];
+}
+
 auto Members::start(std::size_t member) -> void
 {
     const auto &ip = m_settings.ips[member];
@@ -576,7 +601,7 @@
         {"listen", {{"front", at(0)}, {"ready", at(1)}}},
         {"port_range", {m_settings.port + 2, m_settings.port + 17}},
         {"seeds", Json::array()},
-        {"bootstrap", true},
+        {"bootstrap", m_started.insert(member).second},
         {"limits",
          {{"cpu_share", 0.25},
           {"cores", 1},
--- a/review/stand-3/fleet.hpp
+++ b/review/stand-3/fleet.hpp
@@ -41,6 +41,8 @@
     auto put(const std::string &key, const std::string &value) -> std::uint64_t;
     auto remove(const std::string &key) -> void;
 
+    [[nodiscard]] auto value(const std::string &key) const -> std::string;
+
     /// Called for each call; returns whether the call is refused with 503.
     std::function<bool(const Request &)> refuses;
 
@@ -132,6 +134,8 @@
 
     /// Ends the process and all that runs there; it is back under its id after that time.
     auto crash(std::int64_t downMilliseconds) -> void;
+    /// The same with its machine: nothing is refused, nothing is answered.
+    auto crashSilently(std::int64_t downMilliseconds) -> void;
     /// Cuts the executor off for that time. Its process ends at once, with all that runs there, and
     /// starts again behind the cut. Its machine stays up.
     auto restartBehindCut(std::int64_t milliseconds) -> void;
@@ -228,7 +232,9 @@
     Members(const Members &) = delete;
     auto operator=(const Members &) -> Members & = delete;
 
+    /// Starts a member; only the first time as one of the system's first start.
     auto start(std::size_t member) -> void;
+    [[nodiscard]] auto ip(std::size_t member) const -> std::string;
     auto signal(std::size_t member, int number) -> void;
     [[nodiscard]] auto front(std::size_t member) const -> std::string;
     [[nodiscard]] auto count() const -> std::size_t { return m_settings.ips.size(); }
@@ -237,6 +243,7 @@
     Record &m_record;
     Settings m_settings;
     std::vector<pid_t> m_processes;
+    std::set<std::size_t> m_started;
 };
 
 } // namespace stand3
