Start a task that would wait for its team's limit for good

Cause: isWithinTeamLimit() bounded the sum of all runs and the new task by the limit. If none of the runs ends, the task waits for something that never comes.

Fix: one task may exceed the limit while the team uses less than half of the resource, or, if it is finite, while the team runs long-running tasks only. The sum is bounded by the limit and one task. One function answers for placement, preemption, suspects, admission and the reason shown. Smaller tasks of the team pass such a task by for 5 s at most.

--- a/packages/job/include/shallotproxy/job.hpp
+++ b/packages/job/include/shallotproxy/job.hpp
@@ -13,5 +13,6 @@
 #include "job/progress_writer.hpp"
 #include "job/steward.hpp"
 #include "job/stewardship.hpp"
+#include "job/team_limit.hpp"
 #include "job/upkeep_planner.hpp"
 #include "job/waiting_order.hpp"
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -10,6 +10,7 @@
 #include "shallotproxy/demand.hpp"
 #include "steward_events.hpp"
 #include "suspect_groups.hpp"
+#include "team_limit.hpp"
 #include "unknown_runs.hpp"
 #include "waiting_order.hpp"
 
@@ -254,6 +255,14 @@
         JobTaskId task;
     };
 
+    /// A step that the limit of its team keeps from starting although smaller tasks still start.
+    struct LimitWait
+    {
+        WaitingStepId step;
+        const Job *job = nullptr;
+        BootTime since;
+    };
+
     /// See PoolLoad.
     struct AcceptedWork
     {
@@ -435,11 +444,22 @@
     [[nodiscard]] auto takesNewWork(const Worker &worker) const -> bool;
     [[nodiscard]] auto isWaitingToStart(const Task &task) const -> bool;
     [[nodiscard]] auto isAllowedOn(const Worker &worker, const Task &task) const -> bool;
-    [[nodiscard]] auto isWithinTeamLimit(const Job &job, const Resources &resources) const -> bool;
     [[nodiscard]] auto mayPlace(const Task &task) const -> bool;
     [[nodiscard]] auto teamShare(const TeamName &team) const -> double;
     [[nodiscard]] auto meanTeamShare() const -> double;
 
+    // Limits of teams: steward_limits.cpp
+    [[nodiscard]] auto limitOf(const Job &job) const -> Resources;
+    [[nodiscard]] auto loadOf(const TeamName &team) const -> TeamLoad;
+    [[nodiscard]] auto isWithinTeamLimit(const Job &job, const WaitingStepId &step,
+                                         const Resources &claimed = {}) const -> bool;
+    [[nodiscard]] auto isWithinTeamLimit(const Task &task) const -> bool;
+    [[nodiscard]] auto isHeldBack(const TeamName &team, const WaitingStepId &step) const -> bool;
+    [[nodiscard]] auto mayStartAfterFiniteRuns(const Job &job, const StepSpec &step) const -> bool;
+    auto noteLimitReached(const Task &task) -> void;
+    auto limitAllows(const Task &task) -> void;
+    auto forgetSettledLimitWaits() -> void;
+
     // Reports of waiting tasks: steward_waiting.cpp
     auto reportWaitingTasks() -> void;
     auto findLongWaiting() -> std::vector<Task *>;
@@ -477,7 +497,8 @@
     std::map<PoolName, std::vector<Worker *>> m_poolWorkers;
     /// Registrations of incarnations that have ended; the platform removes them some seconds later.
     std::map<WorkerName, EndedWorker> m_endedWorkers;
-    std::map<TeamName, Resources> m_teamUsage;
+    std::map<TeamName, TeamLoad> m_teamUsage;
+    std::map<TeamName, LimitWait> m_limitWaits;
     UnknownRuns m_unknownRuns;
     /// As of the last placement.
     std::optional<Resources> m_unaskedRoom;
--- a/packages/job/include/shallotproxy/job/waiting_order.hpp
+++ b/packages/job/include/shallotproxy/job/waiting_order.hpp
@@ -110,6 +110,10 @@
     }
 
     [[nodiscard]] auto isEmpty() const -> bool { return m_entries.empty(); }
+    [[nodiscard]] auto contains(const WaitingStepId &id) const -> bool
+    {
+        return m_entries.contains(id);
+    }
 
     /// Calls `function` for steps spread evenly over all of them, at most `maxSteps`, with the
     /// value, the timeliness as of the last visit, and the number of steps that each stands for.
--- a/packages/job/src/steward_admission.cpp
+++ b/packages/job/src/steward_admission.cpp
@@ -40,7 +40,7 @@
     const auto &job = *candidate.job;
     const auto &ready = candidate.spec();
     const auto waitsForRoom = !ready.isLongRunning && timeliness != Timeliness::Useless
-        && ready.requiredLabel.empty() && isWithinTeamLimit(job, ready.resources);
+        && ready.requiredLabel.empty() && isWithinTeamLimit(job, step.id);
     if (!waitsForRoom)
         return;
     auto kind = PoolBacklog::Kind::Entitled;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -390,8 +390,13 @@
     -> void
 {
     for (auto &task : candidate.occurrence->steps[candidate.step]) {
-        if (!mayPlaceSuspect(task) || !isWithinTeamLimit(*task.job, task.spec().resources))
+        if (!mayPlaceSuspect(task))
             continue;
+        if (!isWithinTeamLimit(task)) {
+            noteLimitReached(task);
+            continue;
+        }
+        limitAllows(task);
         if (joinsGroup(task, group))
             continue;
         auto *worker = chooseWorkerForSuspect(pool, task);
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -35,6 +35,11 @@
     return {job->spec.id, occurrence, step, index};
 }
 
+auto Steward::Task::stepId() const -> WaitingStepId
+{
+    return {job->number, occurrence, step};
+}
+
 auto Steward::Task::spec() const -> const StepSpec &
 {
     return job->spec.steps[step];
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -119,6 +119,7 @@
 {
     auto dirty = std::exchange(m_dirtyPools, {});
     m_unaskedRoom = roomOfUnaskedWorkers();
+    forgetSettledLimitWaits();
     const auto inFlight = startsInFlight();
     m_startBudget = m_settings.maxStartsInFlight - std::min(inFlight, m_settings.maxStartsInFlight);
     // The pools that have waited for answers go first, and those of them that have had starts last
@@ -228,7 +229,7 @@
         return 0;
     const auto rules = m_rules->teams.find(team);
     const auto weight = rules == m_rules->teams.end() ? 1.0 : std::max(rules->second.weight, 1e-3);
-    return static_cast<double>(running->second.milliCores) / weight;
+    return static_cast<double>(running->second.total.milliCores) / weight;
 }
 
 /// Returns the mean of teamShare() over all declared teams.
@@ -252,8 +253,11 @@
     for (auto &task : tasks.subspan(first)) {
         if (!mayPlace(task))
             continue;
-        if (!isWithinTeamLimit(*task.job, task.spec().resources))
+        if (!isWithinTeamLimit(task)) {
+            noteLimitReached(task);
             return PlaceResult::TeamLimit;
+        }
+        limitAllows(task);
         auto *worker = chooseWorker(workers, task);
         if (worker == nullptr)
             return PlaceResult::NoRoom;
@@ -269,23 +273,6 @@
     return PlaceResult::Placed;
 }
 
-/// Whether the team may use these resources as well. Jobs of a team that is no longer declared keep
-/// the limit that it had when they were submitted.
-auto Steward::isWithinTeamLimit(const Job &job, const Resources &resources) const -> bool
-{
-    if (!m_rules)
-        return false;
-    const auto team = m_rules->teams.find(job.spec.team);
-    const auto running = m_teamUsage.find(job.spec.team);
-    auto used = running == m_teamUsage.end() ? resources : running->second + resources;
-    if (m_isRecovering)
-        used += m_unknownRuns.upperBound(job.spec.team, m_unaskedRoom);
-    const auto &limit = team == m_rules->teams.end() ? job.spec.teamLimit : team->second.limit;
-    return (limit.milliCores == 0 || used.milliCores <= limit.milliCores)
-        && (limit.memoryMegabytes == 0 || used.memoryMegabytes <= limit.memoryMegabytes)
-        && (limit.accelerators == 0 || used.accelerators <= limit.accelerators);
-}
-
 /// Returns the workers of a pool that take new work, so that the checks that hold for all tasks are
 /// made once in a placement.
 auto Steward::workersToPlaceOn(const PoolName &pool) const -> std::vector<Worker *>
@@ -347,9 +334,7 @@
     for (auto &task : candidate.tasks()) {
         if (!mayPlace(task) || m_now < task.phaseSince + m_settings.quarantineOverrideDelay)
             continue;
-        auto *worker = isWithinTeamLimit(*task.job, task.spec().resources)
-            ? chooseWorker(workers, task)
-            : nullptr;
+        auto *worker = isWithinTeamLimit(task) ? chooseWorker(workers, task) : nullptr;
         if (worker == nullptr)
             return; // the tasks of a step are alike
         startTask(task, *worker);
@@ -432,15 +417,14 @@
         const auto isWaiting = candidate.isOfSuspects ? mayPlaceSuspect(task) : mayPlace(task);
         if (!isWaiting || m_now < task.phaseSince + m_settings.preemptionDelay)
             continue;
-        const auto total = claimed + task.spec().resources;
-        if (!isWithinTeamLimit(*candidate.job, total))
+        if (!isWithinTeamLimit(*candidate.job, task.stepId(), claimed))
             return;
         auto *worker = findReservedWorker(pool, task, claims);
         worker = worker == nullptr ? preemptFor(pool, task, claims) : worker;
         if (worker == nullptr)
             return; // the tasks of a step are alike
         claims.workers.insert(worker);
-        claimed = total;
+        claimed += task.spec().resources;
     }
 }
 
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -283,7 +283,7 @@
     const auto &step = job->second->spec.steps[task.step];
     worker.detachedRuns.push_back({team, step.reservedResources(), step.resources});
     worker.used += step.reservedResources();
-    m_teamUsage[team] += step.resources;
+    m_teamUsage[team].total += step.resources;
 }
 
 auto Steward::clearDetachedRuns(Worker &worker) -> void
@@ -292,7 +292,7 @@
         markDirty(worker.report.pool);
     for (const auto &it : worker.detachedRuns) {
         worker.used -= it.reserved;
-        m_teamUsage[it.team] -= it.resources;
+        m_teamUsage[it.team].total -= it.resources;
     }
     worker.detachedRuns.clear();
     worker.unknownRuns = 0;
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -77,6 +77,7 @@
     std::int64_t latencyOrUsage = 0;
 
     [[nodiscard]] auto id() const -> JobTaskId;
+    [[nodiscard]] auto stepId() const -> WaitingStepId;
     [[nodiscard]] auto spec() const -> const StepSpec &;
     /// Updates `unavailableSince`.
     auto noteAvailability() -> void;
--- a/packages/job/src/steward_waiting.cpp
+++ b/packages/job/src/steward_waiting.cpp
@@ -117,7 +117,7 @@
     const auto acceptsRunsNow = [this](const Worker *it) { return acceptsRuns(*it); };
     if (workers == m_poolWorkers.end() || std::ranges::none_of(workers->second, acceptsRunsNow))
         return WaitReason::NoWorkers;
-    if (!isWithinTeamLimit(*task.job, task.spec().resources))
+    if (!isWithinTeamLimit(task))
         return WaitReason::TeamLimit;
     if (task.crashes.isSuspect())
         return suspectWaitReason(task);
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -139,7 +139,10 @@
     task.isRunLost = false;
     worker.runs.push_back(&task);
     worker.used += task.spec().reservedResources();
-    m_teamUsage[task.job->spec.team] += task.spec().resources;
+    auto &usage = m_teamUsage[task.job->spec.team];
+    usage.total += task.spec().resources;
+    if (task.spec().isLongRunning)
+        usage.longRunning += task.spec().resources;
 }
 
 auto Steward::detach(Task &task) -> void
@@ -149,7 +152,10 @@
     auto &worker = *task.worker;
     std::erase(worker.runs, &task);
     worker.used -= task.spec().reservedResources();
-    m_teamUsage[task.job->spec.team] -= task.spec().resources;
+    auto &usage = m_teamUsage[task.job->spec.team];
+    usage.total -= task.spec().resources;
+    if (task.spec().isLongRunning)
+        usage.longRunning -= task.spec().resources;
     task.worker = nullptr;
     task.isOrderPending = false;
     clearPossibleCrash(task);
