Hold no order against a task that no worker has confirmed

What callers saw: a job whose task no worker had started was shown as failed.

Cause: a crash under a run that was never confirmed counted like any other, as tasks may crash workers before they can confirm them. But an idle worker isn't polled, so nothing showed that it was there when it was ordered.

Fix: such a run proves something only if its worker had answered within half a second before. If not, its task is a suspect, and starts on workers in touch from then on; idle ones are polled first.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -397,8 +397,8 @@
     auto addCoincidences(const RecentCrash &crash) -> void;
     [[nodiscard]] auto coincidingShare(const RecentCrash &crash, const JobTaskId &task) const
         -> double;
-    [[nodiscard]] auto exposureOf(const Task &task, std::span<Task *const> tasks) const
-        -> CrashExposure;
+    [[nodiscard]] auto contextOf(const Task &task, std::span<Task *const> tasks) const
+        -> CrashContext;
     [[nodiscard]] auto needsIsolation(const Task &task) const -> bool;
     auto withdrawCrashes(const DataCentreName &dataCentre, BootTime lostAt) -> void;
     auto applyVerdicts() -> void;
@@ -409,6 +409,8 @@
     auto joinsGroup(Task &task, SuspectGroup &group) -> bool;
     [[nodiscard]] auto newSuspectGroup(const PoolName &pool,
                                        std::span<const Candidate> suspects) const -> SuspectGroup;
+    auto checkLife(Worker &worker) -> void;
+    [[nodiscard]] auto isInTouch(const Worker &worker) const -> bool;
     auto chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *;
     [[nodiscard]] auto weighEvidence(CrashEvidence evidence, const Task &task, bool wasCutOff) const
         -> CrashEvidence;
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -21,6 +21,8 @@
 constexpr double ExpectedBesideSuspect = 0.25;
 // A worker that has started lately may fail again by itself.
 constexpr double ExpectedOnNewWorker = 1.0 / 7;
+// A worker that has answered within this time is known to be there.
+constexpr milliseconds InTouchTime{500};
 // What a run meets by chance while one steward follows another.
 constexpr double ExpectedAtStewardChange = 0.05;
 // With fewer crashes, the loss of a data centre can't be told from single ones.
@@ -56,6 +58,12 @@
         && m_now < worker.firstSeenAt + StableTime;
 }
 
+/// Whether the worker is known to be there. An idle one isn't polled, and may be cut off.
+auto Steward::isInTouch(const Worker &worker) const -> bool
+{
+    return m_now < worker.lastAnswerAt + InTouchTime;
+}
+
 /// Whether the worker has answered after the task's run had been active for a while. Goes by the
 /// worker's clock: this steward may be late to learn of an answer from before a crash.
 auto Steward::isEstablished(const Task &task) const -> bool
@@ -154,16 +162,16 @@
     if (std::ranges::find(evidence, CrashEvidence::Grouped) != evidence.end())
         m_suspectGroups[worker.report.pool].crashed(m_now);
     // Before any of them becomes a suspect by this crash.
-    auto exposures = std::vector<CrashExposure>();
+    auto contexts = std::vector<CrashContext>();
     for (const auto *task : tasks)
-        exposures.push_back(exposureOf(*task, tasks));
+        contexts.push_back(contextOf(*task, tasks));
     for (std::size_t n = 0; n < tasks.size(); ++n) {
         auto &task = *tasks[n];
         if (!evidence[n])
             continue;
         const auto strength = weighEvidence(*evidence[n], task, wasCutOff);
         const auto wasConfirmed = task.activeAtMilliseconds.has_value();
-        if (task.crashes.add(task.run, strength, wasConfirmed, exposures[n]))
+        if (task.crashes.add(task.run, strength, wasConfirmed, contexts[n]))
             crashesChanged(task);
         if (strength == CrashEvidence::Sole || task.crashes.isCause())
             m_crashingTasksSeenAt[worker.report.pool] = m_now;
@@ -172,27 +180,28 @@
 
 /// Returns what the run of the task would have met by chance until the last crash. `tasks` are
 /// those of its worker.
-auto Steward::exposureOf(const Task &task, std::span<Task *const> tasks) const -> CrashExposure
+auto Steward::contextOf(const Task &task, std::span<Task *const> tasks) const -> CrashContext
 {
     const auto &worker = *task.worker;
     const auto time = m_now - task.attachedAt;
-    auto exposure = CrashExposure();
-    exposure.survived = std::chrono::duration_cast<milliseconds>(time);
-    exposure.isOnNewWorker = isNew(worker);
+    auto context = CrashContext();
+    context.survived = std::chrono::duration_cast<milliseconds>(time);
+    context.isOnNewWorker = isNew(worker);
+    context.isWorkerInDoubt = task.isWorkerInDoubt;
     const auto own =
-        std::ranges::count(task.crashes.runs(), exposure.isOnNewWorker, &CrashedRun::isOnNewWorker);
-    exposure.expectedCrashes = m_crashRates.at(worker.report.pool)
-                                   .of(exposure.isOnNewWorker)
-                                   .expectedCrashes(time, static_cast<std::size_t>(own) + 1)
+        std::ranges::count(task.crashes.runs(), context.isOnNewWorker, &CrashedRun::isOnNewWorker);
+    context.expectedCrashes = m_crashRates.at(worker.report.pool)
+                                  .of(context.isOnNewWorker)
+                                  .expectedCrashes(time, static_cast<std::size_t>(own) + 1)
         + coincidingShare(m_recentCrashes.back(), task.id());
-    if (exposure.isOnNewWorker)
-        exposure.expectedCrashes = std::max(exposure.expectedCrashes, ExpectedOnNewWorker);
+    if (context.isOnNewWorker)
+        context.expectedCrashes = std::max(context.expectedCrashes, ExpectedOnNewWorker);
     const auto isOtherSuspect = [&task](const Task *it) {
         return it != &task && it->crashes.isSuspect();
     };
     if (std::ranges::any_of(tasks, isOtherSuspect))
-        exposure.expectedCrashes += ExpectedBesideSuspect;
-    return exposure;
+        context.expectedCrashes += ExpectedBesideSuspect;
+    return context;
 }
 
 auto Steward::observeCrashRates() -> void
@@ -263,7 +272,8 @@
                           task.activeAtMilliseconds.has_value(),
                           worker.report.name.value(),
                           worker.startedMilliseconds,
-                          worker.report.dataCentre.value()};
+                          worker.report.dataCentre.value(),
+                          task.isWorkerInDoubt};
     markChanged(*task.job, urgency);
 }
 
@@ -328,8 +338,9 @@
         const auto evidence = weakenEvidence(static_cast<CrashEvidence>(crash.evidence));
         if (task->job->outcome == JobOutcome::Open && task->phase == TaskPhase::Waiting
             && hasEnded(crash)
-            && task->crashes.add(crash.run, evidence, crash.wasConfirmed,
-                                 {milliseconds(0), ExpectedAtStewardChange, false})) {
+            && task->crashes.add(
+                crash.run, evidence, crash.wasConfirmed,
+                {milliseconds(0), ExpectedAtStewardChange, false, crash.isWorkerInDoubt})) {
             crashesChanged(*task);
         }
     }
@@ -535,10 +546,18 @@
     return group;
 }
 
+/// Polls a worker that may be gone. Its pool is placed when it answers.
+auto Steward::checkLife(Worker &worker) -> void
+{
+    worker.isCheckDue = true;
+    worker.nextPoll = m_now;
+    pollIfDue(worker);
+}
+
 /// Returns the worker on which the suspect may start now: all runs there are established, and none
-/// is under test. Prefers workers without other suspects, which might crash them as well, then
-/// workers that have been up for long, then those with few runs. If there is none, reserves a
-/// worker and returns null.
+/// is under test; it is known to be there if an earlier one wasn't. Prefers workers without other
+/// suspects, which might crash them as well, then workers that have been up for long, then those
+/// with few runs. If there is none, reserves a worker and returns null.
 auto Steward::chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *
 {
     const auto isQuiet = [this](const Worker &worker) {
@@ -556,17 +575,25 @@
     Worker *best = nullptr;
     Worker *next = nullptr;
     auto isAnyReserved = false;
+    auto doubtful = std::vector<Worker *>();
     for (auto *worker : m_poolWorkers[pool]) {
         isAnyReserved = isAnyReserved || m_now < worker->suspectReservedUntil;
         if (hasRunUnderTest(*worker) || !acceptsRuns(*worker) || !isAllowedOn(*worker, task))
             continue;
         if (isQuiet(*worker) && fits(*worker, task)) {
-            best = isBetter(worker, best) ? worker : best;
+            if (task.crashes.hasUnprovenRun() && !isInTouch(*worker)) {
+                doubtful.push_back(worker);
+            } else {
+                best = isBetter(worker, best) ? worker : best;
+            }
         } else if (worker->report.capacity.covers(task.spec().reservedResources())) {
             next = isBetter(worker, next) ? worker : next;
         }
     }
-    if (best == nullptr && next != nullptr && !isAnyReserved && mayReserveForSuspect(pool, task))
+    if (best == nullptr)
+        std::ranges::for_each(doubtful, [this](Worker *it) { checkLife(*it); });
+    if (best == nullptr && doubtful.empty() && next != nullptr && !isAnyReserved
+        && mayReserveForSuspect(pool, task))
         next->suspectReservedUntil = m_now + SuspectReservation;
     return best;
 }
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -40,6 +40,8 @@
     worker->lastAnswerAt = m_now;
     worker->answeredPollSentAt = event.sentAt;
     worker->isEndSuspected = false;
+    if (std::exchange(worker->isCheckDue, false))
+        markDirty(worker->report.pool);
     if (event.startedMilliseconds != 0)
         worker->startedMilliseconds = event.startedMilliseconds;
     noteEarliestEnd(*worker, event);
@@ -319,9 +321,9 @@
     if (worker.isPolling || m_now < worker.nextPoll)
         return;
     const auto acknowledged = highestAcknowledgeable(worker);
-    const auto isNeeded = !worker.isPolled || !worker.runs.empty() || worker.hasDetachedRuns()
-        || acknowledged > worker.acknowledged || worker.failedPolls > 0 || !worker.isReportCurrent()
-        || (worker.hasUnreadEnds && worker.unpersistedEnds.empty());
+    const auto isNeeded = !worker.isPolled || worker.isCheckDue || !worker.runs.empty()
+        || worker.hasDetachedRuns() || acknowledged > worker.acknowledged || worker.failedPolls > 0
+        || !worker.isReportCurrent() || (worker.hasUnreadEnds && worker.unpersistedEnds.empty());
     const auto mayHaveRuns = worker.isRegistered || !worker.runs.empty() || worker.hasDetachedRuns()
         || worker.hasUnreadEnds;
     if (!isNeeded || !mayHaveRuns)
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -33,6 +33,8 @@
     bool isGrouped = false;
     /// Nothing was to start beside the present run for a while.
     bool isIsolated = false;
+    /// The worker hadn't been heard from lately when the present run was ordered.
+    bool isWorkerInDoubt = false;
     /// The change of the job that contains the last crash.
     std::uint64_t crashChange = 0;
     std::string checkpoint;
@@ -239,6 +241,8 @@
     RunPace pace{MaxRunsOfWorkerPace};
     /// A poll is in flight.
     bool isPolling = false;
+    /// A suspect waits to learn whether the worker is there.
+    bool isCheckDue = false;
     BootTime nextPoll;
     BootTime lastAnswerAt;
     /// When the last poll with an answer was sent.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -342,6 +342,7 @@
     task.isStartInDoubt = false;
     task.isGrouped = false;
     task.isIsolated = false;
+    task.isWorkerInDoubt = !isInTouch(worker);
     task.isPartialRun = !task.checkpoint.empty();
     const auto usesReservation = task.spec().isLongRunning
         && task.spec().reservedResources().covers(worker.reservedResources);
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -88,6 +88,9 @@
     /// Restarts the worker under the same name and without any state, also if it is down. Stewards
     /// read its new registration after the delay.
     auto restartWorker(int worker, Duration registrationDelay = RegistrationDelay) -> void;
+    /// Cuts the worker off for this time, and restarts it behind the cut. Connections to it can't
+    /// be opened, and orders to it are lost.
+    auto restartBehindCut(int worker, Duration time) -> void;
     /// Removes the registration of a worker, or writes it again as it was.
     auto setRegistered(int worker, bool isRegistered) -> void;
     /// Lists the workers that are up now. The list reaches the stewards after the delay.
@@ -141,6 +144,7 @@
         bool isRefusing = false;
         BootTime unresponsiveUntil;
         BootTime losesOrdersUntil;
+        BootTime cutOffUntil;
         Duration lateStartDelay{};
         std::int64_t incarnation = 1;
         /// The worker's clock starts anew with each incarnation.
@@ -191,6 +195,10 @@
     [[nodiscard]] auto clockOf(const FakeWorker &worker) const -> std::int64_t;
     [[nodiscard]] auto isResponsive(const FakeWorker &worker) const -> bool;
     [[nodiscard]] auto losesOrders(const FakeWorker &worker) const -> bool;
+    [[nodiscard]] auto isCutOff(const FakeWorker &worker) const -> bool
+    {
+        return m_now < worker.cutOffUntil;
+    }
     /// Returns a worker that is down if none has this name any more.
     auto find(const WorkerName &name) -> FakeWorker &;
     auto reportEnds(const std::vector<WorkerName> &ended) -> void;
