Isolate suspects for longer only if their crashes are frequent

Five sound tasks of 17 s that had met two late crashes each were isolated for 17 s, one after the other, as one worker in seven may be kept for one suspect.

Cause: isolates every suspect for longer than its runs have survived.

Fix: it does so from the third crash on, and only if the crashes are frequent.

--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -41,10 +41,13 @@
 constexpr double MaxComparedCrashes = 6;
 constexpr double Millionths = 1e6;
 // After the second crash of its task, nothing is started beside a run for this long; after each
-// further crash for this many times longer, and in any case for longer than the runs have survived.
+// further crash for this many times longer. From the third one on that is longer than the runs have
+// survived, if the crashes are frequent: many sound tasks may have met two, and wait for each
+// other.
 constexpr milliseconds MinIsolationTime{3'000};
 constexpr milliseconds MaxIsolationTime{30'000};
 constexpr int IsolationGrowth = 3;
+constexpr std::size_t CrashesOfLongIsolation = 3;
 constexpr double IsolationPerSurvival = 1.5;
 // A run that has been active for this long, and for this many times as long as the longest one that
 // was lost, clears its task.
@@ -185,9 +188,14 @@
     auto time = MinIsolationTime;
     for (auto n = m_runs.size(); n > CrashesBeforeIsolation && time < MaxIsolationTime; --n)
         time *= IsolationGrowth;
-    const auto survival =
-        std::chrono::duration_cast<milliseconds>(longestSurvival() * IsolationPerSurvival);
-    return std::min(std::max(time, survival), MaxIsolationTime);
+    const auto isFrequent =
+        m_runs.size() >= CrashesOfLongIsolation && likelihoodRatio() >= LikelihoodOfIsolation;
+    if (isFrequent) {
+        const auto survival =
+            std::chrono::duration_cast<milliseconds>(longestSurvival() * IsolationPerSurvival);
+        time = std::max(time, survival);
+    }
+    return std::min(time, MaxIsolationTime);
 }
 
 auto CrashHistory::exonerationTime() const -> std::chrono::milliseconds
