Take a busy worker for in touch between two polls

Cause: a worker with runs holds its answer to a poll back for up to 0.9 s, and counted as in touch for half a second only. Suspects with an unproven run waited for the next answer each time.

Fix: a worker is in touch for a second after its last answer.

--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -22,7 +22,7 @@
 // A worker that has started lately may fail again by itself.
 constexpr double ExpectedOnNewWorker = 1.0 / 7;
 // A worker that has answered within this time is known to be there.
-constexpr milliseconds InTouchTime{500};
+constexpr milliseconds InTouchTime{1'000};
 // What a run meets by chance while one steward follows another.
 constexpr double ExpectedAtStewardChange = 0.05;
 // With fewer crashes, the loss of a data centre can't be told from single ones.
