--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <ranges>
 #include <utility>
 
 namespace shallotproxy {
@@ -38,7 +37,7 @@
 // A long-running task is isolated if its crashes are this many times likelier with its help.
 constexpr double LikelihoodOfIsolation = 50;
 // Only as many of the last crashes are compared: a sound task may meet any number in time.
-constexpr double MaxComparedCrashes = 6;
+constexpr std::size_t MaxComparedCrashes = 6;
 constexpr double Millionths = 1e6;
 // After the second crash of its task, nothing is started beside a run for this long; after each
 // further crash for this many times longer. From the third one on that is longer than the runs have
@@ -221,14 +220,20 @@
 /// crash whose context isn't known counts as expected.
 auto CrashHistory::likelihoodRatio() const -> double
 {
-    auto crashes = 0.0;
+    const auto confirmed = confirmedCrashes();
+    const auto count = std::min(confirmed, MaxComparedCrashes);
+    auto ignored = confirmed - count;
     auto expected = 0.0;
-    for (const auto &it : m_runs | std::views::reverse) {
-        if (!it.wasConfirmed || crashes >= MaxComparedCrashes)
+    for (const auto &it : m_runs) {
+        if (!it.wasConfirmed)
+            continue;
+        if (ignored > 0) {
+            --ignored;
             continue;
-        crashes += 1;
+        }
         expected += it.expectedMillionths == 0 ? 1 : it.expectedMillionths / Millionths;
     }
+    const auto crashes = static_cast<double>(count);
     return crashes <= expected
         ? 1
         : std::pow(crashes / expected, crashes) * std::exp(expected - crashes);
