Record the starts of tasks that an earlier steward may have started

Cause: a start is recorded ahead of a crash only in a pool that has suspects. A steward that dies before it knows of the first crash leaves no trace of it, and neither does the next one.

Fix: a steward also records the first start in its term of each task from before it. So that hundreds of waiting tasks don't outrun the store, tasks of 14 jobs at most start ahead of their records; a record that isn't written within half a second holds nothing up.

CrashingTasks.AreGivenUpIfEachStewardDiesSoonAfterItsFirstStart (12 crashes) and AreStartedAfterATakeoverNoFasterThanTheyAreRecorded (200 starts) fail without it.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -267,6 +267,14 @@
         BootTime since;
     };
 
+    /// The record of a start that isn't written yet.
+    struct UnwrittenStart
+    {
+        /// The change of the job that contains it.
+        std::uint64_t change = 0;
+        BootTime since;
+    };
+
     /// See PoolLoad.
     struct AcceptedWork
     {
@@ -386,6 +394,9 @@
     auto recordCrash(const Worker &worker, bool wasCutOff) -> void;
     auto recordPossibleCrash(const Worker &worker) -> void;
     auto recordPossibleCrash(Task &task, CrashEvidence evidence, WriteUrgency urgency) -> void;
+    auto recordInheritedStart(Task &task) -> void;
+    auto forgetWrittenStarts() -> void;
+    [[nodiscard]] auto mayStartInherited(const Job &job) const -> bool;
     [[nodiscard]] auto hasSuspects(const PoolName &pool) const -> bool;
     auto clearPossibleCrash(Task &task) -> void;
     auto forgetPossibleCrash(const WorkerName &worker) -> void;
@@ -540,6 +551,8 @@
     std::vector<Verdict> m_verdicts;
     /// Tasks with a possible crash that an earlier steward has recorded.
     std::vector<JobTaskId> m_inheritedCrashes;
+    /// The last start of each job that is recorded ahead of a crash, until it is written.
+    std::map<std::string, UnwrittenStart> m_unwrittenStarts;
     std::uint64_t m_lastChange = 0;
     BootTime m_lastTickAt;
     /// By which polls are delayed because ticks are late.
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -40,6 +40,8 @@
 // A suspect isn't started again before its last crash is persisted, but waits for this long at most
 // while it may well be innocent.
 constexpr milliseconds MaxPersistTime{500};
+// So many jobs of earlier terms may have starts that aren't written yet: about two writes.
+constexpr std::size_t MaxUnwrittenStarts = 14;
 // The answer to a start order has been read after this time, also by a busy steward.
 constexpr milliseconds AnswerTime{1'000};
 // A worker is reserved for a suspect for at most this long.
@@ -277,6 +279,30 @@
     markChanged(*task.job, urgency);
 }
 
+/// Records the start of a task that an earlier steward may have started as well. It may have
+/// crashed its worker, and that steward have ended before it knew.
+auto Steward::recordInheritedStart(Task &task) -> void
+{
+    recordPossibleCrash(task, CrashEvidence::Likely, WriteUrgency::Urgent);
+    m_unwrittenStarts[task.job->spec.id] = {task.job->change, m_now};
+}
+
+/// Whether a task of an earlier term may start. Where hundreds wait, few starts at a time are ahead
+/// of their record; none waits for long for a store that doesn't answer.
+auto Steward::mayStartInherited(const Job &job) const -> bool
+{
+    return m_unwrittenStarts.size() < MaxUnwrittenStarts || m_unwrittenStarts.contains(job.spec.id);
+}
+
+auto Steward::forgetWrittenStarts() -> void
+{
+    std::erase_if(m_unwrittenStarts, [this](const auto &entry) {
+        const auto job = m_jobs.find(entry.first);
+        return job == m_jobs.end() || job->second->persistedChange >= entry.second.change
+            || m_now >= entry.second.since + MaxPersistTime;
+    });
+}
+
 /// Whether tasks of the pool are suspected of crashing their workers, so that others may as well.
 auto Steward::hasSuspects(const PoolName &pool) const -> bool
 {
--- a/packages/job/src/steward_jobs.cpp
+++ b/packages/job/src/steward_jobs.cpp
@@ -304,6 +304,10 @@
     job.persistedChange = std::max(job.persistedChange, event.change);
     if (job.persistedChange == job.change)
         job.persistedOutcome = job.outcome;
+    if (m_unwrittenStarts.contains(event.job)) {
+        for (const auto &pool : m_pacedPools)
+            markDirty(pool);
+    }
     if (!m_isRecovering)
         return;
     for (const auto &[name, worker] : m_workers) {
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -121,6 +121,7 @@
     auto dirty = std::exchange(m_dirtyPools, {});
     m_unaskedRoom = roomOfUnaskedWorkers();
     forgetSettledLimitWaits();
+    forgetWrittenStarts();
     const auto inFlight = startsInFlight();
     m_startBudget = m_settings.maxStartsInFlight - std::min(inFlight, m_settings.maxStartsInFlight);
     // The pools that have waited for answers go first, and those of them that have had starts last
@@ -262,14 +263,20 @@
         auto *worker = chooseWorker(workers, task);
         if (worker == nullptr)
             return PlaceResult::NoRoom;
-        if (!task.spec().isLongRunning && m_startBudget == 0)
+        const auto isInherited = task.mayHaveUnknownRun;
+        const auto isWindowFull =
+            m_startBudget == 0 || (isInherited && !mayStartInherited(*task.job));
+        if (!task.spec().isLongRunning && isWindowFull)
             return PlaceResult::WindowFull;
         if (!task.spec().isLongRunning)
             --m_startBudget;
         startTask(task, *worker);
         // If this steward dies with the worker, the next one learns of the crash by the record.
-        if (hasSuspects(worker->report.pool))
+        if (isInherited) {
+            recordInheritedStart(task);
+        } else if (hasSuspects(worker->report.pool)) {
             recordPossibleCrash(task, CrashEvidence::Likely, WriteUrgency::Urgent);
+        }
     }
     return PlaceResult::Placed;
 }
--- a/tests/unit/fake_fleet.cpp
+++ b/tests/unit/fake_fleet.cpp
@@ -317,7 +317,7 @@
         if (!worker.isUp)
             continue;
         crash(number);
-        worker.isRefusing = true;
+        worker.isRefusing = !areEndsSilent;
         ended.push_back(worker.report.name);
         schedule(Downtime, [this, name = worker.report.name] { replaceWorker(name); });
     }
--- a/tests/unit/fake_fleet.hpp
+++ b/tests/unit/fake_fleet.hpp
@@ -58,6 +58,8 @@
     /// The same for polls.
     std::deque<Delivery> pollDeliveries;
     bool isStoreUp = true;
+    /// Whether workers that end leave calls unanswered. Otherwise their addresses refuse them.
+    bool areEndsSilent = false;
     /// Added to the time until a steward reads the answer to a start order.
     Duration startAnswerDelay{};
     /// Unix time that all stewards read.
--- a/tests/unit/unit-crashing-tasks.cpp
+++ b/tests/unit/unit-crashing-tasks.cpp
@@ -156,6 +156,51 @@
     EXPECT_EQ(fleet.violations, std::vector<std::string>());
 }
 
+// Each steward is killed a moment after it has ordered the first start of the task, before it can
+// know of the crash; no other task is known to crash its workers (review/15).
+TEST(CrashingTasks, AreGivenUpIfEachStewardDiesSoonAfterItsFirstStart)
+{
+    auto fleet = FakeFleet(8);
+    fleet.crashesWorker = isCrashingTask;
+    fleet.crashDelay = 50ms;
+    fleet.areEndsSilent = true;
+    auto steward = fleet.addSteward();
+    fleet.run(1s);
+    fleet.addJob(test::oneStepJob("crashing", test::shortStep(1)));
+    for (auto n = 0; n < 10 && fleet.outcome("crashing") == JobOutcome::Open; ++n) {
+        const auto seen = fleet.crashes(crashingTask);
+        for (auto i = 0; i < 1'000 && fleet.crashes(crashingTask) == seen; ++i)
+            fleet.run(FakeFleet::Step);
+        fleet.run(250ms);
+        fleet.killSteward(steward);
+        fleet.run(1500ms);
+        steward = fleet.addSteward();
+    }
+    fleet.run(20s);
+    EXPECT_EQ(fleet.outcome("crashing"), JobOutcome::Failed);
+    EXPECT_LE(fleet.crashes(crashingTask), 5U);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
+// A steward that took over hundreds of tasks started them faster than it could record them.
+TEST(CrashingTasks, AreStartedAfterATakeoverNoFasterThanTheyAreRecorded)
+{
+    constexpr auto Jobs = 200U;
+    constexpr auto MaxAhead = 14U;
+    auto fleet = FakeFleet(40);
+    fleet.runTime = 5s;
+    fleet.isStoreUp = false;
+    for (auto n = 0U; n < Jobs; ++n)
+        fleet.addJob(test::oneStepJob(std::to_string(n), test::shortStep(1)));
+    const auto first = fleet.addSteward();
+    fleet.run(100ms);
+    EXPECT_LE(fleet.starts, MaxAhead);
+    fleet.isStoreUp = true;
+    fleet.run(3s);
+    EXPECT_EQ(fleet.starts, Jobs);
+    EXPECT_FALSE(fleet.steward(first).isRecovering());
+}
+
 struct LossAtStewardChange
 {
     std::size_t runs = 0;
