--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -91,12 +91,12 @@
 /// hosts that fail by themselves. A crash makes the likely tasks suspects. A suspect starts on a
 /// worker where nothing else has just started, and nothing else starts there until its run is
 /// established; if it crashes its worker again, then it is the cause. A run that its worker never
-/// confirmed makes its task a suspect, but proves less: the worker may have crashed before, and it
-/// proves nothing where the worker hadn't been heard from. A task
-/// whose runs lose their workers far more often than others do is the cause however late the
-/// crashes come. Where
-/// many are suspects of one crash, each starts in a group once, and alone if its group crashed a
-/// worker.
+/// confirmed makes its task a suspect, but proves less: the worker may have crashed before. It
+/// proves nothing if the worker hadn't been heard from when the run was ordered. Where many are
+/// suspects of one crash, each starts in a group once, and alone if its group crashed a worker.
+///
+/// A task whose runs lose their workers far more often than others do is the cause as well, however
+/// long after their starts.
 ///
 /// Load pattern: a tenth of the jobs of a busy queue has a task that crashes its worker at its
 /// start, so that each crash takes ten other runs along.
--- a/packages/job/include/shallotproxy/job/crash_rate.hpp
+++ b/packages/job/include/shallotproxy/job/crash_rate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 
 #include "shallotproxy/process/base/boot_clock.hpp"
@@ -39,8 +40,11 @@
 /// The rates of a pool's workers. One that has just started may fail again and again by itself.
 struct PoolCrashRates
 {
-    CrashRate oldWorkers{std::chrono::seconds(200)};
-    CrashRate newWorkers{std::chrono::seconds(20)};
+    static constexpr std::chrono::seconds OldWorkerInterval{200};
+    static constexpr std::chrono::seconds NewWorkerInterval{20};
+
+    CrashRate oldWorkers{OldWorkerInterval};
+    CrashRate newWorkers{NewWorkerInterval};
 
     [[nodiscard]] auto of(bool isNew) -> CrashRate & { return isNew ? newWorkers : oldWorkers; }
     [[nodiscard]] auto of(bool isNew) const -> const CrashRate &
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -404,12 +404,6 @@
     auto confirmCrash(Task &task, std::uint64_t run) -> void;
     auto crashesChanged(Task &task) -> void;
     auto settleRecentCrashes() -> void;
-    auto observeCrashRates() -> void;
-    auto addCoincidences(const RecentCrash &crash) -> void;
-    [[nodiscard]] auto coincidingShare(const RecentCrash &crash, const JobTaskId &task) const
-        -> double;
-    [[nodiscard]] auto contextOf(const Task &task, std::span<Task *const> tasks) const
-        -> CrashContext;
     [[nodiscard]] auto needsIsolation(const Task &task) const -> bool;
     auto withdrawCrashes(const DataCentreName &dataCentre, BootTime lostAt) -> void;
     auto applyVerdicts() -> void;
@@ -420,8 +414,6 @@
     auto joinsGroup(Task &task, SuspectGroup &group) -> bool;
     [[nodiscard]] auto newSuspectGroup(const PoolName &pool,
                                        std::span<const Candidate> suspects) const -> SuspectGroup;
-    auto checkLife(Worker &worker) -> void;
-    [[nodiscard]] auto isInTouch(const Worker &worker) const -> bool;
     auto chooseWorkerForSuspect(const PoolName &pool, const Task &task) -> Worker *;
     [[nodiscard]] auto weighEvidence(CrashEvidence evidence, const Task &task, bool wasCutOff) const
         -> CrashEvidence;
@@ -441,6 +433,16 @@
     [[nodiscard]] auto isLossOfDataCentre(const RecentCrash &first) const -> bool;
     [[nodiscard]] auto isLostWithDataCentre(const Worker &worker) const -> bool;
 
+    // What crashes are compared with: steward_crash_context.cpp
+    [[nodiscard]] auto isInTouch(const Worker &worker) const -> bool;
+    auto probe(Worker &worker) -> void;
+    [[nodiscard]] auto crashContextOf(const Task &task, std::span<Task *const> tasks) const
+        -> CrashContext;
+    auto observeCrashRates() -> void;
+    [[nodiscard]] auto coincidingShare(const RecentCrash &crash, const JobTaskId &task) const
+        -> double;
+    auto addCoincidences(const RecentCrash &crash) -> void;
+
     // Placement: steward_placing.cpp
     auto placeDirtyPools() -> void;
     auto place(const PoolName &pool) -> void;
@@ -481,7 +483,7 @@
     [[nodiscard]] auto isHeldBack(const TeamName &team, const WaitingStepId &step) const -> bool;
     [[nodiscard]] auto mayStartAfterFiniteRuns(const Job &job, const StepSpec &step) const -> bool;
     auto noteLimitReached(const Task &task) -> void;
-    auto limitAllows(const Task &task) -> void;
+    auto forgetLimitReached(const Task &task) -> void;
     auto forgetSettledLimitWaits() -> void;
 
     // Reports of waiting tasks: steward_waiting.cpp
@@ -521,7 +523,7 @@
     std::map<PoolName, std::vector<Worker *>> m_poolWorkers;
     /// Registrations of incarnations that have ended; the platform removes them some seconds later.
     std::map<WorkerName, EndedWorker> m_endedWorkers;
-    std::map<TeamName, TeamLoad> m_teamUsage;
+    std::map<TeamName, TeamLoad> m_teamLoads;
     std::map<TeamName, LimitWait> m_limitWaits;
     UnknownRuns m_unknownRuns;
     /// As of the last placement.
--- /dev/null
+++ b/packages/job/src/steward_crash_context.cpp
@@ -0,0 +1,101 @@
+#include <algorithm>
+
+#include "steward_state.hpp"
+
+namespace shallotproxy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Crashes of a pool's workers within this time may have one cause.
+constexpr milliseconds CoincidenceWindow{2'000};
+// A crash beside another suspect may be as well the doing of that one.
+constexpr double ExpectedBesideSuspect = 0.25;
+// A worker that has started lately may fail again by itself.
+constexpr double ExpectedOnNewWorker = 1.0 / 7;
+// A worker that has answered within this time is known to be there.
+constexpr milliseconds InTouchTime{1'000};
+
+} // namespace
+
+/// Whether the worker is known to be there. An idle one isn't polled, and may be cut off.
+auto Steward::isInTouch(const Worker &worker) const -> bool
+{
+    return m_now < worker.lastAnswerAt + InTouchTime;
+}
+
+/// Polls a worker that may be gone. Its pool is placed when it answers.
+auto Steward::probe(Worker &worker) -> void
+{
+    worker.isProbeDue = true;
+    worker.nextPoll = m_now;
+    pollIfDue(worker);
+}
+
+/// Returns what the run of the task would have met by chance until the last crash. `tasks` are
+/// those of its worker.
+auto Steward::crashContextOf(const Task &task, std::span<Task *const> tasks) const -> CrashContext
+{
+    const auto &worker = *task.worker;
+    const auto time = m_now - task.attachedAt;
+    auto context = CrashContext();
+    context.survived = std::chrono::duration_cast<milliseconds>(time);
+    context.isOnNewWorker = isNew(worker);
+    context.isWorkerInDoubt = task.isWorkerInDoubt;
+    const auto own =
+        std::ranges::count(task.crashes.runs(), context.isOnNewWorker, &CrashedRun::isOnNewWorker);
+    context.expectedCrashes = m_crashRates.at(worker.report.pool)
+                                  .of(context.isOnNewWorker)
+                                  .expectedCrashes(time, static_cast<std::size_t>(own) + 1)
+        + coincidingShare(m_recentCrashes.back(), task.id());
+    if (context.isOnNewWorker)
+        context.expectedCrashes = std::max(context.expectedCrashes, ExpectedOnNewWorker);
+    const auto isOtherSuspect = [&task](const Task *it) {
+        return it != &task && it->crashes.isSuspect();
+    };
+    if (std::ranges::any_of(tasks, isOtherSuspect))
+        context.expectedCrashes += ExpectedBesideSuspect;
+    return context;
+}
+
+auto Steward::observeCrashRates() -> void
+{
+    for (const auto &[pool, workers] : m_poolWorkers) {
+        const auto isNewWorker = [this](const Worker *it) { return isNew(*it); };
+        const auto newWorkers =
+            static_cast<std::size_t>(std::ranges::count_if(workers, isNewWorker));
+        auto &rates = m_crashRates[pool];
+        rates.newWorkers.observe(newWorkers, m_now);
+        rates.oldWorkers.observe(workers.size() - newWorkers, m_now);
+    }
+}
+
+/// Returns the part of the pool's workers that have crashed at about the same time, without the
+/// task: a rack or a switch may have failed.
+auto Steward::coincidingShare(const RecentCrash &crash, const JobTaskId &task) const -> double
+{
+    const auto isCoinciding = [&](const RecentCrash &it) {
+        return &it != &crash && it.pool == crash.pool && !it.wasUnderTest
+            && std::chrono::abs(it.at - crash.at) < CoincidenceWindow
+            && std::ranges::find(it.runs, task, &LostRun::task) == it.runs.end();
+    };
+    const auto workers = m_poolWorkers.find(crash.pool);
+    const auto others = workers == m_poolWorkers.end() ? 0 : workers->second.size();
+    return static_cast<double>(std::ranges::count_if(m_recentCrashes, isCoinciding))
+        / static_cast<double>(std::max<std::size_t>(others, 1));
+}
+
+/// Counts the crashes of other workers that came soon after this one.
+auto Steward::addCoincidences(const RecentCrash &crash) -> void
+{
+    for (const auto &it : crash.runs) {
+        const auto share = coincidingShare(crash, it.task);
+        auto *task = share > 0 ? findTask(it.task) : nullptr;
+        if (task != nullptr && task->job->outcome == JobOutcome::Open
+            && task->crashes.addExpected(it.run, share))
+            markChanged(*task->job, WriteUrgency::Relaxed);
+    }
+}
+
+} // namespace shallotproxy
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -17,12 +17,6 @@
 constexpr milliseconds DataCentreLossWindow{2'000};
 // The loss of a data centre is known after this long at most.
 constexpr milliseconds DataCentreLossDelay{1'000};
-// A crash beside another suspect may be as well the doing of that one.
-constexpr double ExpectedBesideSuspect = 0.25;
-// A worker that has started lately may fail again by itself.
-constexpr double ExpectedOnNewWorker = 1.0 / 7;
-// A worker that has answered within this time is known to be there.
-constexpr milliseconds InTouchTime{1'000};
 // What a run meets by chance while one steward follows another.
 constexpr double ExpectedAtStewardChange = 0.05;
 // With fewer crashes, the loss of a data centre can't be told from single ones.
@@ -40,7 +34,7 @@
 // A suspect isn't started again before its last crash is persisted, but waits for this long at most
 // while it may well be innocent.
 constexpr milliseconds MaxPersistTime{500};
-// So many jobs of earlier terms may have starts that aren't written yet: about two writes.
+// This many jobs of earlier terms may have starts that aren't written yet: about two writes.
 constexpr std::size_t MaxUnwrittenStarts = 14;
 // The answer to a start order has been read after this time, also by a busy steward.
 constexpr milliseconds AnswerTime{1'000};
@@ -60,12 +54,6 @@
         && m_now < worker.firstSeenAt + StableTime;
 }
 
-/// Whether the worker is known to be there. An idle one isn't polled, and may be cut off.
-auto Steward::isInTouch(const Worker &worker) const -> bool
-{
-    return m_now < worker.lastAnswerAt + InTouchTime;
-}
-
 /// Whether the worker has answered after the task's run had been active for a while. Goes by the
 /// worker's clock: this steward may be late to learn of an answer from before a crash.
 auto Steward::isEstablished(const Task &task) const -> bool
@@ -113,7 +101,8 @@
     // A run on a worker that can't be reached isn't known to be established, however long.
     if (wasCutOff && evidence == CrashEvidence::Sole)
         evidence = CrashEvidence::Isolated;
-    // A long-running task meets so many failures of hosts that only its starts tell anything.
+    // A long-running task meets so many failures of hosts that only crashes right after its starts
+    // tell anything by themselves.
     if (task.spec().isLongRunning && evidence == CrashEvidence::Isolated)
         evidence = CrashEvidence::Beside;
     // Where tasks crash their workers, most workers are new for that reason.
@@ -166,7 +155,7 @@
     // Before any of them becomes a suspect by this crash.
     auto contexts = std::vector<CrashContext>();
     for (const auto *task : tasks)
-        contexts.push_back(contextOf(*task, tasks));
+        contexts.push_back(crashContextOf(*task, tasks));
     for (std::size_t n = 0; n < tasks.size(); ++n) {
         auto &task = *tasks[n];
         if (!evidence[n])
@@ -180,71 +169,6 @@
     }
 }
 
-/// Returns what the run of the task would have met by chance until the last crash. `tasks` are
-/// those of its worker.
-auto Steward::contextOf(const Task &task, std::span<Task *const> tasks) const -> CrashContext
-{
-    const auto &worker = *task.worker;
-    const auto time = m_now - task.attachedAt;
-    auto context = CrashContext();
-    context.survived = std::chrono::duration_cast<milliseconds>(time);
-    context.isOnNewWorker = isNew(worker);
-    context.isWorkerInDoubt = task.isWorkerInDoubt;
-    const auto own =
-        std::ranges::count(task.crashes.runs(), context.isOnNewWorker, &CrashedRun::isOnNewWorker);
-    context.expectedCrashes = m_crashRates.at(worker.report.pool)
-                                  .of(context.isOnNewWorker)
-                                  .expectedCrashes(time, static_cast<std::size_t>(own) + 1)
-        + coincidingShare(m_recentCrashes.back(), task.id());
-    if (context.isOnNewWorker)
-        context.expectedCrashes = std::max(context.expectedCrashes, ExpectedOnNewWorker);
-    const auto isOtherSuspect = [&task](const Task *it) {
-        return it != &task && it->crashes.isSuspect();
-    };
-    if (std::ranges::any_of(tasks, isOtherSuspect))
-        context.expectedCrashes += ExpectedBesideSuspect;
-    return context;
-}
-
-auto Steward::observeCrashRates() -> void
-{
-    for (const auto &[pool, workers] : m_poolWorkers) {
-        const auto isNewWorker = [this](const Worker *it) { return isNew(*it); };
-        const auto newWorkers =
-            static_cast<std::size_t>(std::ranges::count_if(workers, isNewWorker));
-        auto &rates = m_crashRates[pool];
-        rates.newWorkers.observe(newWorkers, m_now);
-        rates.oldWorkers.observe(workers.size() - newWorkers, m_now);
-    }
-}
-
-/// Returns the part of the pool's workers that have crashed at about the same time, without the
-/// task: a rack or a switch may have failed.
-auto Steward::coincidingShare(const RecentCrash &crash, const JobTaskId &task) const -> double
-{
-    const auto isCoinciding = [&](const RecentCrash &it) {
-        return &it != &crash && it.pool == crash.pool && !it.wasUnderTest
-            && std::chrono::abs(it.at - crash.at) < DataCentreLossWindow
-            && std::ranges::find(it.runs, task, &LostRun::task) == it.runs.end();
-    };
-    const auto workers = m_poolWorkers.find(crash.pool);
-    const auto others = workers == m_poolWorkers.end() ? 0 : workers->second.size();
-    return static_cast<double>(std::ranges::count_if(m_recentCrashes, isCoinciding))
-        / static_cast<double>(std::max<std::size_t>(others, 1));
-}
-
-/// Counts the crashes of other workers that came soon after this one.
-auto Steward::addCoincidences(const RecentCrash &crash) -> void
-{
-    for (const auto &it : crash.runs) {
-        const auto share = coincidingShare(crash, it.task);
-        auto *task = share > 0 ? findTask(it.task) : nullptr;
-        if (task != nullptr && task->job->outcome == JobOutcome::Open
-            && task->crashes.addExpected(it.run, share))
-            markChanged(*task->job, WriteUrgency::Relaxed);
-    }
-}
-
 /// Records which runs a crash would be held against while the worker refuses connections. The list
 /// of the hosts shows a crash much later, and this steward may end before.
 auto Steward::recordPossibleCrash(const Worker &worker) -> void
@@ -505,7 +429,7 @@
             noteLimitReached(task);
             continue;
         }
-        limitAllows(task);
+        forgetLimitReached(task);
         if (joinsGroup(task, group))
             continue;
         auto *worker = chooseWorkerForSuspect(pool, task);
@@ -572,14 +496,6 @@
     return group;
 }
 
-/// Polls a worker that may be gone. Its pool is placed when it answers.
-auto Steward::checkLife(Worker &worker) -> void
-{
-    worker.isCheckDue = true;
-    worker.nextPoll = m_now;
-    pollIfDue(worker);
-}
-
 /// Returns the worker on which the suspect may start now: all runs there are established, and none
 /// is under test; it is known to be there if an earlier one wasn't. Prefers workers without other
 /// suspects, which might crash them as well, then workers that have been up for long, then those
@@ -617,7 +533,7 @@
         }
     }
     if (best == nullptr)
-        std::ranges::for_each(doubtful, [this](Worker *it) { checkLife(*it); });
+        std::ranges::for_each(doubtful, [this](Worker *it) { probe(*it); });
     if (best == nullptr && doubtful.empty() && next != nullptr && !isAnyReserved
         && mayReserveForSuspect(pool, task))
         next->suspectReservedUntil = m_now + SuspectReservation;
--- a/packages/job/src/steward_limits.cpp
+++ b/packages/job/src/steward_limits.cpp
@@ -25,8 +25,8 @@
 /// or known to have ended, when the recovery is over.
 auto Steward::loadOf(const TeamName &team) const -> TeamLoad
 {
-    const auto known = m_teamUsage.find(team);
-    auto usage = known == m_teamUsage.end() ? TeamLoad() : known->second;
+    const auto known = m_teamLoads.find(team);
+    auto usage = known == m_teamLoads.end() ? TeamLoad() : known->second;
     if (m_isRecovering)
         usage.total += m_unknownRuns.upperBound(team, m_unaskedRoom);
     return usage;
@@ -87,7 +87,7 @@
 }
 
 /// The limit doesn't keep the task from starting any more.
-auto Steward::limitAllows(const Task &task) -> void
+auto Steward::forgetLimitReached(const Task &task) -> void
 {
     const auto wait = m_limitWaits.find(task.job->spec.team);
     if (wait != m_limitWaits.end() && wait->second.step == task.stepId())
--- a/packages/job/src/steward_placing.cpp
+++ b/packages/job/src/steward_placing.cpp
@@ -226,8 +226,8 @@
 /// Returns the milli-cores of the team's running tasks divided by its weight.
 auto Steward::teamShare(const TeamName &team) const -> double
 {
-    const auto running = m_teamUsage.find(team);
-    if (running == m_teamUsage.end() || !m_rules)
+    const auto running = m_teamLoads.find(team);
+    if (running == m_teamLoads.end() || !m_rules)
         return 0;
     const auto rules = m_rules->teams.find(team);
     const auto weight = rules == m_rules->teams.end() ? 1.0 : std::max(rules->second.weight, 1e-3);
@@ -259,7 +259,7 @@
             noteLimitReached(task);
             return PlaceResult::TeamLimit;
         }
-        limitAllows(task);
+        forgetLimitReached(task);
         auto *worker = chooseWorker(workers, task);
         if (worker == nullptr)
             return PlaceResult::NoRoom;
--- a/packages/job/src/steward_polls.cpp
+++ b/packages/job/src/steward_polls.cpp
@@ -40,7 +40,7 @@
     worker->lastAnswerAt = m_now;
     worker->answeredPollSentAt = event.sentAt;
     worker->isEndSuspected = false;
-    if (std::exchange(worker->isCheckDue, false))
+    if (std::exchange(worker->isProbeDue, false))
         markDirty(worker->report.pool);
     if (event.startedMilliseconds != 0)
         worker->startedMilliseconds = event.startedMilliseconds;
@@ -285,7 +285,7 @@
     const auto &step = job->second->spec.steps[task.step];
     worker.detachedRuns.push_back({team, step.reservedResources(), step.resources});
     worker.used += step.reservedResources();
-    m_teamUsage[team].total += step.resources;
+    m_teamLoads[team].total += step.resources;
 }
 
 auto Steward::clearDetachedRuns(Worker &worker) -> void
@@ -294,7 +294,7 @@
         markDirty(worker.report.pool);
     for (const auto &it : worker.detachedRuns) {
         worker.used -= it.reserved;
-        m_teamUsage[it.team].total -= it.resources;
+        m_teamLoads[it.team].total -= it.resources;
     }
     worker.detachedRuns.clear();
     worker.unknownRuns = 0;
@@ -321,7 +321,7 @@
     if (worker.isPolling || m_now < worker.nextPoll)
         return;
     const auto acknowledged = highestAcknowledgeable(worker);
-    const auto isNeeded = !worker.isPolled || worker.isCheckDue || !worker.runs.empty()
+    const auto isNeeded = !worker.isPolled || worker.isProbeDue || !worker.runs.empty()
         || worker.hasDetachedRuns() || acknowledged > worker.acknowledged || worker.failedPolls > 0
         || !worker.isReportCurrent() || (worker.hasUnreadEnds && worker.unpersistedEnds.empty());
     const auto mayHaveRuns = worker.isRegistered || !worker.runs.empty() || worker.hasDetachedRuns()
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -242,7 +242,7 @@
     /// A poll is in flight.
     bool isPolling = false;
     /// A suspect waits to learn whether the worker is there.
-    bool isCheckDue = false;
+    bool isProbeDue = false;
     BootTime nextPoll;
     BootTime lastAnswerAt;
     /// When the last poll with an answer was sent.
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -139,7 +139,7 @@
     task.isRunLost = false;
     worker.runs.push_back(&task);
     worker.used += task.spec().reservedResources();
-    auto &usage = m_teamUsage[task.job->spec.team];
+    auto &usage = m_teamLoads[task.job->spec.team];
     usage.total += task.spec().resources;
     if (task.spec().isLongRunning)
         usage.longRunning += task.spec().resources;
@@ -152,7 +152,7 @@
     auto &worker = *task.worker;
     std::erase(worker.runs, &task);
     worker.used -= task.spec().reservedResources();
-    auto &usage = m_teamUsage[task.job->spec.team];
+    auto &usage = m_teamLoads[task.job->spec.team];
     usage.total -= task.spec().resources;
     if (task.spec().isLongRunning)
         usage.longRunning -= task.spec().resources;
