Remove the crashes of a cause by the age of their workers; keep unknown crashes unknown

The crashes under a task that is given up were all taken off the rate of old workers, so that the one of new workers stayed too high for two minutes. A crash of which nothing was known counted for less once others coincided with it. MaxUnwrittenStarts follows the size of a write.

Both tests, CrashRate.LosesTheCrashesOfACauseByTheAgeOfTheirWorkers and CrashHistory.KeepsACrashUnknownThatCoincidesWithOthers, fail without their mend.

--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -113,8 +113,8 @@
              const CrashContext &context = {}) -> bool;
     /// Notes that the worker had confirmed a run. Returns whether that is new.
     auto confirm(std::uint64_t run) -> bool;
-    /// Other workers turned out to have crashed at the same time. Returns whether the run was
-    /// added.
+    /// Other workers turned out to have crashed at the same time. Returns whether that changes what
+    /// is known of the run.
     auto addExpected(std::uint64_t run, double crashes) -> bool;
     /// Removes a crash that had another cause, unless the run was under test: few are, and they
     /// would hardly meet it by chance. Returns whether it was removed.
--- a/packages/job/include/shallotproxy/job/crash_rate.hpp
+++ b/packages/job/include/shallotproxy/job/crash_rate.hpp
@@ -2,7 +2,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <span>
 
+#include "crash_history.hpp"
 #include "shallotproxy/process/base/boot_clock.hpp"
 
 namespace shallotproxy {
@@ -51,6 +53,8 @@
     {
         return isNew ? newWorkers : oldWorkers;
     }
+    /// Removes the crashes under a task that was found to cause them.
+    auto removeCrashes(std::span<const CrashedRun> runs) -> void;
 };
 
 } // namespace shallotproxy
--- a/packages/job/include/shallotproxy/job/team_limit.hpp
+++ b/packages/job/include/shallotproxy/job/team_limit.hpp
@@ -20,6 +20,9 @@
 /// The runs stay within the limit, apart from one task that would otherwise wait for ever: while
 /// the team uses less than half of its limit, and, if the task is finite, while the team runs
 /// long-running tasks only.
+///
+/// Load pattern: teams with long-running tasks whose limit is lowered, and jobs with a few large
+/// tasks among many small ones.
 auto isWithinLimit(const TeamLoad &usage, const Resources &task, bool isLongRunning,
                    const Resources &limit) -> bool;
 
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -96,7 +96,7 @@
 auto CrashHistory::addExpected(std::uint64_t run, double crashes) -> bool
 {
     const auto it = std::ranges::find(m_runs, run, &CrashedRun::run);
-    if (it == m_runs.end())
+    if (it == m_runs.end() || it->expectedMillionths == 0)
         return false;
     it->expectedMillionths = toMillionths(it->expectedMillionths / Millionths + crashes);
     return true;
--- a/packages/job/src/crash_rate.cpp
+++ b/packages/job/src/crash_rate.cpp
@@ -29,6 +29,12 @@
     m_crashes = std::max(0.0, m_crashes - static_cast<double>(count));
 }
 
+auto PoolCrashRates::removeCrashes(std::span<const CrashedRun> runs) -> void
+{
+    for (const auto &it : runs)
+        of(it.isOnNewWorker).removeCrashes(1);
+}
+
 auto CrashRate::expectedCrashes(Duration time, std::size_t others) const -> double
 {
     const auto crashes = std::max(0.0, m_crashes - static_cast<double>(others));
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -2,6 +2,7 @@
 #include <tuple>
 #include <utility>
 
+#include "shallotproxy/job/progress_writer.hpp"
 #include "steward_state.hpp"
 
 namespace shallotproxy {
@@ -34,8 +35,8 @@
 // A suspect isn't started again before its last crash is persisted, but waits for this long at most
 // while it may well be innocent.
 constexpr milliseconds MaxPersistTime{500};
-// This many jobs of earlier terms may have starts that aren't written yet: about two writes.
-constexpr std::size_t MaxUnwrittenStarts = 14;
+// This many jobs of earlier terms may have starts that aren't written yet: those of two writes.
+constexpr std::size_t MaxUnwrittenStarts = 2 * ProgressWriter::MaxJobsPerWrite;
 // The answer to a start order has been read after this time, also by a busy steward.
 constexpr milliseconds AnswerTime{1'000};
 // A worker is reserved for a suspect for at most this long.
@@ -389,7 +390,7 @@
             continue;
         m_actions.emplace_back(
             steward_action::ReportCrashingTask{it.task, task->crashes.runs().size()});
-        m_crashRates[poolOf(*task->job)].oldWorkers.removeCrashes(task->crashes.runs().size());
+        m_crashRates[poolOf(*task->job)].removeCrashes(task->crashes.runs());
         const auto &step = task->job->occurrences.at(task->occurrence).steps[task->step];
         const auto isGivenUp = [](const Task &other) { return other.crashes.isCause(); };
         if (!task->spec().isLongRunning || std::ranges::all_of(step, isGivenUp))
--- a/tests/unit/unit-crash-rate.cpp
+++ b/tests/unit/unit-crash-rate.cpp
@@ -58,6 +58,30 @@
     EXPECT_LT(rate.expectedCrashes(10s, 0), before / 10);
 }
 
+// All crashes were taken for those of workers that had been up for long.
+TEST(CrashRate, LosesTheCrashesOfACauseByTheAgeOfTheirWorkers)
+{
+    auto rates = PoolCrashRates();
+    rates.oldWorkers.addCrash();
+    rates.newWorkers.addCrash();
+    auto onNewWorker = CrashedRun();
+    onNewWorker.isOnNewWorker = true;
+    rates.removeCrashes(std::vector{onNewWorker});
+    EXPECT_DOUBLE_EQ(rates.newWorkers.expectedCrashes(20s, 0), 1);
+    EXPECT_DOUBLE_EQ(rates.oldWorkers.expectedCrashes(200s, 0), 2);
+}
+
+// A crash of which nothing was known, as in an earlier record, counted for less than before.
+TEST(CrashHistory, KeepsACrashUnknownThatCoincidesWithOthers)
+{
+    auto history = CrashHistory();
+    for (std::uint64_t run = 1; run <= 5; ++run) {
+        history.add(run, CrashEvidence::Beside, true);
+        EXPECT_FALSE(history.addExpected(run, 0.01));
+    }
+    EXPECT_FALSE(history.isCause());
+}
+
 /// Returns a task with this many crashes, each `expected` times as likely by chance.
 auto historyOf(std::size_t crashes, std::chrono::milliseconds survived, double expected)
     -> CrashHistory
