Forget the crash of a worker that an order was never sent to

A busy steward may learn that a worker has ended before it reads that the start order could not be sent. The run counted as one that the worker had not confirmed, and made its task a suspect, which starts alone and later.

UnprovenRuns.AreForgottenOnceTheirOrderIsKnownNotToHaveBeenSent

--- a/packages/job/include/shallotproxy/job/crash_history.hpp
+++ b/packages/job/include/shallotproxy/job/crash_history.hpp
@@ -128,6 +128,9 @@
     /// Removes a crash that had another cause, unless the run was under test: few are, and they
     /// would hardly meet it by chance. Returns whether it was removed.
     auto withdraw(std::uint64_t run) -> bool;
+    /// Removes the crash of a worker that the order never reached, unless it had confirmed the run.
+    /// Returns whether it was removed.
+    auto removeUnsent(std::uint64_t run) -> bool;
     auto clear() -> void { m_runs.clear(); }
 
     [[nodiscard]] auto runs() const -> const std::vector<CrashedRun> & { return m_runs; }
--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -404,6 +404,7 @@
     auto settlePossibleCrashes() -> void;
     auto confirmCrash(Task &task, std::uint64_t run) -> void;
     auto recordSilentLoss(Task &task, const CrashContext &context) -> void;
+    auto removeUnsentCrash(Task &task, std::uint64_t run) -> void;
     auto crashesChanged(Task &task) -> void;
     auto settleRecentCrashes() -> void;
     [[nodiscard]] auto needsIsolation(const Task &task) const -> bool;
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -118,6 +118,13 @@
     return std::erase_if(m_runs, isWithdrawn) > 0;
 }
 
+auto CrashHistory::removeUnsent(std::uint64_t run) -> bool
+{
+    return std::erase_if(m_runs,
+                         [run](const CrashedRun &it) { return it.run == run && !it.wasConfirmed; })
+        > 0;
+}
+
 auto CrashHistory::isSuspect() const -> bool
 {
     return m_runs.size() >= CrashesOfSuspect
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -352,6 +352,17 @@
     crashesChanged(task);
 }
 
+/// Forgets the crash of a worker that the order of a run was never sent to. A busy steward may read
+/// that after it has learned of the crash.
+auto Steward::removeUnsentCrash(Task &task, std::uint64_t run) -> void
+{
+    if (task.lostUnanswered != run || !task.crashes.removeUnsent(run))
+        return;
+    task.lostUnanswered.reset();
+    if (task.job->outcome == JobOutcome::Open)
+        markChanged(*task.job, WriteUrgency::Relaxed);
+}
+
 /// Notes that a worker had confirmed a run before it crashed. A busy steward may read the answer
 /// after it has learned of the crash.
 auto Steward::confirmCrash(Task &task, std::uint64_t run) -> void
--- a/packages/job/src/steward_ends.cpp
+++ b/packages/job/src/steward_ends.cpp
@@ -71,8 +71,13 @@
             && !m_expectedWorkers.contains(worker.report.name));
     if (hasCrashed)
         recordCrash(worker, cause);
-    for (auto *task : worker.runs)
+    for (auto *task : worker.runs) {
+        const auto isFirstOrderOpen =
+            task->phase == TaskPhase::Starting && task->isOrderPending && !task->wasStartResent;
+        if (!task->isRunLost && isFirstOrderOpen)
+            task->lostUnanswered = task->run;
         task->isRunLost = true;
+    }
 }
 
 /// Handles the restart of a worker under the same name.
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -40,6 +40,8 @@
     Duration contactAge{};
     /// The worker closed the connection of the start order, so that the order has reached it.
     bool wasStartClosed = false;
+    /// A run that was lost before its only start order had an answer.
+    std::optional<std::uint64_t> lostUnanswered;
     /// The change of the job that contains the last crash.
     std::uint64_t crashChange = 0;
     std::string checkpoint;
--- a/packages/job/src/steward_workers.cpp
+++ b/packages/job/src/steward_workers.cpp
@@ -191,6 +191,8 @@
     auto *task = findTask(event.task);
     if (task != nullptr && event.outcome == OrderOutcome::Accepted)
         confirmCrash(*task, event.run);
+    if (task != nullptr && event.outcome == OrderOutcome::NotSent)
+        removeUnsentCrash(*task, event.run);
     if (worker == nullptr || task == nullptr || task->worker != worker || task->run != event.run)
         return;
     task->isOrderPending = false;
--- a/tests/unit/unit-unproven-runs.cpp
+++ b/tests/unit/unit-unproven-runs.cpp
@@ -97,6 +97,25 @@
     }
 }
 
+// A busy steward reads that an order was never sent after it has learned of the worker's end.
+TEST(UnprovenRuns, AreForgottenOnceTheirOrderIsKnownNotToHaveBeenSent)
+{
+    auto fleet = FakeFleet(4);
+    fleet.addSteward();
+    fleet.run(1s);
+    fleet.deliveries = {Delivery::NotSent};
+    fleet.startAnswerDelay = 700ms;
+    fleet.addJob(test::oneStepJob("job", test::shortStep(1)));
+    fleet.endWorkers({0, 1, 2, 3});
+    fleet.run(650ms);
+    EXPECT_EQ(fleet.recordedCrashes("job"), 1U);
+    fleet.run(1s);
+    EXPECT_EQ(fleet.recordedCrashes("job"), 0U);
+    fleet.run(20s);
+    EXPECT_EQ(fleet.outcome("job"), JobOutcome::Completed);
+    EXPECT_EQ(fleet.violations, std::vector<std::string>());
+}
+
 /// A task ends each worker that starts it, before the answer to its start arrives. The workers
 /// refuse connections then, or are silent.
 auto expectGivenUp(const StepSpec &step, bool doStewardsDie, bool areEndsSilent)
