Give up tasks that crash their workers in pairs or beside sound ones

Cause: what a run meets by chance counted the other task of the pair as a rack that fails, and the worker as one that fails by itself, at each crash anew.

A companion excuses a crash once; a new worker is a reason only if most are not new; five crashes that come after the same time count for more; and suspects of several crashes are kept apart for up to 3 s.

LateCrashes and CrashingTasks on workers that fail or flap by themselves pass as before.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -392,6 +392,8 @@
 
     // Crashes of workers: steward_crashes.cpp
     auto recordCrash(const Worker &worker, RunLoss loss) -> void;
+    auto holdCrashAgainst(Task &task, CrashEvidence evidence, const CrashContext &context,
+                          steward_action::ReportCrash &report) -> void;
     auto recordPossibleCrash(const Worker &worker) -> void;
     auto recordPossibleCrash(Task &task, CrashEvidence evidence, WriteUrgency urgency) -> void;
     auto refinePossibleCrash(Task &task) -> void;
@@ -425,6 +427,7 @@
         -> std::vector<std::optional<CrashEvidence>>;
     [[nodiscard]] auto hasEnded(const PossibleCrash &crash) const -> bool;
     [[nodiscard]] auto mayPlaceSuspect(const Task &task) const -> bool;
+    [[nodiscard]] auto waitsForSeparation(const Task &task, const Worker &worker) const -> bool;
     [[nodiscard]] auto mayReserveForSuspect(const PoolName &pool, const Task &task) const -> bool;
     [[nodiscard]] auto countsForSuspectLimit(const Worker &worker, bool isLongRunning) const
         -> bool;
@@ -438,14 +441,15 @@
 
     // What crashes are compared with: steward_crash_context.cpp
     [[nodiscard]] auto isInTouch(const Worker &worker) const -> bool;
+    [[nodiscard]] auto isNewByItself(const Worker &worker) const -> bool;
     [[nodiscard]] auto isDeliveryInDoubt(const Task &task) const -> bool;
     auto probe(Worker &worker) -> void;
     [[nodiscard]] auto crashContextOf(const Task &task, std::span<Task *const> tasks) const
         -> CrashContext;
     auto crashContextOf(const Task &task, const PossibleCrash &crash) -> CrashContext;
     auto observeCrashRates() -> void;
-    [[nodiscard]] auto coincidingShare(const RecentCrash &crash, const JobTaskId &task) const
-        -> double;
+    [[nodiscard]] auto coincidingShare(const RecentCrash &crash, const Task &task) const -> double;
+    auto noteCompanions(const RecentCrash &crash, Task &task) -> void;
     auto addCoincidences(const RecentCrash &crash) -> void;
 
     // Placement: steward_placing.cpp
--- a/packages/job/src/crash_history.cpp
+++ b/packages/job/src/crash_history.cpp
@@ -39,6 +39,14 @@
 // Only as many of the last crashes are compared: a sound task may meet any number in time.
 constexpr std::size_t MaxComparedCrashes = 6;
 constexpr double Millionths = 1e6;
+// So many last crashes are compared for how regularly they came after their starts.
+constexpr std::size_t RegularCrashes = 5;
+// How exactly the time is known for which a run survived.
+constexpr milliseconds SurvivalResolution{50};
+// A task is the cause if its crashes are this many times likelier with its help by their number and
+// by their regularity together.
+constexpr double LikelihoodOfRegularCause = 20'000;
+constexpr double LeastLikelihoodOfRegularCause = 25;
 // After the second crash of its task, nothing is started beside a run for this long; after each
 // further crash for this many times longer. From the third one on that is longer than the runs have
 // survived, if the crashes are frequent: many sound tasks may have met two, and wait for each
@@ -63,6 +71,28 @@
     return static_cast<std::uint32_t>(std::lround(std::clamp(crashes, 0.0, 1.0) * Millionths));
 }
 
+/// Returns how many times likelier it is that the last crashes came as regularly after their starts
+/// as they did if the task has caused them, than if they came at random. The survival times of runs
+/// that end at random, with the same sum, are spread evenly over all ways to divide it; they are
+/// this close together in one case of so many.
+auto regularityRatio(const std::vector<CrashedRun> &runs) -> double
+{
+    auto times = std::vector<double>();
+    for (auto it = runs.rbegin(); it != runs.rend() && times.size() < RegularCrashes; ++it) {
+        if (it->wasConfirmed && !it->isOnNewWorker)
+            times.push_back(static_cast<double>(it->survivedMilliseconds));
+    }
+    if (times.size() < RegularCrashes)
+        return 1;
+    const auto [shortest, longest] = std::ranges::minmax(times);
+    const auto resolution = static_cast<double>(SurvivalResolution.count());
+    const auto spread = (longest - shortest + resolution) / std::max(shortest, resolution);
+    const auto count = static_cast<double>(RegularCrashes);
+    const auto chance =
+        std::tgamma(count + 1) / std::pow(count, count) * std::pow(spread, count - 1);
+    return std::max(1.0, 1 / chance);
+}
+
 } // namespace
 
 auto weakenEvidence(CrashEvidence evidence) -> CrashEvidence
@@ -182,7 +212,9 @@
     const auto isFrequentCause =
         confirmed >= CrashesOfFrequentCause && likelihoodRatio() >= likelihood;
     return isEarlyCause || isRepeatedCause || isLateCause || isRepeatedLateCause || isFrequentCause
-        || isUnconfirmedCause();
+        || isUnconfirmedCause()
+        || (confirmed >= RegularCrashes && likelihoodRatio() >= LeastLikelihoodOfRegularCause
+            && likelihoodRatio() * regularityRatio(m_runs) >= LikelihoodOfRegularCause);
 }
 
 /// Whether the task ends its workers before they can confirm its runs, as far as chance can be
--- a/packages/job/src/steward_crash_context.cpp
+++ b/packages/job/src/steward_crash_context.cpp
@@ -14,6 +14,10 @@
 constexpr double ExpectedBesideSuspect = 0.25;
 // A worker that has started lately may fail again by itself.
 constexpr double ExpectedOnNewWorker = 1.0 / 7;
+// Another worker takes the place of one that has ended within about this time.
+constexpr milliseconds ReplacementTime{5'000};
+// Of fewer workers, most may be new because each of them fails.
+constexpr std::size_t MinWorkersToCompare = 4;
 // A worker that has answered within this time is known to be there.
 constexpr milliseconds InTouchTime{1'000};
 // What a run meets by chance while one steward follows another.
@@ -44,6 +48,25 @@
     pollIfDue(worker);
 }
 
+/// Whether the worker may fail again by itself as it has started lately. Where most workers are
+/// new, they don't tell of single ones that fail: tasks crash them, or a rack was lost.
+auto Steward::isNewByItself(const Worker &worker) const -> bool
+{
+    if (!isNew(worker))
+        return false;
+    const auto &pool = worker.report.pool;
+    const auto &workers = m_poolWorkers.at(pool);
+    const auto newWorkers = static_cast<std::size_t>(
+        std::ranges::count_if(workers, [this](const Worker *it) { return isNew(*it); }));
+    const auto endedWorkers = static_cast<std::size_t>(
+        std::ranges::count_if(m_endedWorkers, [this, &pool](const auto &entry) {
+            return entry.second.report.pool == pool
+                && m_now < entry.second.endKnownAt + ReplacementTime;
+        }));
+    const auto areMostNew = 2 * newWorkers > workers.size();
+    return !areMostNew || workers.size() + endedWorkers < MinWorkersToCompare;
+}
+
 /// Returns what the run of the task would have met by chance until the last crash. `tasks` are
 /// those of its worker.
 auto Steward::crashContextOf(const Task &task, std::span<Task *const> tasks) const -> CrashContext
@@ -54,7 +77,7 @@
     const auto survival = std::max<Duration>(lostAt - task.attachedAt, Duration());
     auto context = CrashContext();
     context.survived = std::chrono::duration_cast<milliseconds>(survival);
-    context.isOnNewWorker = isNew(worker);
+    context.isOnNewWorker = isNewByItself(worker);
     context.isDeliveryInDoubt = isDeliveryInDoubt(task);
     // An unconfirmed run may have met the end of its worker at any time since the last answer.
     const auto time = wasConfirmed ? survival : std::max<Duration>(task.contactAge, InTouchTime);
@@ -63,13 +86,13 @@
     context.expectedCrashes = m_crashRates.at(worker.report.pool)
                                   .of(context.isOnNewWorker)
                                   .expectedCrashes(time, static_cast<std::size_t>(own) + 1)
-        + coincidingShare(m_recentCrashes.back(), task.id());
+        + coincidingShare(m_recentCrashes.back(), task);
     if (context.isOnNewWorker)
         context.expectedCrashes = std::max(context.expectedCrashes, ExpectedOnNewWorker);
-    const auto isOtherSuspect = [&task](const Task *it) {
-        return it != &task && it->crashes.isSuspect();
+    const auto isNewCompanion = [&task](const Task *it) {
+        return it != &task && it->crashes.isSuspect() && !task.companions.contains(it->id());
     };
-    if (std::ranges::any_of(tasks, isOtherSuspect))
+    if (std::ranges::any_of(tasks, isNewCompanion))
         context.expectedCrashes += ExpectedBesideSuspect;
     return context;
 }
@@ -92,7 +115,7 @@
 auto Steward::observeCrashRates() -> void
 {
     for (const auto &[pool, workers] : m_poolWorkers) {
-        const auto isNewWorker = [this](const Worker *it) { return isNew(*it); };
+        const auto isNewWorker = [this](const Worker *it) { return isNewByItself(*it); };
         const auto newWorkers =
             static_cast<std::size_t>(std::ranges::count_if(workers, isNewWorker));
         auto &rates = m_crashRates[pool];
@@ -102,29 +125,48 @@
 }
 
 /// Returns the part of the pool's workers that have crashed at about the same time, without the
-/// task: a rack or a switch may have failed.
-auto Steward::coincidingShare(const RecentCrash &crash, const JobTaskId &task) const -> double
+/// task: a rack or a switch may have failed. Tasks that crash their workers side by side would be
+/// the reason for each other for ever, so that the same companions count once.
+auto Steward::coincidingShare(const RecentCrash &crash, const Task &task) const -> double
 {
+    const auto isCompanion = [&task](const LostRun &it) {
+        return task.companions.contains(it.task);
+    };
     const auto isCoinciding = [&](const RecentCrash &it) {
         return &it != &crash && it.pool == crash.pool && !it.wasUnderTest
             && std::chrono::abs(it.at - crash.at) < CoincidenceWindow
-            && std::ranges::find(it.runs, task, &LostRun::task) == it.runs.end();
+            && std::ranges::find(it.runs, task.id(), &LostRun::task) == it.runs.end()
+            && (it.runs.empty() || !std::ranges::all_of(it.runs, isCompanion));
     };
     const auto workers = m_poolWorkers.find(crash.pool);
-    const auto others = workers == m_poolWorkers.end() ? 0 : workers->second.size();
-    return static_cast<double>(std::ranges::count_if(m_recentCrashes, isCoinciding))
-        / static_cast<double>(std::max<std::size_t>(others, 1));
+    const auto left = workers == m_poolWorkers.end() ? 0 : workers->second.size();
+    const auto coinciding =
+        static_cast<double>(std::ranges::count_if(m_recentCrashes, isCoinciding));
+    return coinciding / std::max(static_cast<double>(left), coinciding + 1);
+}
+
+/// Notes whose runs were lost with the worker or at about the same time.
+auto Steward::noteCompanions(const RecentCrash &crash, Task &task) -> void
+{
+    for (const auto &it : m_recentCrashes) {
+        if (it.pool != crash.pool || std::chrono::abs(it.at - crash.at) >= CoincidenceWindow)
+            continue;
+        for (const auto &run : it.runs)
+            task.companions.insert(run.task);
+    }
 }
 
 /// Counts the crashes of other workers that came soon after this one.
 auto Steward::addCoincidences(const RecentCrash &crash) -> void
 {
     for (const auto &it : crash.runs) {
-        const auto share = coincidingShare(crash, it.task);
-        auto *task = share > 0 ? findTask(it.task) : nullptr;
-        if (task != nullptr && task->job->outcome == JobOutcome::Open
-            && task->crashes.addExpected(it.run, share))
+        auto *task = findTask(it.task);
+        if (task == nullptr || task->job->outcome != JobOutcome::Open)
+            continue;
+        const auto share = coincidingShare(crash, *task);
+        if (share > 0 && task->crashes.addExpected(it.run, share))
             markChanged(*task->job, WriteUrgency::Relaxed);
+        noteCompanions(crash, *task);
     }
 }
 
--- a/packages/job/src/steward_crashes.cpp
+++ b/packages/job/src/steward_crashes.cpp
@@ -43,22 +43,11 @@
 // with one crash are soon established and have no limit.
 constexpr std::size_t WorkersPerSuspect = 4;
 constexpr std::size_t MaxRunsPerReport = 20;
-
-/// Collects the runs that one crash is held against.
-struct CrashReport
-{
-    steward_action::ReportCrash action;
-
-    auto add(const auto &task) -> void
-    {
-        if (action.runs.size() < MaxRunsPerReport) {
-            const auto &runs = task.crashes.runs();
-            action.runs.push_back({task.id(), runs.back(), runs.size()});
-        } else {
-            ++action.omitted;
-        }
-    }
-};
+// A suspect waits for this long at most for a worker without another one; the longer time holds
+// after more crashes, and covers that in which the worker of the last one is replaced.
+constexpr milliseconds ShortSeparationTime{1'000};
+constexpr milliseconds MaxSeparationTime{3'000};
+constexpr std::size_t CrashesOfPatientSuspect = 3;
 
 } // namespace
 
@@ -164,35 +153,49 @@
     m_recentCrashes.push_back(std::move(crash));
     if (isLostWithDataCentre(worker))
         return;
-    m_crashRates[worker.report.pool].of(isNew(worker)).addCrash();
+    m_crashRates[worker.report.pool].of(isNewByItself(worker)).addCrash();
     const auto evidence = evidenceIfCrashed(tasks);
     if (std::ranges::find(evidence, CrashEvidence::Grouped) != evidence.end())
         m_suspectGroups[worker.report.pool].crashed(m_now);
-    const auto wasSilentRestart = loss == RunLoss::Restarted && worker.contact.isSilent();
-    auto report = CrashReport{{worker.report.name, loss, worker.contact.loss(), {}, 0}};
     // Before any of them becomes a suspect by this crash.
     auto contexts = std::vector<CrashContext>();
     for (const auto *task : tasks)
         contexts.push_back(crashContextOf(*task, tasks));
+    for (auto *task : tasks)
+        noteCompanions(m_recentCrashes.back(), *task);
+    const auto isSilentRestart = loss == RunLoss::Restarted && worker.contact.isSilent();
+    auto report =
+        steward_action::ReportCrash{worker.report.name, loss, worker.contact.loss(), {}, 0};
     for (std::size_t n = 0; n < tasks.size(); ++n) {
         auto &task = *tasks[n];
         if (!evidence[n])
             continue;
-        const auto wasConfirmed = task.activeAtMilliseconds.has_value();
-        if (wasConfirmed && wasSilentRestart) {
+        if (isSilentRestart && task.activeAtMilliseconds) {
             recordSilentLoss(task, contexts[n]);
-            continue;
+        } else {
+            holdCrashAgainst(task, *evidence[n], contexts[n], report);
         }
-        const auto strength = weighEvidence(*evidence[n], task);
-        if (task.crashes.add(task.run, strength, wasConfirmed, contexts[n])) {
-            crashesChanged(task);
-            report.add(task);
+    }
+    if (!report.runs.empty())
+        m_actions.emplace_back(std::move(report));
+}
+
+auto Steward::holdCrashAgainst(Task &task, CrashEvidence evidence, const CrashContext &context,
+                               steward_action::ReportCrash &report) -> void
+{
+    const auto strength = weighEvidence(evidence, task);
+    const auto wasConfirmed = task.activeAtMilliseconds.has_value();
+    if (task.crashes.add(task.run, strength, wasConfirmed, context)) {
+        crashesChanged(task);
+        const auto &runs = task.crashes.runs();
+        if (report.runs.size() < MaxRunsPerReport) {
+            report.runs.push_back({task.id(), runs.back(), runs.size()});
+        } else {
+            ++report.omitted;
         }
-        if (strength == CrashEvidence::Sole || task.crashes.isCause())
-            m_crashingTasksSeenAt[worker.report.pool] = m_now;
     }
-    if (!report.action.runs.empty())
-        m_actions.emplace_back(std::move(report.action));
+    if (strength == CrashEvidence::Sole || task.crashes.isCause())
+        m_crashingTasksSeenAt[task.worker->report.pool] = m_now;
 }
 
 /// Records which runs a crash would be held against while the worker refuses connections. The list
@@ -472,6 +475,7 @@
     if (task.crashes.isEmpty() || m_now < task.attachedAt + task.crashes.exonerationTime())
         return;
     task.crashes.clear();
+    task.companions.clear();
     markChanged(*task.job, WriteUrgency::Relaxed);
 }
 
@@ -601,6 +605,8 @@
             next = isBetter(worker, next) ? worker : next;
         }
     }
+    if (best != nullptr && waitsForSeparation(task, *best))
+        return nullptr;
     if (best == nullptr)
         std::ranges::for_each(doubtful, [this](Worker *it) { probe(*it); });
     if (best == nullptr && doubtful.empty() && next != nullptr && !isAnyReserved
@@ -609,6 +615,18 @@
     return best;
 }
 
+/// Whether the suspect waits until it finds a worker without another suspect: a crash of both would
+/// tell little of either.
+auto Steward::waitsForSeparation(const Task &task, const Worker &worker) const -> bool
+{
+    const auto isNearVerdict = [](const Task *it) { return it->crashes.isNearVerdict(); };
+    const auto patience = task.crashes.runs().size() >= CrashesOfPatientSuspect
+        ? MaxSeparationTime
+        : ShortSeparationTime;
+    return task.crashes.isNearVerdict() && m_now < task.phaseSince + patience
+        && std::ranges::any_of(worker.runs, isNearVerdict);
+}
+
 /// Whether the worker is kept from other tasks for a suspect of this kind. Finite suspects keep
 /// theirs for long and must not keep long-running ones waiting.
 auto Steward::countsForSuspectLimit(const Worker &worker, bool isLongRunning) const -> bool
--- a/packages/job/src/steward_state.hpp
+++ b/packages/job/src/steward_state.hpp
@@ -29,6 +29,9 @@
     CrashHistory crashes;
     /// Restarts of workers that couldn't be reached; none is held against the task by itself.
     CrashHistory silentLosses;
+    /// Tasks whose runs were lost at about the same time as one of this task. Each may be the
+    /// reason for one of its crashes; one that comes back isn't. Known to this steward only.
+    std::set<JobTaskId> companions;
     /// Set while the worker of the last run may have crashed, while a suspect is tested alone, and
     /// in a pool with suspects from the start of a run until a poll lists it.
     std::optional<PossibleCrash> possibleCrash;
