--- a/tests/unit/unit-unproven-runs.cpp
+++ b/tests/unit/unit-unproven-runs.cpp
@@ -68,7 +68,8 @@
     fleet.addJob(test::oneStepJob("beside", test::longRunningStep(12)));
     fleet.run(5s);
     fleet.addJob(test::oneStepJob("job", step));
-    for (auto seen = cuts; left > 0;) {
+    auto seen = cuts;
+    while (left > 0) {
         fleet.run(100ms);
         if (!doStewardsDie || left == seen)
             continue;
