Count the new workers of a pool once for each look

Whether most workers of a pool are new was found again for each new worker, each tick: of the order of the square of their number where a pool is replaced. The transport's test says what a failed call shows.

--- a/packages/job/include/shallotproxy/job/steward.hpp
+++ b/packages/job/include/shallotproxy/job/steward.hpp
@@ -442,6 +442,7 @@
     // What crashes are compared with: steward_crash_context.cpp
     [[nodiscard]] auto isInTouch(const Worker &worker) const -> bool;
     [[nodiscard]] auto isNewByItself(const Worker &worker) const -> bool;
+    [[nodiscard]] auto doNewWorkersStandOut(const PoolName &pool) const -> bool;
     [[nodiscard]] auto isDeliveryInDoubt(const Task &task) const -> bool;
     auto probe(Worker &worker) -> void;
     [[nodiscard]] auto crashContextOf(const Task &task, std::span<Task *const> tasks) const
--- a/packages/job/src/steward_crash_context.cpp
+++ b/packages/job/src/steward_crash_context.cpp
@@ -48,21 +48,25 @@
     pollIfDue(worker);
 }
 
-/// Whether the worker may fail again by itself as it has started lately. Where most workers are
-/// new, they don't tell of single ones that fail: tasks crash them, or a rack was lost.
+/// Whether the worker may fail again by itself as it has started lately.
 auto Steward::isNewByItself(const Worker &worker) const -> bool
 {
-    if (!isNew(worker))
-        return false;
-    const auto &pool = worker.report.pool;
+    return isNew(worker) && doNewWorkersStandOut(worker.report.pool);
+}
+
+/// Whether new workers tell of single ones that fail. Where most workers are new, tasks crash them,
+/// or a rack was lost.
+auto Steward::doNewWorkersStandOut(const PoolName &pool) const -> bool
+{
     const auto &workers = m_poolWorkers.at(pool);
-    const auto newWorkers = static_cast<std::size_t>(
-        std::ranges::count_if(workers, [this](const Worker *it) { return isNew(*it); }));
-    const auto endedWorkers = static_cast<std::size_t>(
-        std::ranges::count_if(m_endedWorkers, [this, &pool](const auto &entry) {
-            return entry.second.report.pool == pool
-                && m_now < entry.second.endKnownAt + ReplacementTime;
-        }));
+    const auto isNewWorker = [this](const Worker *it) { return isNew(*it); };
+    const auto newWorkers = static_cast<std::size_t>(std::ranges::count_if(workers, isNewWorker));
+    const auto isReplacedSoon = [this, &pool](const auto &entry) {
+        return entry.second.report.pool == pool
+            && m_now < entry.second.endKnownAt + ReplacementTime;
+    };
+    const auto endedWorkers =
+        static_cast<std::size_t>(std::ranges::count_if(m_endedWorkers, isReplacedSoon));
     const auto areMostNew = 2 * newWorkers > workers.size();
     return !areMostNew || workers.size() + endedWorkers < MinWorkersToCompare;
 }
@@ -115,9 +119,10 @@
 auto Steward::observeCrashRates() -> void
 {
     for (const auto &[pool, workers] : m_poolWorkers) {
-        const auto isNewWorker = [this](const Worker *it) { return isNewByItself(*it); };
-        const auto newWorkers =
-            static_cast<std::size_t>(std::ranges::count_if(workers, isNewWorker));
+        const auto isNewWorker = [this](const Worker *it) { return isNew(*it); };
+        const auto newWorkers = doNewWorkersStandOut(pool)
+            ? static_cast<std::size_t>(std::ranges::count_if(workers, isNewWorker))
+            : 0;
         auto &rates = m_crashRates[pool];
         rates.newWorkers.observe(newWorkers, m_now);
         rates.oldWorkers.observe(workers.size() - newWorkers, m_now);
--- a/tests/unit/unit-platform-clients.cpp
+++ b/tests/unit/unit-platform-clients.cpp
@@ -226,6 +226,34 @@
     EXPECT_EQ(target.requests(), 1);
 }
 
+// Whether a worker has ended or is silent decides what the loss of its runs proves (issue 65).
+TEST(HttpClient, TellsAClosedConnectionFromSilence)
+{
+    const auto errorOf = [](const std::string &endpoint) {
+        auto client = HttpClient(HttpBounds(), 1);
+        auto error = std::optional<TargetError>();
+        client.send(endpoint, {"GET", "/", {}, {}}, 200,
+                    [&error](const TargetReply &reply) { error = reply.error(); });
+        EXPECT_TRUE(runUntil([&error] { return error.has_value(); }));
+        return error.value_or(TargetError());
+    };
+    auto silent = FakeTarget([](QTcpSocket &, int) {});
+    EXPECT_EQ(errorOf(silent.endpoint()).kind, TargetError::Kind::TimedOut);
+    EXPECT_FALSE(errorOf(silent.endpoint()).isClosedByTarget);
+    auto resetting = FakeTarget([](QTcpSocket &socket, int) { socket.abort(); });
+    EXPECT_EQ(errorOf(resetting.endpoint()).kind, TargetError::Kind::ClosedUnanswered);
+    EXPECT_TRUE(errorOf(resetting.endpoint()).isClosedByTarget);
+    auto closing = FakeTarget([](QTcpSocket &socket, int) { socket.disconnectFromHost(); });
+    EXPECT_TRUE(errorOf(closing.endpoint()).isClosedByTarget);
+    auto refusing = std::string();
+    {
+        auto ended = FakeTarget([](QTcpSocket &, int) {});
+        refusing = ended.endpoint();
+    }
+    EXPECT_EQ(errorOf(refusing).kind, TargetError::Kind::NotConnected);
+    EXPECT_TRUE(errorOf(refusing).isClosedByTarget);
+}
+
 } // namespace
 
 } // namespace shallotproxy::platform
